--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -30,7 +30,7 @@
 // raised returns a running fleet of n daemons that is torn down with the test.
 func raised(t *testing.T, n int, doc config.Document) *Fleet {
 	t.Helper()
-	f, err := NewFleet(standSettings(1), io.Discard, logrus.PanicLevel)
+	f, err := NewFleet(StandSettings(1), io.Discard, logrus.PanicLevel)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/demo/layout.go
+++ b/internal/demo/layout.go
@@ -50,7 +50,8 @@
 	return "token-" + account
 }
 
-func standSettings(seed uint64) stand.Settings {
+// StandSettings returns the stand-ins of the demo; their chances follow from the seed.
+func StandSettings(seed uint64) stand.Settings {
 	s := stand.Settings{
 		Control: anyPort,
 		Seed:    seed,
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -40,7 +40,7 @@
 	if o.Verbose {
 		level = logrus.InfoLevel
 	}
-	fleet, err := NewFleet(standSettings(o.Seed), os.Stderr, level)
+	fleet, err := NewFleet(StandSettings(o.Seed), os.Stderr, level)
 	if err != nil {
 		return fmt.Errorf("start demo: %w", err)
 	}
