--- a/cmd/cornelwingd/main.go
+++ b/cmd/cornelwingd/main.go
@@ -30,6 +30,7 @@
 	flags := flag.NewFlagSet("cornelwingd", flag.ContinueOnError)
 	path := flags.String("settings", "cornelwingd.yaml", "`file` with the settings, in YAML")
 	check := flags.Bool("check", false, "check the settings and exit: 0 if they are good, 2 if not")
+	reference := flags.Bool("reference", false, "print the page that documents every setting, and exit")
 	flags.Usage = func() {
 		fmt.Fprintf(flags.Output(), "usage: cornelwingd [-settings FILE] [-check]\n       cornelwingd version\n\n")
 		flags.PrintDefaults()
@@ -41,6 +42,10 @@
 	if err := flags.Parse(args); err != nil {
 		return common.ExitFlags(err)
 	}
+	if *reference {
+		fmt.Print(setup.Reference())
+		return common.ExitOK
+	}
 	s, err := setup.Read(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/setup/settings.go
+++ b/internal/setup/settings.go
@@ -27,32 +27,32 @@
 
 // Host says which host this is.
 type Host struct {
-	Name   string `yaml:"name"`
-	Domain string `yaml:"domain"`
+	Name   string `yaml:"name" help:"name of this host, unique among all"`
+	Domain string `yaml:"domain" help:"failure domain of this host"`
 }
 
 // Listen holds the addresses, an IP number and a port each.
 type Listen struct {
-	Callers   string `yaml:"callers"`
-	Operators string `yaml:"operators"`
-	Peers     string `yaml:"peers"`
+	Callers   string `yaml:"callers" help:"address for callers, an IP number and a port (TCP)"`
+	Operators string `yaml:"operators" help:"address for operators (TCP)"`
+	Peers     string `yaml:"peers" help:"address for peers (UDP)"`
 }
 
 // Platform says where the platform is.
 type Platform struct {
-	URL     string      `yaml:"url"`
-	Timeout config.Span `yaml:"timeout"`
+	URL     string      `yaml:"url" help:"base URL of the platform"`
+	Timeout config.Span `yaml:"timeout" help:"bound of one call to the platform"`
 }
 
 // Peers says how the hosts find and trust each other.
 type Peers struct {
 	// Seeds are peer addresses that are asked while the platform's list cannot be read.
-	Seeds []string `yaml:"seeds"`
-	CA    string   `yaml:"ca"`
-	Cert  string   `yaml:"cert"`
-	Key   string   `yaml:"key"`
+	Seeds []string `yaml:"seeds" help:"peer addresses that are asked while the platform cannot be read"`
+	CA    string   `yaml:"ca" help:"PEM file of the authority; without it the host works alone"`
+	Cert  string   `yaml:"cert" help:"PEM file of the host's certificate"`
+	Key   string   `yaml:"key" help:"PEM file of its key"`
 	// Every is the time between two exchanges with peers.
-	Every config.Span `yaml:"every"`
+	Every config.Span `yaml:"every" help:"time between two rounds of exchanges with peers"`
 }
 
 // Role says what an operator may do.
@@ -67,28 +67,28 @@
 
 // Operator is a person who may use the operators' address.
 type Operator struct {
-	Name      string `yaml:"name"`
-	KeySHA256 string `yaml:"key_sha256"`
-	Role      Role   `yaml:"role"`
+	Name      string `yaml:"name" help:"operator's name, as the history shows it"`
+	KeySHA256 string `yaml:"key_sha256" help:"hexadecimal SHA-256 of the operator's token; see cornelwing token"`
+	Role      Role   `yaml:"role" help:"viewer, editor or approver"`
 }
 
 // Limits bounds what callers may use and how long a stop may take.
 type Limits struct {
-	MaxBodyBytes int64 `yaml:"max_body_bytes"`
+	MaxBodyBytes int64 `yaml:"max_body_bytes" help:"largest body that a caller may send, in bytes"`
 	// HeaderTimeout and BodyTimeout bound how long a caller may take to send a request.
-	HeaderTimeout config.Span `yaml:"header_timeout"`
-	BodyTimeout   config.Span `yaml:"body_timeout"`
+	HeaderTimeout config.Span `yaml:"header_timeout" help:"time that a caller has to send the headers"`
+	BodyTimeout   config.Span `yaml:"body_timeout" help:"time that a caller has to send the body"`
 	// WaitingRoom is how many patient requests may wait for admission.
-	WaitingRoom int `yaml:"waiting_room"`
+	WaitingRoom int `yaml:"waiting_room" help:"how many patient requests may wait"`
 	// DrainWait is how long a stopping host goes on taking requests, until the balancer has seen that it is leaving.
-	DrainWait config.Span `yaml:"drain_wait"`
+	DrainWait config.Span `yaml:"drain_wait" help:"how long a stopping host goes on taking requests"`
 	// DrainTimeout bounds how long a stopping host waits for the requests in flight.
-	DrainTimeout config.Span `yaml:"drain_timeout"`
+	DrainTimeout config.Span `yaml:"drain_timeout" help:"how long it then waits for requests in flight"`
 }
 
 // Log says what is logged.
 type Log struct {
-	Level string `yaml:"level"`
+	Level string `yaml:"level" help:"debug, info, warning or error"`
 }
 
 // Defaults returns the settings that hold where the file names none.
