--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -1,11 +1,13 @@
 package demo
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -606,3 +608,31 @@
 		t.Error("a booking ran without its claim")
 	}
 }
+
+func TestASlowSenderIsToldAndRunsNothing(t *testing.T) {
+	f := startedFleet(t, 1, Document())
+	conn, err := net.Dial("tcp", f.Daemons()[0].Callers())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	_, err = fmt.Fprintf(conn, "POST /v1/pipelines/%s/requests HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: 40\r\n\r\n{\"input\":\"slow", pipeAssistant, TokenOf(account))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var p wire.Problem
+	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil || p.Kind() != wire.KindMalformed || p.Outcome != wire.NotRun {
+		t.Errorf("status %d, %+v, %v", resp.StatusCode, p, err)
+	}
+	if ranAny(f, "slow") {
+		t.Error("something of it ran")
+	}
+}
--- a/internal/demo/layout.go
+++ b/internal/demo/layout.go
@@ -174,6 +174,7 @@
 	s.Peers.Seeds = seeds
 	s.Peers.Every = config.Span(200 * time.Millisecond)
 	s.Limits.DrainWait = config.Span(500 * time.Millisecond)
+	s.Limits.BodyTimeout = config.Span(time.Second)
 	s.Operators = []setup.Operator{
 		{
 			Name:      "demo",
