Roll a version over HTTP engines under load

Cause: orders were proved with fakes only; the stand-ins' engines could not be given a load time in their settings. Change: load_time and checks_fencing in the stand-in's groups, and a test through lease, orders and HTTP.

--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -636,3 +636,53 @@
 		t.Error("something of it ran")
 	}
 }
+
+func TestAVersionRollsUnderLoadAndLosesNothing(t *testing.T) {
+	f := startedFleet(t, 3, Document())
+	pool, _ := Document().Pool("engines")
+	recorder := NewRecorder()
+	load := Load{
+		Hosts:    f.Callers,
+		Rate:     60,
+		For:      10 * time.Second,
+		Seed:     4,
+		Recorder: recorder,
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		load.Run(context.Background())
+	}()
+	err := f.Apply(context.Background(), 1, Document().WithPool(pool.WithWanted(config.Wanted{
+		Model:     "maiz",
+		Version:   "2",
+		RollShare: 0.25,
+		MaxLoads:  3,
+	})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rolled := func() (n int) {
+		for _, u := range f.Environment.Upstreams {
+			if s := u.State(); s.Version == "2" && s.Model == "maiz" {
+				n++
+			}
+		}
+		return n
+	}
+	eventually(t, 60*time.Second, "every engine has the version", func() bool { return rolled() == 12 })
+	for _, u := range f.Environment.Upstreams {
+		if n := len(u.Orders()); n > 1 {
+			t.Errorf("engine %s was ordered %d times", u.Spec.Name, n)
+		}
+	}
+	<-done
+	r := recorder.Close(f.Environment.RunLog)
+	t.Logf("%d sent, %d answered, %d not run, %d failed, %d unknown", r.Sent, r.Answered, r.NotRun, r.Failed, r.Unknown)
+	if err := r.Check(); err != nil {
+		t.Error(err)
+	}
+	if r.Answered != r.Sent {
+		t.Errorf("%d of %d requests were answered", r.Answered, r.Sent)
+	}
+}
--- a/internal/demo/layout.go
+++ b/internal/demo/layout.go
@@ -87,6 +87,8 @@
 	g := group("engines", domain, 4, 16, 40*time.Millisecond)
 	g.Token = config.Span(6 * time.Millisecond)
 	g.Tokens = answerTokens
+	g.LoadTime = config.Span(300 * time.Millisecond)
+	g.ChecksFencing = true
 	return g
 }
 
--- a/internal/stand/environment.go
+++ b/internal/stand/environment.go
@@ -60,6 +60,10 @@
 			Tokens:  g.Tokens,
 			Slots:   g.Slots,
 		}, faults, w.RunLog)
+		up.SetEngine(runner.Engine{
+			ChecksFencing: g.ChecksFencing,
+			LoadTime:      g.LoadTime.D(),
+		})
 		addr := net.JoinHostPort(g.Host, strconv.Itoa(port))
 		w.Upstreams = append(w.Upstreams, up)
 		w.endpoints = append(w.endpoints, newEndpoint(name, addr, faults, up.Handler()))
--- a/internal/stand/settings.go
+++ b/internal/stand/settings.go
@@ -38,6 +38,10 @@
 	Service config.Span `yaml:"service"`
 	Token   config.Span `yaml:"token,omitempty"`
 	Tokens  int         `yaml:"tokens,omitempty"`
+	// LoadTime is how long an engine takes to carry out an order, and takes no work.
+	LoadTime config.Span `yaml:"load_time,omitempty"`
+	// ChecksFencing says that the engines refuse orders with an old fencing number.
+	ChecksFencing bool `yaml:"checks_fencing,omitempty"`
 }
 
 // HostSpec is an entry host as the host list shows it; its address is the one for peers.
