--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -686,3 +686,30 @@
 		t.Errorf("%d of %d requests were answered", r.Answered, r.Sent)
 	}
 }
+
+func TestAHostWithoutAConfigurationRunsNothing(t *testing.T) {
+	f, err := NewFleet(StandSettings(1), io.Discard, logrus.PanicLevel)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	d, err := f.Start("entry", Domains()[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, after := post(t, d, pipeAssistant, TokenOf(account), `{"input":"early"}`, nil)
+	if p.Kind() != wire.KindNotReady || p.Outcome != wire.NotRun || after == "" {
+		t.Errorf("got %s (%s), Retry-After %q", p.Kind(), p.Outcome, after)
+	}
+	resp, err := http.Get("http://" + d.Callers() + "/readyz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("/readyz answers %d", resp.StatusCode)
+	}
+	if ranAny(f, "early") {
+		t.Error("something of it ran")
+	}
+}
