--- /dev/null
+++ b/cmd/cornelwingd/main.go
@@ -0,0 +1,58 @@
+// Command cornelwingd is the daemon of an entry host.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root"
+	"github.com/cornelwing/cornelwing/internal/setup"
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	flags := flag.NewFlagSet("cornelwingd", flag.ContinueOnError)
+	path := flags.String("settings", "cornelwingd.yaml", "`file` with the settings, in YAML")
+	check := flags.Bool("check", false, "check the settings and exit: 0 if they are good, 2 if not")
+	flags.Usage = func() {
+		fmt.Fprintf(flags.Output(), "usage: cornelwingd [-settings FILE] [-check]\n       cornelwingd version\n\n")
+		flags.PrintDefaults()
+	}
+	if len(args) == 1 && args[0] == "version" {
+		fmt.Println(common.Version())
+		return common.ExitOK
+	}
+	if err := flags.Parse(args); err != nil {
+		return common.ExitFlags(err)
+	}
+	s, err := setup.Read(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return common.ExitUsage
+	}
+	if *check {
+		fmt.Printf("%s: good\n", *path)
+		return common.ExitOK
+	}
+	deps := common.NewDeps(s.Host.Name, s.Host.Domain, os.Stderr, s.Log.Threshold())
+	daemon, err := root.New(deps, s)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return common.ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := daemon.Run(ctx, func() { deps.Log.Info("Ready.") }); err != nil {
+		deps.Log.WithError(err).Error("Stopped with an error.")
+		return common.ExitFailure
+	}
+	return common.ExitOK
+}
--- /dev/null
+++ b/internal/certs/doc.go
@@ -0,0 +1,2 @@
+// Package certs makes and loads the certificates by which entry hosts prove themselves to each other.
+package certs
--- /dev/null
+++ b/internal/demo/run.go
@@ -0,0 +1,187 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cornelwing/cornelwing/internal/stand"
+	"github.com/cornelwing/cornelwing/internal/stand/fault"
+)
+
+// Options says how the demo runs.
+type Options struct {
+	JSON    bool
+	Hold    bool
+	Verbose bool
+	Rate    int
+	For     time.Duration
+	Seed    uint64
+}
+
+// DefaultOptions returns the options of a demo that ends by itself within a minute.
+func DefaultOptions() Options {
+	return Options{
+		Rate: 60,
+		For:  15 * time.Second,
+		Seed: 1,
+	}
+}
+
+// Run runs the demo and returns ErrBroken if a promise was broken.
+func Run(ctx context.Context, out io.Writer, o Options) error {
+	level := logrus.ErrorLevel
+	if o.Verbose {
+		level = logrus.InfoLevel
+	}
+	fleet, err := NewFleet(standSettings(o.Seed), os.Stderr, level)
+	if err != nil {
+		return fmt.Errorf("start demo: %w", err)
+	}
+	defer fleet.Close()
+	p := progress{
+		out:   out,
+		quiet: o.JSON,
+		began: time.Now(),
+	}
+	if err := raise(ctx, fleet, p); err != nil {
+		return fmt.Errorf("start demo: %w", err)
+	}
+	if o.Hold {
+		return hold(ctx, fleet, out)
+	}
+	book := NewBook()
+	load := Load{
+		Hosts: fleet.Callers,
+		Rate:  o.Rate,
+		For:   o.For,
+		Seed:  o.Seed,
+		Book:  book,
+	}
+	var g errgroup.Group
+	g.Go(func() error { return trouble(ctx, fleet, p, o.For) })
+	load.Run(ctx)
+	if err := g.Wait(); err != nil {
+		return fmt.Errorf("make trouble: %w", err)
+	}
+	return conclude(out, o, book.Close(fleet.World.Ledger))
+}
+
+func conclude(out io.Writer, o Options, r Result) error {
+	if o.JSON {
+		if err := json.NewEncoder(out).Encode(r); err != nil {
+			return fmt.Errorf("print result: %w", err)
+		}
+		return r.Check()
+	}
+	fmt.Fprintln(out)
+	if err := r.Print(out); err != nil {
+		return fmt.Errorf("print result: %w", err)
+	}
+	return r.Check()
+}
+
+type progress struct {
+	out   io.Writer
+	quiet bool
+	began time.Time
+}
+
+func (p progress) say(format string, args ...any) {
+	if p.quiet {
+		return
+	}
+	fmt.Fprintf(p.out, "%5.1fs  %s\n", time.Since(p.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// raise starts a daemon in each failure domain and puts the configuration in force.
+func raise(ctx context.Context, f *Fleet, p progress) error {
+	p.say("%d stand-ins are up: the platform, and upstreams in %d failure domains.", len(f.World.Upstreams)+1, len(Domains()))
+	for _, d := range Domains() {
+		daemon, err := f.Start("entry-"+d, d)
+		if err != nil {
+			return fmt.Errorf("start daemon: %w", err)
+		}
+		p.say("Daemon %s listens to callers on %s.", daemon.Name, daemon.Callers())
+	}
+	if err := f.Apply(ctx, 0, Document()); err != nil {
+		return fmt.Errorf("configure: %w", err)
+	}
+	if err := f.WaitReady(ctx); err != nil {
+		return fmt.Errorf("configure: %w", err)
+	}
+	p.say("Revision 1 is in force on every host.")
+	return nil
+}
+
+// trouble switches faults on and off while the workload runs.
+func trouble(ctx context.Context, f *Fleet, p progress, total time.Duration) error {
+	step := total / 6
+	engine := f.World.Upstreams[4].Name
+	steps := []func() error{
+		func() error {
+			p.say("Engine %s freezes.", engine)
+			return f.World.Endpoint(engine).Apply(fault.Faults{Frozen: true})
+		},
+		func() error {
+			p.say("Engine %s is back. The platform loses answers after its writes.", engine)
+			if err := f.World.Endpoint(engine).Apply(fault.Faults{}); err != nil {
+				return err
+			}
+			return f.World.Endpoint(stand.PlatformName).Apply(fault.Faults{Chaos: 0.3})
+		},
+		func() error {
+			p.say("The platform is down: bookings are refused, all else goes on.")
+			return f.World.Endpoint(stand.PlatformName).Apply(fault.Faults{Down: true})
+		},
+		func() error {
+			p.say("The platform is back.")
+			return f.World.Endpoint(stand.PlatformName).Apply(fault.Faults{})
+		},
+		func() error { return replace(f, p) },
+	}
+	for _, s := range steps {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(step):
+		}
+		if err := s(); err != nil {
+			return fmt.Errorf("switch fault: %w", err)
+		}
+	}
+	return nil
+}
+
+// replace stops one daemon gracefully and starts another in its place.
+func replace(f *Fleet, p progress) error {
+	old := f.Daemons()[0]
+	p.say("Daemon %s stops, and another takes its place.", old.Name)
+	if err := f.Stop(old); err != nil {
+		return fmt.Errorf("replace daemon: %w", err)
+	}
+	if _, err := f.Start(old.Name+"-b", old.Domain); err != nil {
+		return fmt.Errorf("replace daemon: %w", err)
+	}
+	return nil
+}
+
+// hold serves until it is interrupted.
+func hold(ctx context.Context, f *Fleet, out io.Writer) error {
+	fmt.Fprintln(out, "\nServing until interrupted.")
+	for _, d := range f.Daemons() {
+		fmt.Fprintf(out, "  %s  callers http://%s  operators http://%s\n", d.Name, d.Callers(), d.Operators())
+	}
+	account := Accounts()[0]
+	fmt.Fprintf(out, "\nSend a request:\n\n  curl -s http://%s/v1/pipelines/%s/requests -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"input\":\"hello\"}'\n",
+		f.Daemons()[0].Callers(), pipeAssistant, TokenOf(account))
+	fmt.Fprintf(out, "\nAsk for the state:\n\n  go run ./cmd/cornelwing status -addr http://%s -token %s\n", f.Daemons()[0].Operators(), OperatorToken)
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/opapi/doc.go
@@ -0,0 +1,2 @@
+// Package opapi calls the operators' interface of a daemon.
+package opapi
--- /dev/null
+++ b/internal/opcli/commands.go
@@ -0,0 +1,210 @@
+package opcli
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/certs"
+	"github.com/cornelwing/cornelwing/internal/demo"
+	"github.com/cornelwing/cornelwing/internal/root/admin"
+	"github.com/cornelwing/cornelwing/pkg/config"
+)
+
+// options holds the flags that only some commands have.
+type options struct {
+	base   int64
+	dryRun bool
+	wait   time.Duration
+	dir    string
+	demo   demo.Options
+}
+
+// Commands returns the client's commands in the order of the help text.
+func Commands() []Command {
+	return []Command{
+		{
+			Name:  "demo",
+			Short: "run stand-ins and three daemons under a mixed load, and check every promise",
+			Long:  "Runs stand-ins and three daemons over loopback sockets in one process, sends a mixed workload through faults, and prints a table. Exits 0 only if every promise held.",
+			run:   runDemo,
+			flags: demoFlags,
+		},
+		{
+			Name:  "apply",
+			Args:  "FILE",
+			Short: "put a document in force",
+			Long:  "Checks the document in FILE (- for standard input) and puts it in force. Without -base the change is made from the newest revision.",
+			run:   runApply,
+			flags: applyFlags,
+		},
+		{
+			Name:  "get",
+			Args:  "[REVISION]",
+			Short: "print the document in force, or an earlier one",
+			Long:  "Prints the document of the newest revision, or of the revision that is named, as YAML.",
+			run:   runGet,
+		},
+		{
+			Name:  "diff",
+			Args:  "FILE",
+			Short: "compare a document with the one in force",
+			Long:  "Prints the lines by which the document in FILE (- for standard input) differs from the one in force. Exits 0 whether or not there are any.",
+			run:   runDiff,
+		},
+		{
+			Name:  "history",
+			Short: "list the revisions",
+			Long:  "Lists the revisions with their authors and times, the newest first.",
+			run:   runHistory,
+		},
+		{
+			Name:  "status",
+			Short: "show which hosts live and which revision each has in force",
+			Long:  "Shows the hosts as the daemon that is asked sees them.",
+			run:   runStatus,
+		},
+		{
+			Name:  "upstreams",
+			Short: "list the upstreams",
+			Long:  "Lists the upstreams as the daemon that is asked sees them.",
+			run:   runUpstreams,
+		},
+		{
+			Name:  "report",
+			Short: "show what one daemon has counted",
+			Long:  "Shows outcomes and costs for each client account and pipeline since the daemon started.",
+			run:   runReport,
+		},
+		{
+			Name:  "certs",
+			Args:  "HOST ...",
+			Short: "make the certificates by which hosts prove themselves to each other",
+			Long:  "Makes an authority and a certificate and key for each host that is named.",
+			run:   runCerts,
+			flags: func(c *call) { c.StringVar(&c.opts.dir, "dir", "certs", "`directory` to write to") },
+		},
+		{
+			Name:  "token",
+			Args:  "TOKEN",
+			Short: "print the key_sha256 of a token",
+			Long:  "Prints the hexadecimal SHA-256 of a token, as documents and settings hold it.",
+			run:   runToken,
+		},
+	}
+}
+
+func demoFlags(c *call) {
+	o := demo.DefaultOptions()
+	c.opts.demo = o
+	c.BoolVar(&c.opts.demo.JSON, "json", false, "print the result as one JSON object")
+	c.BoolVar(&c.opts.demo.Hold, "hold", false, "send nothing, and serve until interrupted")
+	c.BoolVar(&c.opts.demo.Verbose, "v", false, "show the daemons' logs")
+	c.IntVar(&c.opts.demo.Rate, "rate", o.Rate, "requests a `second`")
+	c.DurationVar(&c.opts.demo.For, "for", o.For, "how long to send, as a `duration` with its unit")
+	c.Uint64Var(&c.opts.demo.Seed, "seed", o.Seed, "`seed` of the workload and the faults")
+}
+
+func runDemo(ctx context.Context, c *call) error {
+	if c.opts.demo.Rate <= 0 || c.opts.demo.For <= 0 {
+		return &UsageError{Reason: "-rate and -for must be above 0"}
+	}
+	if err := demo.Run(ctx, c.out, c.opts.demo); err != nil {
+		return fmt.Errorf("demo: %w", err)
+	}
+	return nil
+}
+
+func applyFlags(c *call) {
+	c.Int64Var(&c.opts.base, "base", -1, "`revision` that the change was made from; -1 takes the newest")
+	c.BoolVar(&c.opts.dryRun, "dry-run", false, "check the document and change nothing")
+	c.DurationVar(&c.opts.wait, "wait", 0, "wait up to this `duration` until every live host has the revision in force")
+}
+
+func runApply(ctx context.Context, c *call) error {
+	text, err := readWord(c)
+	if err != nil {
+		return err
+	}
+	base := c.opts.base
+	if base < 0 {
+		if base, err = newest(ctx, c); err != nil {
+			return fmt.Errorf("find base: %w", err)
+		}
+	}
+	done, err := c.api().Apply(ctx, admin.Change{
+		ChangeID: newID(),
+		Base:     base,
+		Document: string(text),
+		DryRun:   c.opts.dryRun,
+	})
+	if err != nil {
+		return fmt.Errorf("apply: %w", err)
+	}
+	if done.DryRun {
+		fmt.Fprintf(c.out, "The document is good. Nothing was changed.\n")
+		return nil
+	}
+	fmt.Fprintf(c.out, "Revision %d is accepted.\n", done.Revision.Number)
+	return awaitForce(ctx, c, done.Revision.Number)
+}
+
+// newest returns the number of the newest revision, 0 where there is none.
+func newest(ctx context.Context, c *call) (int64, error) {
+	rev, err := c.api().Config(ctx)
+	if err == nil {
+		return rev.Number, nil
+	}
+	if exitCode(err) == 3 {
+		return 0, nil
+	}
+	return 0, fmt.Errorf("read newest revision: %w", err)
+}
+
+func readWord(c *call) ([]byte, error) {
+	if len(c.words) != 1 {
+		return nil, &UsageError{Reason: "one FILE is needed"}
+	}
+	if c.words[0] == "-" {
+		data, err := io.ReadAll(os.Stdin)
+		if err != nil {
+			return nil, fmt.Errorf("read standard input: %w", err)
+		}
+		return data, nil
+	}
+	data, err := os.ReadFile(c.words[0])
+	if err != nil {
+		return nil, fmt.Errorf("read document: %w", err)
+	}
+	return data, nil
+}
+
+func runCerts(_ context.Context, c *call) error {
+	if len(c.words) == 0 {
+		return &UsageError{Reason: "at least one HOST is needed"}
+	}
+	if err := certs.Write(c.opts.dir, c.words); err != nil {
+		return fmt.Errorf("make certificates: %w", err)
+	}
+	fmt.Fprintf(c.out, "Certificates of %d hosts are in %s.\n", len(c.words), c.opts.dir)
+	return nil
+}
+
+func runToken(_ context.Context, c *call) error {
+	if len(c.words) != 1 {
+		return &UsageError{Reason: "one TOKEN is needed"}
+	}
+	fmt.Fprintln(c.out, config.HashKey(c.words[0]))
+	return nil
+}
+
+func newID() string {
+	var b [16]byte
+	// The source of the standard library never fails.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/opcli/views.go
@@ -0,0 +1,261 @@
+package opcli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pmezard/go-difflib/difflib"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/cornelwing/cornelwing/internal/root/admin"
+	"github.com/cornelwing/cornelwing/internal/root/view"
+	"github.com/cornelwing/cornelwing/pkg/config"
+)
+
+const (
+	statusPause = 200 * time.Millisecond
+	diffContext = 2
+)
+
+// show prints v as the format asks, and as a table by default.
+func (c *call) show(v any, table func(t *tabwriter.Writer)) error {
+	switch c.format {
+	case "json":
+		enc := json.NewEncoder(c.out)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(v); err != nil {
+			return fmt.Errorf("print as JSON: %w", err)
+		}
+		return nil
+	case "yaml":
+		return c.showYAML(v)
+	case "table":
+		t := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+		table(t)
+		if err := t.Flush(); err != nil {
+			return fmt.Errorf("print table: %w", err)
+		}
+		return nil
+	default:
+		return &UsageError{Reason: "-o must be table, json or yaml"}
+	}
+}
+
+// showYAML goes by way of JSON, so that both formats have the same names.
+func (c *call) showYAML(v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	var plain any
+	if err := json.Unmarshal(data, &plain); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
+	out, err := yaml.Marshal(plain)
+	if err != nil {
+		return fmt.Errorf("print as YAML: %w", err)
+	}
+	if _, err := c.out.Write(out); err != nil {
+		return fmt.Errorf("print as YAML: %w", err)
+	}
+	return nil
+}
+
+func runGet(ctx context.Context, c *call) error {
+	rev, err := wanted(ctx, c)
+	if err != nil {
+		return fmt.Errorf("get: %w", err)
+	}
+	text, err := rev.Document.Encode()
+	if err != nil {
+		return fmt.Errorf("get: %w", err)
+	}
+	return c.show(rev, func(t *tabwriter.Writer) {
+		fmt.Fprintf(t, "# revision %d by %s at %s\n%s", rev.Number, rev.Author, rev.At.Format(time.RFC3339), text)
+	})
+}
+
+func wanted(ctx context.Context, c *call) (config.Revision, error) {
+	if len(c.words) == 0 {
+		return c.api().Config(ctx)
+	}
+	n, err := strconv.ParseInt(c.words[0], 10, 64)
+	if err != nil {
+		return config.Revision{}, &UsageError{Reason: "REVISION must be a number"}
+	}
+	h, err := c.api().History(ctx)
+	if err != nil {
+		return config.Revision{}, fmt.Errorf("read history: %w", err)
+	}
+	for _, r := range h.Revisions {
+		if r.Number == n {
+			return r, nil
+		}
+	}
+	return config.Revision{}, &UsageError{Reason: fmt.Sprintf("revision %d is not among the last %d", n, len(h.Revisions))}
+}
+
+func runDiff(ctx context.Context, c *call) error {
+	text, err := readWord(c)
+	if err != nil {
+		return err
+	}
+	doc, err := config.Parse(c.words[0], text)
+	if err != nil {
+		return &UsageError{Reason: err.Error()}
+	}
+	rev, err := c.api().Config(ctx)
+	if err != nil {
+		return fmt.Errorf("read newest revision: %w", err)
+	}
+	out, err := Diff(rev.Document, doc, fmt.Sprintf("revision %d", rev.Number), c.words[0])
+	if err != nil {
+		return fmt.Errorf("compare: %w", err)
+	}
+	fmt.Fprint(c.out, out)
+	return nil
+}
+
+// Diff returns the lines by which two documents differ.
+func Diff(a, b config.Document, nameA, nameB string) (string, error) {
+	x, err := a.Encode()
+	if err != nil {
+		return "", fmt.Errorf("encode %s: %w", nameA, err)
+	}
+	y, err := b.Encode()
+	if err != nil {
+		return "", fmt.Errorf("encode %s: %w", nameB, err)
+	}
+	out, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A:        difflib.SplitLines(string(x)),
+		B:        difflib.SplitLines(string(y)),
+		FromFile: nameA,
+		ToFile:   nameB,
+		Context:  diffContext,
+	})
+	if err != nil {
+		return "", fmt.Errorf("compare documents: %w", err)
+	}
+	return out, nil
+}
+
+func runHistory(ctx context.Context, c *call) error {
+	h, err := c.api().History(ctx)
+	if err != nil {
+		return fmt.Errorf("history: %w", err)
+	}
+	return c.show(h, func(t *tabwriter.Writer) {
+		fmt.Fprintln(t, "REVISION\tAUTHOR\tAT\tPIPELINES\tACCOUNTS")
+		for _, r := range h.Revisions {
+			fmt.Fprintf(t, "%d\t%s\t%s\t%d\t%d\n", r.Number, r.Author, r.At.Format(time.RFC3339), len(r.Document.Pipelines), len(r.Document.Accounts))
+		}
+	})
+}
+
+func runStatus(ctx context.Context, c *call) error {
+	s, err := c.api().Status(ctx)
+	if err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	return c.show(s, func(t *tabwriter.Writer) {
+		fmt.Fprintf(t, "Revision %d as %s sees it. In force on every live host: %s. Platform: %s.\n\n", s.Revision, s.Host, yesNo(s.InForce), upDown(!s.StoreOut))
+		fmt.Fprintln(t, "HOST\tDOMAIN\tPEER ADDRESS\tREVISION\tSTATE")
+		for _, p := range s.Live {
+			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\n", p.Name, p.Domain, p.Addr, p.Revision, stateOf(p, s.Revision))
+		}
+		for _, p := range s.Lost {
+			fmt.Fprintf(t, "%s\t%s\t%s\t%d\tsilent\n", p.Name, p.Domain, p.Addr, p.Revision)
+		}
+	})
+}
+
+func stateOf(p view.Peer, newest int64) string {
+	switch {
+	case p.Leaving:
+		return "leaving"
+	case p.Revision < newest:
+		return "lags"
+	default:
+		return "live"
+	}
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+func upDown(b bool) string {
+	if b {
+		return "reachable"
+	}
+	return "out"
+}
+
+// awaitForce waits until every live host has the revision, if it was asked to.
+func awaitForce(ctx context.Context, c *call, revision int64) error {
+	if c.opts.wait <= 0 {
+		return nil
+	}
+	began := time.Now()
+	var lagging []string
+	for time.Since(began) < c.opts.wait {
+		s, err := c.api().Status(ctx)
+		if err != nil {
+			return fmt.Errorf("read status: %w", err)
+		}
+		if lagging = behind(s, revision); len(lagging) == 0 {
+			fmt.Fprintf(c.out, "It is in force on all %d live hosts after %s.\n", len(s.Live), time.Since(began).Round(time.Millisecond))
+			return nil
+		}
+		time.Sleep(statusPause)
+	}
+	return fmt.Errorf("after %s these hosts still lag: %s", c.opts.wait, strings.Join(lagging, ", "))
+}
+
+func behind(s admin.Status, revision int64) []string {
+	var out []string
+	for _, p := range s.Live {
+		if p.Revision < revision {
+			out = append(out, p.Name)
+		}
+	}
+	return out
+}
+
+func runUpstreams(ctx context.Context, c *call) error {
+	u, err := c.api().Upstreams(ctx)
+	if err != nil {
+		return fmt.Errorf("upstreams: %w", err)
+	}
+	return c.show(u, func(t *tabwriter.Writer) {
+		fmt.Fprintln(t, "UPSTREAM\tPOOL\tDOMAIN\tADDRESS\tSTATE")
+		for _, x := range u.Upstreams {
+			state := "live"
+			if x.Leaving {
+				state = "leaving"
+			}
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", x.Name, x.Pool, x.Domain, x.Addr, state)
+		}
+	})
+}
+
+func runReport(ctx context.Context, c *call) error {
+	r, err := c.api().Report(ctx)
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return c.show(r, func(t *tabwriter.Writer) {
+		fmt.Fprintln(t, "ACCOUNT\tPIPELINE\tSENT\tIN TIME\tNOT RUN\tFAILED\tUNKNOWN\tCOST\tWASTED")
+		for _, x := range r.Counts {
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\n", x.Account, x.Pipeline, x.Sent, x.InTime, x.NotRun, x.Failed, x.Unknown, x.Cost, x.Wasted)
+		}
+	})
+}
--- /dev/null
+++ b/internal/root/admin/desk.go
@@ -0,0 +1,97 @@
+package admin
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/front"
+	"github.com/cornelwing/cornelwing/internal/root/view"
+	"github.com/cornelwing/cornelwing/internal/root/watch"
+	"github.com/cornelwing/cornelwing/pkg/config"
+)
+
+// maxHistory bounds one listing of revisions.
+const maxHistory = 50
+
+// Desk holds what operators may do.
+type Desk struct {
+	common.Deps
+	Ledger *watch.Ledger
+	Holder *watch.Holder
+	Book   *view.Book
+	Tally  *front.Tally
+	Out    func() (time.Duration, bool)
+}
+
+// Apply checks the document and puts it in force, unless it is a dry run.
+func (d *Desk) Apply(ctx context.Context, author string, c Change) (Accepted, error) {
+	doc, err := config.Parse("document", []byte(c.Document))
+	if err != nil {
+		return Accepted{}, fmt.Errorf("check document: %w", err)
+	}
+	if c.DryRun {
+		return Accepted{
+			Revision: config.Revision{
+				Number:   c.Base,
+				ChangeID: c.ChangeID,
+				Author:   author,
+				Document: doc,
+			},
+			DryRun: true,
+		}, nil
+	}
+	rev, err := d.Ledger.Apply(ctx, watch.Change{
+		ID:       c.ChangeID,
+		Author:   author,
+		Base:     c.Base,
+		Document: doc,
+	})
+	if err != nil {
+		return Accepted{}, fmt.Errorf("apply document: %w", err)
+	}
+	if d.Holder.Offer(rev) {
+		d.Log.Infof("Revision %d by %s is accepted.", rev.Number, author)
+	}
+	return Accepted{Revision: rev}, nil
+}
+
+// Status returns the state of the hosts.
+func (d *Desk) Status() Status {
+	now := d.Now()
+	rev, _ := d.Holder.Current()
+	_, out := d.Out()
+	s := Status{
+		Host:     d.Host,
+		Domain:   d.Domain,
+		Revision: rev.Number,
+		Author:   rev.Author,
+		At:       rev.At,
+		StoreOut: out,
+		InForce:  true,
+		Live:     d.Book.Live(now),
+		Lost:     d.Book.Lost(now),
+	}
+	for _, p := range s.Live {
+		if p.Revision < rev.Number && p.Name != d.Host {
+			s.InForce = false
+		}
+	}
+	return s
+}
+
+// Upstreams returns the upstreams that this host knows.
+func (d *Desk) Upstreams() Upstreams {
+	var out Upstreams
+	for _, u := range d.Book.Upstreams(d.Now()) {
+		out.Upstreams = append(out.Upstreams, Upstream{
+			Name:    u.Name,
+			Addr:    u.Addr,
+			Domain:  u.Domain,
+			Pool:    u.Pool,
+			Leaving: u.Leaving,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/root/crash/guard.go
@@ -0,0 +1,73 @@
+package crash
+
+import (
+	"context"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+)
+
+// probeTimeout bounds the check whether an upstream whose connection broke still lives.
+const probeTimeout = 200 * time.Millisecond
+
+// Guard applies the tracker's decisions at the edge: it probes upstreams and tells the other hosts.
+type Guard struct {
+	common.Deps
+	tracker *Tracker
+	alive   func(ctx context.Context, addr string) bool
+	mine    func(upstream string) bool
+	push    func(ctx context.Context)
+}
+
+// NewGuard returns a guard; alive probes an upstream over a fresh connection, mine says which upstreams this host alone tries suspects on, and push tells the other hosts.
+func NewGuard(deps common.Deps, tracker *Tracker, alive func(ctx context.Context, addr string) bool, mine func(upstream string) bool, push func(ctx context.Context)) *Guard {
+	return &Guard{
+		Deps:    deps.WithPart("crash"),
+		tracker: tracker,
+		alive:   alive,
+		mine:    mine,
+		push:    push,
+	}
+}
+
+// Crashes returns how many crashes the request was in, and whether that is too many to run it again.
+func (g *Guard) Crashes(p Print) (int, bool) {
+	n := g.tracker.Count(p, g.Now())
+	return n, n >= blockAt
+}
+
+// Mine reports whether this host alone may try suspects on the upstream.
+func (g *Guard) Mine(upstream string) bool {
+	return g.mine(upstream)
+}
+
+// Hold puts a suspect on trial on the upstream, unless another one is there.
+func (g *Guard) Hold(p Print, upstream string) bool {
+	return g.tracker.Hold(p, upstream)
+}
+
+// Free ends the trial.
+func (g *Guard) Free(p Print, upstream string) {
+	g.tracker.Free(p, upstream)
+}
+
+// Broke marks the request if the upstream is really gone, and returns once the other hosts know.
+func (g *Guard) Broke(ctx context.Context, p Print, up route.Upstream) {
+	probe, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if g.alive(probe, up.Addr) {
+		return
+	}
+	now := g.Now()
+	news := g.tracker.Add(Mark{
+		Print:    p,
+		Upstream: up.Name,
+		At:       now.UnixMilli(),
+	}, now)
+	if !news {
+		return
+	}
+	g.Log.Warnf("Upstream %s was lost while it ran request %x.", up.Name, uint64(p))
+	g.push(ctx)
+}
--- /dev/null
+++ b/internal/root/crash/tracker.go
@@ -0,0 +1,156 @@
+package crash
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// blockAt is the number of crashes after which a request is stopped.
+	blockAt = 2
+	// keepFor is how long a mark counts.
+	keepFor = 15 * time.Minute
+	// sameCrash is how long the marks of one upstream belong to one crash.
+	sameCrash = 5 * time.Second
+	// maxMarks bounds the memory that marks take.
+	maxMarks = 4096
+)
+
+// Print is the fingerprint of a request: it is the same whenever the request is sent again, over whatever host.
+type Print uint64
+
+// PrintOf returns the fingerprint of a pipeline's input.
+func PrintOf(pipeline, input string) Print {
+	d := xxhash.New()
+	// A hash never fails to take bytes.
+	_, _ = d.WriteString(pipeline)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(input)
+	return Print(d.Sum64())
+}
+
+// Mark says that an upstream crashed while it ran the request.
+type Mark struct {
+	Print    Print  `json:"print" cbor:"1,keyasint"`
+	Upstream string `json:"upstream" cbor:"2,keyasint"`
+	// At is when the crash was seen, in milliseconds since 1970.
+	At int64 `json:"at" cbor:"3,keyasint"`
+}
+
+func (m Mark) time() time.Time {
+	return time.UnixMilli(m.At)
+}
+
+// Tracker counts crashes for each request, and keeps suspects apart from each other.
+type Tracker struct {
+	mu    sync.Mutex
+	marks map[Print][]Mark
+	// held is the suspect that is on trial on an upstream.
+	held map[string]Print
+}
+
+// NewTracker returns a tracker without marks.
+func NewTracker() *Tracker {
+	return &Tracker{
+		marks: map[Print][]Mark{},
+		held:  map[string]Print{},
+	}
+}
+
+// Count returns how many crashes the request was in at.
+func (t *Tracker) Count(p Print, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.count(p, now)
+}
+
+func (t *Tracker) count(p Print, now time.Time) int {
+	n := 0
+	for _, m := range t.marks[p] {
+		if now.Sub(m.time()) < keepFor {
+			n++
+		}
+	}
+	return n
+}
+
+// Blocked reports whether the request crashed too many upstreams to be run again.
+func (t *Tracker) Blocked(p Print, now time.Time) bool {
+	return t.Count(p, now) >= blockAt
+}
+
+// Add takes a mark, and reports whether it tells of a crash that was not known.
+func (t *Tracker) Add(m Mark, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(m.time()) >= keepFor {
+		return false
+	}
+	for _, o := range t.marks[m.Print] {
+		if o.Upstream == m.Upstream && o.time().Sub(m.time()).Abs() < sameCrash {
+			return false
+		}
+	}
+	if len(t.marks) >= maxMarks {
+		t.purge(now)
+	}
+	if len(t.marks) >= maxMarks && len(t.marks[m.Print]) == 0 {
+		return false
+	}
+	t.marks[m.Print] = append(t.marks[m.Print], m)
+	return true
+}
+
+func (t *Tracker) purge(now time.Time) {
+	for p := range t.marks {
+		if t.count(p, now) == 0 {
+			delete(t.marks, p)
+		}
+	}
+}
+
+// Hold puts a suspect on trial on the upstream, and reports false if another suspect is on trial there.
+// Two suspects on one upstream could not be told apart by its crash.
+func (t *Tracker) Hold(p Print, upstream string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if other, ok := t.held[upstream]; ok && other != p {
+		return false
+	}
+	t.held[upstream] = p
+	return true
+}
+
+// Free ends the trial on the upstream.
+func (t *Tracker) Free(p Print, upstream string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.held[upstream] == p {
+		delete(t.held, upstream)
+	}
+}
+
+// Marks returns at most limit marks, the newest first.
+func (t *Tracker) Marks(now time.Time, limit int) []Mark {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Mark
+	for _, ms := range t.marks {
+		for _, m := range ms {
+			if now.Sub(m.time()) < keepFor {
+				out = append(out, m)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Mark) int {
+		if a.At != b.At {
+			return cmp.Compare(b.At, a.At)
+		}
+		return cmp.Compare(a.Print, b.Print)
+	})
+	return out[:min(limit, len(out))]
+}
--- /dev/null
+++ b/internal/root/front/chain/job.go
@@ -0,0 +1,56 @@
+package chain
+
+import (
+	"time"
+
+	"github.com/cornelwing/cornelwing/pkg/config"
+	"github.com/cornelwing/cornelwing/pkg/wire"
+)
+
+// Job is one admitted request.
+type Job struct {
+	ID       string
+	Account  string
+	Pipeline config.Pipeline
+	// Pools are the pools of the pipeline's stages, in their order.
+	Pools     []config.Pool
+	Input     string
+	MaxTokens int
+	Urgency   int
+	Arrived   time.Time
+	Deadline  time.Time
+	// Idempotent false forbids a second send of any stage.
+	Idempotent bool
+	// OnToken, where set, takes the tokens of the last stage in order.
+	OnToken func(wire.Token) error
+	// OnStage, where set, is called as each stage begins.
+	OnStage func()
+}
+
+// expected returns what the stages from i on are expected to take.
+func (j Job) expected(i int) []time.Duration {
+	out := make([]time.Duration, 0, len(j.Pipeline.Stages)-i)
+	for _, s := range j.Pipeline.Stages[i:] {
+		out = append(out, s.Expected.D())
+	}
+	return out
+}
+
+// Outcome is how a job ended: Whole or Given.
+type Outcome interface {
+	outcome()
+}
+
+// Whole is a complete answer.
+type Whole struct {
+	Answer wire.Answer
+}
+
+// Given is a job that was given up, with the stages that were paid for.
+type Given struct {
+	Problem wire.Problem
+	Stages  []wire.StageReport
+}
+
+func (Whole) outcome() {}
+func (Given) outcome() {}
--- /dev/null
+++ b/internal/root/front/chain/route/entry.go
@@ -0,0 +1,169 @@
+package route
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelwing/cornelwing/internal/stage"
+)
+
+// Upstream is one back end that serves a pool.
+type Upstream struct {
+	Name    string
+	Addr    string
+	Domain  string
+	Pool    string
+	Leaving bool
+}
+
+const (
+	// historySize is how many changes of the own count are kept to correct a lagging report.
+	historySize = 64
+	// staleAfter is the age at which a load report no longer counts.
+	staleAfter = 5 * time.Second
+	// ejectAfter is the number of failures in a row that ejects an upstream.
+	ejectAfter = 3
+	minOut     = 500 * time.Millisecond
+	maxOut     = 15 * time.Second
+	// slowStart is how long a returning upstream is given less than its full share.
+	slowStart = 5 * time.Second
+	// serviceWeight is the weight of a new sample in the moving average of the service time.
+	serviceWeight = 0.2
+	// forgetAfter is how long an average counts without a new sample.
+	forgetAfter = 5 * time.Second
+)
+
+// change is the number of own attempts in flight from a time on.
+type change struct {
+	at  time.Time
+	own int
+}
+
+// entry is what this host knows of one upstream.
+type entry struct {
+	up    Upstream
+	hash  uint64
+	local bool
+
+	own     int
+	history [historySize]change
+	written int
+
+	report   stage.Load
+	reportAt time.Time
+
+	service  time.Duration
+	sampleAt time.Time
+
+	fails    int
+	outs     int
+	outUntil time.Time
+	backAt   time.Time
+}
+
+func newEntry(up Upstream, domain string) *entry {
+	return &entry{
+		up:    up,
+		hash:  xxhash.Sum64String(up.Name),
+		local: up.Domain == domain,
+	}
+}
+
+func (e *entry) setOwn(now time.Time, own int) {
+	e.own = own
+	e.history[e.written%historySize] = change{
+		at:  now,
+		own: own,
+	}
+	e.written++
+}
+
+// ownAt returns how many own attempts were in flight at a time in the near past.
+func (e *entry) ownAt(at time.Time) int {
+	for i := e.written - 1; i >= 0 && i > e.written-1-historySize; i-- {
+		c := e.history[i%historySize]
+		if !c.at.After(at) {
+			return c.own
+		}
+	}
+	return 0
+}
+
+// load estimates how many requests the upstream holds, with the others' from its report and the own exactly.
+func (e *entry) load(now time.Time, hosts int) int {
+	if e.reportAt.IsZero() || now.Sub(e.reportAt) > staleAfter {
+		return e.own * max(1, hosts)
+	}
+	others := max(0, e.report.Busy+e.report.Queued-e.ownAt(e.reportAt))
+	return others + e.own
+}
+
+// capacity is the number of slots, less while a returning upstream starts slowly.
+func (e *entry) capacity(now time.Time, slots int) float64 {
+	if e.report.Slots > 0 {
+		slots = e.report.Slots
+	}
+	since := now.Sub(e.backAt)
+	if e.backAt.IsZero() || since >= slowStart {
+		return float64(slots)
+	}
+	ramp := 0.1 + 0.9*float64(since)/float64(slowStart)
+	return max(1, float64(slots)*ramp)
+}
+
+// serviceTime is the moving average of the time a request holds a slot; without fresh samples it is the pool's own.
+func (e *entry) serviceTime(now time.Time, expected time.Duration) time.Duration {
+	if e.service == 0 || now.Sub(e.sampleAt) > forgetAfter {
+		return expected
+	}
+	return e.service
+}
+
+// wait predicts how long a request sent now takes, queue included.
+func (e *entry) wait(now time.Time, p *pool, hosts int) time.Duration {
+	service := e.serviceTime(now, p.expected)
+	over := float64(e.load(now, hosts)+1) / e.capacity(now, p.slots)
+	return time.Duration(float64(service) * max(1, over))
+}
+
+// usable reports whether the upstream may be given a request; one that was out is first probed with a single one.
+func (e *entry) usable(now time.Time) bool {
+	if e.up.Leaving || now.Before(e.outUntil) {
+		return false
+	}
+	return e.outs == 0 || e.own == 0
+}
+
+func (e *entry) isOut(now time.Time) bool {
+	return now.Before(e.outUntil)
+}
+
+func (e *entry) succeed(now time.Time, took time.Duration, over float64) {
+	if e.outs > 0 {
+		e.backAt = now
+	}
+	e.fails = 0
+	e.outs = 0
+	e.outUntil = time.Time{}
+	sample := time.Duration(float64(took) / max(1, over))
+	if e.service == 0 || now.Sub(e.sampleAt) > forgetAfter {
+		e.service = sample
+	} else {
+		e.service += time.Duration(serviceWeight * float64(sample-e.service))
+	}
+	e.sampleAt = now
+}
+
+// fail counts a failure and reports whether the upstream is to be ejected.
+func (e *entry) fail() bool {
+	e.fails++
+	return e.fails >= ejectAfter || e.outs > 0
+}
+
+func (e *entry) eject(now time.Time) {
+	out := min(minOut<<min(e.outs, 5), maxOut)
+	e.outs++
+	e.fails = 0
+	e.outUntil = now.Add(out)
+}
--- /dev/null
+++ b/internal/root/front/chain/route/table.go
@@ -0,0 +1,345 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/stage"
+)
+
+const (
+	// sampled is how many candidates of a failure domain are compared for one choice.
+	sampled = 2
+	// tries bounds the draws for one candidate before the pool is searched in order.
+	tries = 8
+	// wayCost is what crossing to another failure domain costs, both ways.
+	wayCost = 3 * time.Millisecond
+	// affinityBound is how far above the mean load a preferred upstream may be.
+	affinityBound = 1.25
+	// maxOutShare is the share of a pool that may be ejected at the same time.
+	maxOutShare = 0.5
+)
+
+// PoolSpec is what a pool promises while nothing else is known of its upstreams.
+type PoolSpec struct {
+	Name     string
+	Slots    int
+	Expected time.Duration
+}
+
+// Query asks for an upstream of a pool.
+type Query struct {
+	Pool string
+	// Affinity is the hash of the prompt's prefix, or 0 where none is preferred.
+	Affinity uint64
+	// Exclude names upstreams that were tried already.
+	Exclude []string
+	// Allow, where set, leaves only some upstreams to choose from.
+	Allow func(upstream string) bool
+}
+
+// takes reports whether the query may be given the upstream.
+func (q Query) takes(now time.Time, e *entry) bool {
+	if !e.usable(now) || slices.Contains(q.Exclude, e.up.Name) {
+		return false
+	}
+	return q.Allow == nil || q.Allow(e.up.Name)
+}
+
+// Pressure is how much a pool has in hand against what it can work on.
+type Pressure struct {
+	Load     int
+	Slots    int
+	Service  time.Duration
+	Upstream int
+}
+
+// Utilization is the load for each slot.
+func (p Pressure) Utilization() float64 {
+	if p.Slots == 0 {
+		return 1
+	}
+	return float64(p.Load) / float64(p.Slots)
+}
+
+// Wait predicts how long a request waits for a slot.
+func (p Pressure) Wait() time.Duration {
+	if p.Slots == 0 {
+		return p.Service
+	}
+	over := float64(p.Load+1-p.Slots) / float64(p.Slots)
+	return time.Duration(max(0, over) * float64(p.Service))
+}
+
+type pool struct {
+	spec     PoolSpec
+	slots    int
+	expected time.Duration
+	// entries holds those of the own failure domain first.
+	entries []*entry
+	local   int
+}
+
+// Table holds the upstreams of all pools and what is known of each.
+type Table struct {
+	mu     sync.Mutex
+	domain string
+	hosts  int
+	pools  map[string]*pool
+	byName map[string]*entry
+}
+
+// New returns an empty table for a host in the failure domain.
+func New(domain string) *Table {
+	return &Table{
+		domain: domain,
+		hosts:  1,
+		pools:  map[string]*pool{},
+		byName: map[string]*entry{},
+	}
+}
+
+// Sync replaces the members and keeps what is known of those that stay.
+func (t *Table) Sync(specs []PoolSpec, ups []Upstream, hosts int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hosts = max(1, hosts)
+	pools := make(map[string]*pool, len(specs))
+	for _, s := range specs {
+		pools[s.Name] = &pool{
+			spec:     s,
+			slots:    s.Slots,
+			expected: s.Expected,
+		}
+	}
+	names := make(map[string]*entry, len(ups))
+	for _, u := range ups {
+		p, ok := pools[u.Pool]
+		if !ok {
+			continue
+		}
+		e := t.keep(u)
+		names[u.Name] = e
+		p.entries = append(p.entries, e)
+	}
+	for _, p := range pools {
+		slices.SortStableFunc(p.entries, func(a, b *entry) int { return rank(a) - rank(b) })
+		p.local = len(p.entries)
+		if i := slices.IndexFunc(p.entries, func(e *entry) bool { return !e.local }); i >= 0 {
+			p.local = i
+		}
+	}
+	t.pools = pools
+	t.byName = names
+}
+
+func rank(e *entry) int {
+	if e.local {
+		return 0
+	}
+	return 1
+}
+
+// keep returns the entry of an upstream, a new one if it is new or has moved.
+func (t *Table) keep(u Upstream) *entry {
+	old, ok := t.byName[u.Name]
+	if !ok || old.up.Addr != u.Addr {
+		return newEntry(u, t.domain)
+	}
+	old.up = u
+	return old
+}
+
+// Report takes an upstream's load report that was true at the time given.
+func (t *Table) Report(name string, load stage.Load, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.byName[name]
+	if !ok || at.Before(e.reportAt) {
+		return
+	}
+	e.report = load
+	e.reportAt = at
+}
+
+// Pick chooses an upstream and counts an attempt on it; false says that none is usable.
+func (t *Table) Pick(now time.Time, rng *rand.Rand, q Query) (Upstream, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.pools[q.Pool]
+	if !ok || len(p.entries) == 0 {
+		return Upstream{}, false
+	}
+	e := t.preferred(now, p, q)
+	if e == nil {
+		e = t.sample(now, rng, p, q)
+	}
+	if e == nil {
+		return Upstream{}, false
+	}
+	e.setOwn(now, e.own+1)
+	return e.up, true
+}
+
+// preferred returns the upstream of the own domain that most likely holds the prefix, unless it has too much in hand.
+func (t *Table) preferred(now time.Time, p *pool, q Query) *entry {
+	if q.Affinity == 0 || p.local == 0 {
+		return nil
+	}
+	var best *entry
+	var bestRank uint64
+	sum := 0
+	for _, e := range p.entries[:p.local] {
+		sum += e.load(now, t.hosts)
+		if !q.takes(now, e) {
+			continue
+		}
+		if r := mix(e.hash ^ q.Affinity); best == nil || r > bestRank {
+			best = e
+			bestRank = r
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	mean := float64(sum+1) / float64(p.local)
+	load := float64(best.load(now, t.hosts) + 1)
+	if load > max(1, affinityBound*mean) || load > best.capacity(now, p.slots) {
+		return nil
+	}
+	return best
+}
+
+// mix spreads the bits of a hash, as the finalizer of SplitMix64 does.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// sample compares a few candidates of the own domain, and others only where these have a queue.
+func (t *Table) sample(now time.Time, rng *rand.Rand, p *pool, q Query) *entry {
+	best, cost := t.best(now, rng, p, p.entries[:p.local], q, 0)
+	if best != nil && float64(best.load(now, t.hosts)+1) <= best.capacity(now, p.slots) && !t.slowFor(now, best, p) {
+		return best
+	}
+	far, farCost := t.best(now, rng, p, p.entries[p.local:], q, wayCost)
+	if best == nil || (far != nil && farCost < cost) {
+		return far
+	}
+	return best
+}
+
+// slowFor reports whether an upstream takes so much longer than expected that others are worth a look.
+func (t *Table) slowFor(now time.Time, e *entry, p *pool) bool {
+	return e.serviceTime(now, p.expected) > 2*p.expected
+}
+
+func (t *Table) best(now time.Time, rng *rand.Rand, p *pool, from []*entry, q Query, way time.Duration) (*entry, time.Duration) {
+	var best *entry
+	var cost time.Duration
+	for range sampled {
+		e := draw(now, rng, from, q)
+		if e == nil {
+			break
+		}
+		if c := e.wait(now, p, t.hosts) + way; best == nil || c < cost {
+			best = e
+			cost = c
+		}
+	}
+	return best, cost
+}
+
+// draw returns a usable entry at random.
+func draw(now time.Time, rng *rand.Rand, from []*entry, q Query) *entry {
+	n := len(from)
+	if n == 0 {
+		return nil
+	}
+	for range tries {
+		e := from[rng.IntN(n)]
+		if q.takes(now, e) {
+			return e
+		}
+	}
+	start := rng.IntN(n)
+	for i := range n {
+		e := from[(start+i)%n]
+		if q.takes(now, e) {
+			return e
+		}
+	}
+	return nil
+}
+
+// Done records the end of an attempt that Pick counted.
+func (t *Table) Done(now time.Time, name string, took time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, known := t.byName[name]
+	if !known {
+		return
+	}
+	p := t.pools[e.up.Pool]
+	over := float64(e.load(now, t.hosts)) / e.capacity(now, p.slots)
+	e.setOwn(now, max(0, e.own-1))
+	if ok {
+		e.succeed(now, took, over)
+		return
+	}
+	if e.fail() && t.mayEject(now, p, e) {
+		e.eject(now)
+	}
+}
+
+// Release takes back an attempt that says nothing about the upstream.
+func (t *Table) Release(now time.Time, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.byName[name]; ok {
+		e.setOwn(now, max(0, e.own-1))
+	}
+}
+
+// mayEject keeps a floor of upstreams in the pool.
+func (t *Table) mayEject(now time.Time, p *pool, e *entry) bool {
+	out := 1
+	for _, o := range p.entries {
+		if o != e && (o.isOut(now) || o.up.Leaving) {
+			out++
+		}
+	}
+	return float64(out) <= maxOutShare*float64(len(p.entries))
+}
+
+// Pressure sums up a pool for admission.
+func (t *Table) Pressure(now time.Time, name string) Pressure {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.pools[name]
+	if !ok {
+		return Pressure{}
+	}
+	sum := Pressure{
+		Service: p.expected,
+	}
+	var service time.Duration
+	for _, e := range p.entries {
+		if e.up.Leaving || e.isOut(now) {
+			continue
+		}
+		sum.Upstream++
+		sum.Load += e.load(now, t.hosts)
+		sum.Slots += int(e.capacity(now, p.slots))
+		service += e.serviceTime(now, p.expected)
+	}
+	if sum.Upstream > 0 {
+		sum.Service = service / time.Duration(sum.Upstream)
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/root/front/claim/batch.go
@@ -0,0 +1,193 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/plat"
+	"github.com/cornelwing/cornelwing/internal/root/store"
+)
+
+const (
+	// maxBatch bounds the writes of one transaction.
+	maxBatch = 256
+	// queued is how many writes may wait for their transaction.
+	queued = 4096
+	// writeBudget is what all hosts together spend on claims, in transactions a second.
+	writeBudget = 300
+	// busyPause is the wait after the platform refused a write for its rate.
+	busyPause = 20 * time.Millisecond
+)
+
+// errTaken says that the row is not at the version that the write needs.
+var errTaken = errors.New("row has changed")
+
+// write is one conditional write that shares a transaction with others.
+type write struct {
+	ctx  context.Context
+	cond plat.Cond
+	put  plat.Put
+	done chan error
+}
+
+// batcher commits many writes in one transaction, one transaction at a time.
+type batcher struct {
+	table store.Table
+	hosts func() int
+	in    chan write
+}
+
+func newBatcher(table store.Table, hosts func() int) *batcher {
+	return &batcher{
+		table: table,
+		hosts: hosts,
+		in:    make(chan write, queued),
+	}
+}
+
+// put queues a write and waits for its end: nil, errTaken, store.ErrOut or store.ErrLost.
+func (b *batcher) put(ctx context.Context, cond plat.Cond, p plat.Put) error {
+	w := write{
+		ctx:  ctx,
+		cond: cond,
+		put:  p,
+		done: make(chan error, 1),
+	}
+	select {
+	case b.in <- w:
+	default:
+		return fmt.Errorf("queue write: %w", store.ErrOut)
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("wait for write: %w", store.ErrLost)
+	}
+}
+
+func (b *batcher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-b.in:
+			began := time.Now()
+			b.commit(b.gather(first))
+			b.space(ctx, began)
+		}
+	}
+}
+
+// gather takes what waits; a write whose caller has gone away is dropped, since it was never sent.
+func (b *batcher) gather(first write) []write {
+	var batch []write
+	add := func(w write) {
+		if w.ctx.Err() == nil {
+			batch = append(batch, w)
+		}
+	}
+	add(first)
+	for len(batch) < maxBatch {
+		select {
+		case w := <-b.in:
+			add(w)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// space keeps this host to its share of the budget; under light load it does not wait at all.
+func (b *batcher) space(ctx context.Context, began time.Time) {
+	gap := time.Second * time.Duration(max(1, b.hosts())) / writeBudget
+	rest := gap - time.Since(began)
+	if rest <= 0 {
+		return
+	}
+	timer := time.NewTimer(rest)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// commit writes the batch, setting aside the writes whose condition fails until the rest goes through.
+func (b *batcher) commit(batch []write) {
+	batch = b.splitTwins(batch)
+	for len(batch) > 0 {
+		// A write's own context must not cut off the others'; the store bounds the call.
+		err := b.table.Commit(context.Background(), txnOf(batch))
+		var conflict *store.ConflictError
+		switch {
+		case errors.As(err, &conflict) && len(conflict.Failed) > 0:
+			batch = setAside(batch, conflict.Failed)
+			continue
+		case errors.Is(err, store.ErrBusy):
+			batch = b.waitBusy(batch)
+			continue
+		}
+		for _, w := range batch {
+			w.done <- err
+		}
+		return
+	}
+}
+
+// splitTwins sets aside writes to a row that the batch writes already, as a transaction can hold only one.
+func (b *batcher) splitTwins(batch []write) []write {
+	seen := make(map[string]bool, len(batch))
+	first := batch[:0]
+	for _, w := range batch {
+		if seen[w.put.Key] {
+			w.done <- errTaken
+			continue
+		}
+		seen[w.put.Key] = true
+		first = append(first, w)
+	}
+	return first
+}
+
+func (b *batcher) waitBusy(batch []write) []write {
+	time.Sleep(busyPause)
+	var live []write
+	for _, w := range batch {
+		if w.ctx.Err() == nil {
+			live = append(live, w)
+			continue
+		}
+		w.done <- store.ErrOut
+	}
+	return live
+}
+
+func setAside(batch []write, failed []int) []write {
+	lost := make(map[int]bool, len(failed))
+	for _, i := range failed {
+		lost[i] = true
+	}
+	var rest []write
+	for i, w := range batch {
+		if lost[i] {
+			w.done <- errTaken
+			continue
+		}
+		rest = append(rest, w)
+	}
+	return rest
+}
+
+func txnOf(batch []write) plat.Txn {
+	var txn plat.Txn
+	for _, w := range batch {
+		txn.Conds = append(txn.Conds, w.cond)
+		txn.Puts = append(txn.Puts, w.put)
+	}
+	return txn
+}
--- /dev/null
+++ b/internal/root/links.go
@@ -0,0 +1,106 @@
+package root
+
+import (
+	"context"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/loads"
+	"github.com/cornelwing/cornelwing/internal/root/view"
+)
+
+const (
+	// syncEvery is how often members and configuration are brought into the routing table.
+	syncEvery = 100 * time.Millisecond
+	// listEvery is the least time between two reads of the host list.
+	listEvery = time.Second
+	// listBudget is what all hosts together spend on reading the list, in reads a second.
+	listBudget = 100
+)
+
+// hosts returns the number of live hosts.
+func (r *Root) hosts() int {
+	return r.book.Count(r.Now())
+}
+
+func (r *Root) listPause() time.Duration {
+	return max(listEvery, time.Second*time.Duration(r.hosts())/listBudget)
+}
+
+// readList takes the platform's list of hosts.
+func (r *Root) readList(ctx context.Context) {
+	list, err := r.platform.Hosts(ctx)
+	if err != nil {
+		r.WithPart("list").Log.WithError(err).Debug("Host list cannot be read.")
+		return
+	}
+	r.book.TakeList(list)
+}
+
+// syncTable brings the members and the pools of the configuration into the routing table.
+func (r *Root) syncTable(context.Context) {
+	rev, ok := r.holder.Current()
+	if !ok {
+		return
+	}
+	now := r.Now()
+	specs := make([]route.PoolSpec, 0, len(rev.Document.Pools))
+	for _, p := range rev.Document.Pools {
+		specs = append(specs, route.PoolSpec{
+			Name:     p.Name,
+			Slots:    p.Slots,
+			Expected: rev.Document.Expected(p.Name),
+		})
+	}
+	ups := r.book.Upstreams(now)
+	r.table.Sync(specs, ups, r.hosts())
+	members := make(map[string]bool, len(ups))
+	for _, u := range ups {
+		members[u.Addr] = true
+	}
+	r.reach.Forget(func(addr string) bool { return members[addr] })
+}
+
+func (r *Root) onLoad(rep loads.Report) {
+	r.table.Report(rep.Upstream, rep.Load(), rep.Time())
+}
+
+// leaving spreads an upstream's own word that it is leaving.
+func (r *Root) leaving(upstream string) {
+	now := r.Now()
+	r.book.TakeLeave(now, view.Leave{
+		Upstream: upstream,
+		At:       now.UnixMilli(),
+		On:       true,
+	})
+	r.syncTable(context.Background())
+}
+
+// leave tells the peers that this host is leaving.
+func (r *Root) leave() {
+	r.book.SetLeaving()
+	r.push(context.Background())
+}
+
+// push tells urgent news to the peers.
+func (r *Root) push(ctx context.Context) {
+	if r.rounds != nil {
+		r.rounds.Push(ctx)
+	}
+}
+
+// alive probes an upstream over a connection of its own.
+func (r *Root) alive(ctx context.Context, addr string) bool {
+	_, err := r.reach.Probe(ctx, addr)
+	return err == nil
+}
+
+// mine reports whether suspects are tried on the upstream by this host alone: those of a pool go round the live hosts.
+func (r *Root) mine(upstream string) bool {
+	now := r.Now()
+	names := make([]string, 0, len(r.book.Live(now)))
+	for _, p := range r.book.Live(now) {
+		names = append(names, p.Name)
+	}
+	return loads.Turn(upstream, r.book.Upstreams(now), names) == r.Host
+}
--- /dev/null
+++ b/internal/root/loads/board.go
@@ -0,0 +1,82 @@
+package loads
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/stage"
+)
+
+// keepFor is how long a report is passed on.
+const keepFor = 10 * time.Second
+
+// Report is an upstream's load with the time at which it was true.
+type Report struct {
+	Upstream string `json:"upstream" cbor:"1,keyasint"`
+	Busy     int    `json:"busy" cbor:"2,keyasint"`
+	Queued   int    `json:"queued" cbor:"3,keyasint,omitempty"`
+	Slots    int    `json:"slots" cbor:"4,keyasint"`
+	// At is in milliseconds since 1970.
+	At int64 `json:"at" cbor:"5,keyasint"`
+}
+
+// Load returns the report as a load.
+func (r Report) Load() stage.Load {
+	return stage.Load{
+		Busy:   r.Busy,
+		Queued: r.Queued,
+		Slots:  r.Slots,
+	}
+}
+
+// Time returns when the report was true.
+func (r Report) Time() time.Time {
+	return time.UnixMilli(r.At)
+}
+
+// Board holds the newest report of each upstream.
+type Board struct {
+	mu      sync.Mutex
+	reports map[string]Report
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board {
+	return &Board{
+		reports: map[string]Report{},
+	}
+}
+
+// Put takes a report if it is newer than the one held, and reports whether it was.
+func (b *Board) Put(r Report) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if old, ok := b.reports[r.Upstream]; ok && old.At >= r.At {
+		return false
+	}
+	b.reports[r.Upstream] = r
+	return true
+}
+
+// Newest returns at most limit reports that still count, the newest first.
+func (b *Board) Newest(now time.Time, limit int) []Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Report, 0, len(b.reports))
+	for name, r := range b.reports {
+		if now.Sub(r.Time()) >= keepFor {
+			delete(b.reports, name)
+			continue
+		}
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(x, y Report) int {
+		if x.At != y.At {
+			return cmp.Compare(y.At, x.At)
+		}
+		return cmp.Compare(x.Upstream, y.Upstream)
+	})
+	return out[:min(limit, len(out))]
+}
--- /dev/null
+++ b/internal/root/peers/desk.go
@@ -0,0 +1,105 @@
+package peers
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/plat"
+	"github.com/cornelwing/cornelwing/internal/root/crash"
+	"github.com/cornelwing/cornelwing/internal/root/loads"
+	"github.com/cornelwing/cornelwing/internal/root/view"
+	"github.com/cornelwing/cornelwing/internal/root/watch"
+	"github.com/cornelwing/cornelwing/pkg/config"
+)
+
+// Desk decides what to tell a peer and takes in what a peer tells.
+type Desk struct {
+	common.Deps
+	Book   *view.Book
+	Holder *watch.Holder
+	Board  *loads.Board
+	Marks  *crash.Tracker
+	// OnLoad is given each load report that is news.
+	OnLoad func(loads.Report)
+}
+
+// Digest returns what this host knows, without whole documents.
+func (d *Desk) Digest() Message {
+	now := d.Now()
+	leaves := d.Book.Leaves(now)
+	return Message{
+		From:        d.Book.Beat(d.Holder.Number()),
+		Peers:       d.Book.Freshest(maxPeers)[1:],
+		ListVersion: d.Book.List().Version,
+		Leaves:      leaves[:min(maxLeaves, len(leaves))],
+		Loads:       d.Board.Newest(now, maxLoads),
+		Marks:       d.Marks.Marks(now, maxMarks),
+	}
+}
+
+// Attach adds to m the documents of which the other has an older version, and reports whether there are any.
+func (d *Desk) Attach(m Message, other Message) (Message, bool, error) {
+	if rev, ok := d.Holder.Current(); ok && rev.Number > other.From.Revision {
+		data, err := json.Marshal(rev)
+		if err != nil {
+			return m, false, fmt.Errorf("encode revision: %w", err)
+		}
+		m.Revision = data
+	}
+	if list := d.Book.List(); list.Version > other.ListVersion {
+		data, err := json.Marshal(list)
+		if err != nil {
+			return m, false, fmt.Errorf("encode host list: %w", err)
+		}
+		m.List = data
+	}
+	return m, m.Revision != nil || m.List != nil, nil
+}
+
+// Take takes in what a peer told; what cannot be read is refused whole.
+func (d *Desk) Take(m Message) error {
+	if err := m.From.Check(); err != nil {
+		return fmt.Errorf("take message: %w", err)
+	}
+	if err := d.takeDocuments(m); err != nil {
+		return fmt.Errorf("take message of %s: %w", m.From.Name, err)
+	}
+	now := d.Now()
+	d.Book.Hear(now, m.From)
+	for _, p := range m.Peers {
+		d.Book.Hear(now, p)
+	}
+	for _, l := range m.Leaves {
+		d.Book.TakeLeave(now, l)
+	}
+	for _, r := range m.Loads {
+		if d.Board.Put(r) {
+			d.OnLoad(r)
+		}
+	}
+	for _, mark := range m.Marks {
+		d.Marks.Add(mark, now)
+	}
+	return nil
+}
+
+func (d *Desk) takeDocuments(m Message) error {
+	if m.Revision != nil {
+		var rev config.Revision
+		if err := json.Unmarshal(m.Revision, &rev); err != nil {
+			return fmt.Errorf("read revision: %w", err)
+		}
+		if d.Holder.Offer(rev) {
+			d.Log.Infof("Revision %d by %s is in force, from peer %s.", rev.Number, rev.Author, m.From.Name)
+		}
+	}
+	if m.List != nil {
+		var list plat.HostList
+		if err := json.Unmarshal(m.List, &list); err != nil {
+			return fmt.Errorf("read host list: %w", err)
+		}
+		d.Book.TakeList(list)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/root/root.go
@@ -0,0 +1,179 @@
+package root
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/certs"
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/admin"
+	"github.com/cornelwing/cornelwing/internal/root/crash"
+	"github.com/cornelwing/cornelwing/internal/root/front"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/reach"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/front/claim"
+	"github.com/cornelwing/cornelwing/internal/root/loads"
+	"github.com/cornelwing/cornelwing/internal/root/peers"
+	"github.com/cornelwing/cornelwing/internal/root/store"
+	"github.com/cornelwing/cornelwing/internal/root/view"
+	"github.com/cornelwing/cornelwing/internal/root/watch"
+	"github.com/cornelwing/cornelwing/internal/setup"
+	"github.com/cornelwing/cornelwing/internal/super"
+)
+
+// Root holds the parts of one daemon.
+type Root struct {
+	common.Deps
+	settings setup.Settings
+	platform *store.Client
+	holder   *watch.Holder
+	ledger   *watch.Ledger
+	book     *view.Book
+	board    *loads.Board
+	table    *route.Table
+	reach    *reach.Client
+	tracker  *crash.Tracker
+	keeper   *claim.Keeper
+	runner   *chain.Runner
+	lobby    *front.Lobby
+	front    *front.Server
+	admin    *admin.Server
+	mesh     *peers.Mesh
+	rounds   *peers.Rounds
+	certs    peers.Certs
+	restarts restarts
+}
+
+// Option changes a Root under construction.
+type Option func(*Root)
+
+// WithCerts sets the certificates for peers in place of the files that the settings name.
+func WithCerts(c peers.Certs) Option {
+	return func(r *Root) {
+		r.certs = c
+	}
+}
+
+// New returns a daemon with the settings.
+func New(deps common.Deps, s setup.Settings, opts ...Option) (*Root, error) {
+	r := &Root{
+		Deps:     deps,
+		settings: s,
+		holder:   watch.NewHolder(),
+		board:    loads.NewBoard(),
+		table:    route.New(s.Host.Domain),
+		reach:    reach.New(),
+		tracker:  crash.NewTracker(),
+	}
+	for _, o := range opts {
+		o(r)
+	}
+	if r.certs == nil && s.Peers.Secure() {
+		source, err := certs.NewSource(certs.Files{
+			CA:   s.Peers.CA,
+			Cert: s.Peers.Cert,
+			Key:  s.Peers.Key,
+		}, peers.ALPN)
+		if err != nil {
+			return nil, fmt.Errorf("load peers' certificates: %w", err)
+		}
+		r.certs = source
+	}
+	r.build()
+	return r, nil
+}
+
+func (r *Root) build() {
+	s := r.settings
+	r.platform = store.New(r.Deps, s.Platform.URL, store.WithTimeout(s.Platform.Timeout.D()))
+	r.ledger = watch.NewLedger(r.Deps, r.platform)
+	r.book = view.NewBook(view.Peer{
+		Name:   s.Host.Name,
+		Addr:   s.Listen.Peers,
+		Domain: s.Host.Domain,
+		Start:  r.Now().UnixMilli(),
+	})
+	r.keeper = claim.New(r.Deps, r.platform, r.hosts)
+	r.lobby = front.NewLobby(r.Deps, r.table, r.hosts, s.Limits.WaitingRoom)
+	r.buildPeers()
+	r.runner = chain.New(r.Deps, r.table, r.reach,
+		chain.WithSuspects(crash.NewGuard(r.Deps, r.tracker, r.alive, r.mine, r.push)),
+		chain.WithLeaving(r.leaving))
+	r.front = front.New(r.Deps, s.Listen.Callers, s.Limits, r.holder, r.lobby, r.keeper, r.runner, front.WithLeave(r.leave))
+	r.admin = admin.New(&admin.Desk{
+		Deps:   r.Deps,
+		Ledger: r.ledger,
+		Holder: r.holder,
+		Book:   r.book,
+		Tally:  r.front.Tally(),
+		Out:    r.platform.Out,
+	}, s.Listen.Operators, s.Operators)
+}
+
+func (r *Root) buildPeers() {
+	if r.certs == nil {
+		return
+	}
+	desk := &peers.Desk{
+		Deps:   r.WithPart("peers"),
+		Book:   r.book,
+		Holder: r.holder,
+		Board:  r.board,
+		Marks:  r.tracker,
+		OnLoad: r.onLoad,
+	}
+	r.mesh = peers.NewMesh(r.Deps, desk, r.certs, r.settings.Listen.Peers)
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	r.rounds = peers.NewRounds(r.Deps, r.book, r.mesh, r.settings.Peers.Seeds, r.settings.Peers.Every.D(), rng)
+}
+
+// Run runs the daemon until ctx ends, and calls ready once every part is up.
+func (r *Root) Run(ctx context.Context, ready func()) error {
+	parts := []super.Part{
+		r.keeper,
+	}
+	if r.mesh == nil {
+		r.Log.Warn("Peers have no certificates in the settings. This host works alone.")
+	} else {
+		parts = append(parts, r.mesh, r.rounds.Part())
+	}
+	parts = append(parts,
+		super.Every("list", r.listPause, r.readList),
+		watch.NewWatcher(r.ledger, r.holder, r.hosts).Part(),
+		super.Every("table", func() time.Duration { return syncEvery }, r.syncTable),
+		loads.NewPoller(r.Deps, r.board, r.book, r.reach, r.onLoad).Part(),
+		r.admin,
+		r.front,
+	)
+	tree := super.New(r.WithPart("root"), super.WithParts(parts...), super.WithRestartHook(r.restarts.add))
+	if err := tree.Run(ctx, ready); err != nil {
+		return fmt.Errorf("run daemon: %w", err)
+	}
+	return nil
+}
+
+// Callers returns the address for callers.
+func (r *Root) Callers() string {
+	return r.front.Addr()
+}
+
+// Operators returns the address for operators.
+func (r *Root) Operators() string {
+	return r.admin.Addr()
+}
+
+// Ready reports whether the host has a configuration and knows upstreams.
+func (r *Root) Ready() bool {
+	return r.holder.Number() > 0 && len(r.book.Upstreams(r.Now())) > 0
+}
+
+// Peers returns the address for peers, or "" where the host works alone.
+func (r *Root) Peers() string {
+	if r.mesh == nil {
+		return ""
+	}
+	return r.mesh.Addr()
+}
--- /dev/null
+++ b/internal/root/store/client.go
@@ -0,0 +1,216 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/plat"
+)
+
+const (
+	defaultTimeout = time.Second
+	maxIdleConns   = 32
+	maxBodyBytes   = 64 << 20
+)
+
+// Client speaks HTTP with the platform.
+type Client struct {
+	common.Deps
+	base    string
+	http    *http.Client
+	timeout time.Duration
+	gate    Gate
+}
+
+// Option changes a Client under construction.
+type Option func(*Client)
+
+// WithTimeout bounds each call.
+func WithTimeout(d time.Duration) Option {
+	return func(c *Client) {
+		c.timeout = d
+	}
+}
+
+// New returns a client of the platform at the base URL.
+func New(deps common.Deps, base string, opts ...Option) *Client {
+	c := &Client{
+		Deps:    deps.WithPart("store"),
+		base:    base,
+		timeout: defaultTimeout,
+		http: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: maxIdleConns,
+			},
+		},
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Out reports whether the platform counts as out, and for how long calls stay shut.
+func (c *Client) Out() (time.Duration, bool) {
+	return c.gate.Out(c.Now())
+}
+
+// Get returns a row.
+func (c *Client) Get(ctx context.Context, table, key string) (plat.Row, error) {
+	var row plat.Row
+	path := "/v1/rows/" + url.PathEscape(table) + "/" + url.PathEscape(key)
+	if err := c.read(ctx, path, &row); err != nil {
+		return plat.Row{}, fmt.Errorf("get row %s/%s: %w", table, key, err)
+	}
+	return row, nil
+}
+
+// List returns rows in the order of their keys.
+func (c *Client) List(ctx context.Context, table, prefix, after string, limit int) ([]plat.Row, error) {
+	q := url.Values{
+		"prefix": []string{prefix},
+		"after":  []string{after},
+		"limit":  []string{strconv.Itoa(limit)},
+	}
+	var rows plat.Rows
+	if err := c.read(ctx, "/v1/rows/"+url.PathEscape(table)+"?"+q.Encode(), &rows); err != nil {
+		return nil, fmt.Errorf("list rows of %s: %w", table, err)
+	}
+	return rows.Rows, nil
+}
+
+// Commit runs a transaction.
+func (c *Client) Commit(ctx context.Context, txn plat.Txn) error {
+	body, err := json.Marshal(txn)
+	if err != nil {
+		return fmt.Errorf("encode transaction: %w", err)
+	}
+	status, data, err := c.do(ctx, http.MethodPost, "/v1/commit", body)
+	if err != nil {
+		return fmt.Errorf("commit: %w", err)
+	}
+	if status == http.StatusConflict {
+		var conflict plat.Conflict
+		if err := json.Unmarshal(data, &conflict); err != nil {
+			return fmt.Errorf("decode conflict: %w", ErrLost)
+		}
+		return fmt.Errorf("commit: %w", &ConflictError{
+			Failed: conflict.Failed,
+		})
+	}
+	if err := statusError(status); err != nil {
+		return fmt.Errorf("commit: %w", err)
+	}
+	return nil
+}
+
+// PutObject writes an object whole.
+func (c *Client) PutObject(ctx context.Context, key string, data []byte) error {
+	status, _, err := c.do(ctx, http.MethodPut, "/v1/objects/"+url.PathEscape(key), data)
+	if err != nil {
+		return fmt.Errorf("put object %s: %w", key, err)
+	}
+	if err := statusError(status); err != nil {
+		return fmt.Errorf("put object %s: %w", key, err)
+	}
+	return nil
+}
+
+// Object returns an object.
+func (c *Client) Object(ctx context.Context, key string) ([]byte, error) {
+	status, data, err := c.do(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(key), nil)
+	if err != nil {
+		return nil, fmt.Errorf("get object %s: %w", key, err)
+	}
+	if err := statusError(status); err != nil {
+		return nil, fmt.Errorf("get object %s: %w", key, err)
+	}
+	return data, nil
+}
+
+// Hosts returns the newest list that the platform gives.
+func (c *Client) Hosts(ctx context.Context) (plat.HostList, error) {
+	var list plat.HostList
+	if err := c.read(ctx, "/v1/hosts", &list); err != nil {
+		return plat.HostList{}, fmt.Errorf("get host list: %w", err)
+	}
+	return list, nil
+}
+
+func (c *Client) read(ctx context.Context, path string, into any) error {
+	status, data, err := c.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return fmt.Errorf("read %s: %w", path, err)
+	}
+	if err := statusError(status); err != nil {
+		return fmt.Errorf("read %s: %w", path, err)
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("decode %s: %w", path, ErrLost)
+	}
+	return nil
+}
+
+// do sends one call; its error is ErrOut where nothing was sent and ErrLost where something may have been.
+func (c *Client) do(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	if !c.gate.Allow(c.Now()) {
+		return 0, nil, ErrOut
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	status, data, err := c.send(ctx, method, path, body)
+	c.gate.Done(c.Now(), err == nil && status < http.StatusInternalServerError)
+	return status, data, err
+}
+
+func (c *Client) send(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, fmt.Errorf("make request: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if isDialError(err) {
+			return 0, nil, fmt.Errorf("dial platform: %w", ErrOut)
+		}
+		return 0, nil, fmt.Errorf("call platform: %w", ErrLost)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	if err != nil {
+		return 0, nil, fmt.Errorf("read answer: %w", ErrLost)
+	}
+	return resp.StatusCode, data, nil
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// statusError maps a status: the platform promises that 429 and 503 took no effect.
+func statusError(status int) error {
+	switch {
+	case status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrAbsent
+	case status == http.StatusTooManyRequests:
+		return ErrBusy
+	case status == http.StatusServiceUnavailable:
+		return ErrOut
+	default:
+		return ErrLost
+	}
+}
--- /dev/null
+++ b/internal/root/view/book.go
@@ -0,0 +1,282 @@
+package view
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/plat"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+)
+
+const (
+	// liveFor is how long a host counts as live after its last heartbeat.
+	liveFor = 10 * time.Second
+	// forgetAfter is how long a silent host is remembered.
+	forgetAfter = 5 * time.Minute
+	// leavingFor is how long a word that an upstream is leaving counts without being repeated.
+	leavingFor = 60 * time.Second
+)
+
+// Book is what this host knows of the others and of the upstreams.
+type Book struct {
+	mu      sync.Mutex
+	self    Peer
+	peers   map[string]heard
+	list    plat.HostList
+	leaving map[string]Leave
+	stamp   int64
+}
+
+// NewBook returns a book that knows only the host itself.
+func NewBook(self Peer) *Book {
+	return &Book{
+		self:    self,
+		peers:   map[string]heard{},
+		leaving: map[string]Leave{},
+	}
+}
+
+// Beat counts the host's own heartbeat and returns it.
+func (b *Book) Beat(revision int64) Peer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.self.Beat++
+	b.self.Revision = revision
+	return b.self
+}
+
+// Self returns the host's last heartbeat.
+func (b *Book) Self() Peer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.self
+}
+
+// SetAddr sets the address at which peers reach this host, once it is known.
+func (b *Book) SetAddr(addr string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.self.Addr = addr
+}
+
+// SetLeaving marks this host as leaving.
+func (b *Book) SetLeaving() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.self.Leaving = true
+}
+
+// Hear takes a heartbeat that came at now, and reports whether it was news.
+func (b *Book) Hear(now time.Time, p Peer) bool {
+	if p.Check() != nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p.Name == b.self.Name {
+		return false
+	}
+	old, ok := b.peers[p.Name]
+	if ok && !p.newer(old.peer) {
+		return false
+	}
+	b.peers[p.Name] = heard{
+		peer: p,
+		at:   now,
+	}
+	return true
+}
+
+// TakeList takes a version of the platform's list if it is newer, and reports whether it was.
+func (b *Book) TakeList(list plat.HostList) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if list.Version <= b.list.Version {
+		return false
+	}
+	b.list = list
+	b.stamp++
+	return true
+}
+
+// List returns the newest list known.
+func (b *Book) List() plat.HostList {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.list
+}
+
+// Leave is the newest word on whether an upstream is leaving.
+type Leave struct {
+	Upstream string `json:"upstream" cbor:"1,keyasint"`
+	// At is when the word was given, in milliseconds since 1970.
+	At int64 `json:"at" cbor:"2,keyasint"`
+	On bool  `json:"on" cbor:"3,keyasint"`
+}
+
+func (l Leave) holds(now time.Time) bool {
+	return l.On && now.Sub(time.UnixMilli(l.At)) < leavingFor
+}
+
+// TakeLeave takes a word on an upstream if it is the newest, and reports whether it changed anything at now.
+func (b *Book) TakeLeave(now time.Time, l Leave) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, known := b.leaving[l.Upstream]
+	if known && old.At >= l.At {
+		return false
+	}
+	if !known && !l.On {
+		return false
+	}
+	b.leaving[l.Upstream] = l
+	if old.holds(now) == l.holds(now) {
+		return false
+	}
+	b.stamp++
+	return true
+}
+
+// Leaves returns the words on upstreams that still count, in order of their names.
+func (b *Book) Leaves(now time.Time) []Leave {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Leave
+	for name, l := range b.leaving {
+		if now.Sub(time.UnixMilli(l.At)) >= leavingFor {
+			delete(b.leaving, name)
+			continue
+		}
+		out = append(out, l)
+	}
+	slices.SortFunc(out, func(x, y Leave) int { return cmp.Compare(x.Upstream, y.Upstream) })
+	return out
+}
+
+// Stamp grows with each change of the upstreams.
+func (b *Book) Stamp() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stamp
+}
+
+// Upstreams returns the listed upstreams; one is leaving if any source says so.
+func (b *Book) Upstreams(now time.Time) []route.Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []route.Upstream
+	for _, h := range b.list.Hosts {
+		if h.Role != plat.RoleUpstream {
+			continue
+		}
+		out = append(out, route.Upstream{
+			Name:    h.Name,
+			Addr:    h.Addr,
+			Domain:  h.Domain,
+			Pool:    h.Pool,
+			Leaving: h.Leaving || b.leaving[h.Name].holds(now),
+		})
+	}
+	return out
+}
+
+// Live returns the hosts with a recent heartbeat, this one included, in order of their names.
+func (b *Book) Live(now time.Time) []Peer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := []Peer{b.self}
+	for _, h := range b.peers {
+		if now.Sub(h.at) < liveFor {
+			out = append(out, h.peer)
+		}
+	}
+	sortPeers(out)
+	return out
+}
+
+// Lost returns the hosts that are remembered but silent, and forgets those silent for long.
+func (b *Book) Lost(now time.Time) []Peer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Peer
+	for name, h := range b.peers {
+		silent := now.Sub(h.at)
+		if silent >= forgetAfter {
+			delete(b.peers, name)
+			continue
+		}
+		if silent >= liveFor {
+			out = append(out, h.peer)
+		}
+	}
+	sortPeers(out)
+	return out
+}
+
+// Freshest returns at most limit heartbeats, those heard last first, the own one at the head.
+func (b *Book) Freshest(limit int) []Peer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make([]heard, 0, len(b.peers))
+	for _, h := range b.peers {
+		all = append(all, h)
+	}
+	slices.SortFunc(all, func(x, y heard) int { return y.at.Compare(x.at) })
+	out := make([]Peer, 0, limit)
+	out = append(out, b.self)
+	for _, h := range all {
+		if len(out) == limit {
+			break
+		}
+		out = append(out, h.peer)
+	}
+	return out
+}
+
+// Count returns the number of live hosts.
+func (b *Book) Count(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 1
+	for _, h := range b.peers {
+		if now.Sub(h.at) < liveFor && !h.peer.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Targets returns the addresses of other entry hosts, those of the own failure domain first.
+func (b *Book) Targets() (near, far []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	seen := map[string]bool{b.self.Addr: true}
+	add := func(addr, domain string) {
+		if seen[addr] {
+			return
+		}
+		seen[addr] = true
+		if domain == b.self.Domain {
+			near = append(near, addr)
+			return
+		}
+		far = append(far, addr)
+	}
+	for _, h := range b.peers {
+		add(h.peer.Addr, h.peer.Domain)
+	}
+	for _, h := range b.list.Hosts {
+		if h.Role == plat.RoleEntry {
+			add(h.Addr, h.Domain)
+		}
+	}
+	slices.Sort(near)
+	slices.Sort(far)
+	return near, far
+}
+
+func sortPeers(ps []Peer) {
+	slices.SortFunc(ps, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+}
--- /dev/null
+++ b/internal/root/watch/watcher.go
@@ -0,0 +1,64 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/root/store"
+	"github.com/cornelwing/cornelwing/internal/super"
+)
+
+const (
+	// minPoll is the least time between two reads of the head row.
+	minPoll = time.Second
+	// readBudget is what all hosts together spend on reading the head, in reads a second.
+	readBudget = 100
+)
+
+// Watcher follows the head row.
+type Watcher struct {
+	*Ledger
+	holder *Holder
+	hosts  func() int
+}
+
+// NewWatcher returns a part that keeps the holder at the newest revision; hosts gives the number of live hosts that share the read budget.
+func NewWatcher(l *Ledger, h *Holder, hosts func() int) *Watcher {
+	return &Watcher{
+		Ledger: l,
+		holder: h,
+		hosts:  hosts,
+	}
+}
+
+// Part returns the watcher as a supervised part.
+func (w *Watcher) Part() super.Part {
+	return super.Every("watch", w.interval, w.tick)
+}
+
+func (w *Watcher) interval() time.Duration {
+	return max(minPoll, time.Second*time.Duration(w.hosts())/readBudget)
+}
+
+func (w *Watcher) tick(ctx context.Context) {
+	number, _, err := w.Head(ctx)
+	if err != nil {
+		if !errors.Is(err, store.ErrOut) {
+			w.Log.WithError(err).Debug("Head cannot be read.")
+		}
+		return
+	}
+	if number <= w.holder.Number() {
+		return
+	}
+	r, err := w.Revision(ctx, number)
+	if err != nil {
+		w.Log.WithError(err).Warnf("Revision %d cannot be read.", number)
+		return
+	}
+	if w.holder.Offer(r) {
+		w.Log.Infof("Revision %d by %s is in force.", r.Number, r.Author)
+	}
+}
--- /dev/null
+++ b/internal/setup/settings.go
@@ -0,0 +1,224 @@
+package setup
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cornelwing/cornelwing/internal/strict"
+	"github.com/cornelwing/cornelwing/pkg/config"
+)
+
+// Settings is what one daemon has to know before it can reach the platform.
+type Settings struct {
+	Host      Host       `yaml:"host"`
+	Listen    Listen     `yaml:"listen"`
+	Platform  Platform   `yaml:"platform"`
+	Peers     Peers      `yaml:"peers"`
+	Operators []Operator `yaml:"operators"`
+	Limits    Limits     `yaml:"limits"`
+	Log       Log        `yaml:"log"`
+}
+
+// Host says which host this is.
+type Host struct {
+	Name   string `yaml:"name"`
+	Domain string `yaml:"domain"`
+}
+
+// Listen holds the addresses, an IP number and a port each.
+type Listen struct {
+	Callers   string `yaml:"callers"`
+	Operators string `yaml:"operators"`
+	Peers     string `yaml:"peers"`
+}
+
+// Platform says where the platform is.
+type Platform struct {
+	URL     string      `yaml:"url"`
+	Timeout config.Span `yaml:"timeout"`
+}
+
+// Peers says how the hosts find and trust each other.
+type Peers struct {
+	// Seeds are peer addresses that are asked while the platform's list cannot be read.
+	Seeds []string `yaml:"seeds"`
+	CA    string   `yaml:"ca"`
+	Cert  string   `yaml:"cert"`
+	Key   string   `yaml:"key"`
+	// Every is the time between two exchanges with peers.
+	Every config.Span `yaml:"every"`
+}
+
+// Role says what an operator may do.
+type Role string
+
+// The roles, each with the rights of those before it.
+const (
+	Viewer   Role = "viewer"
+	Editor   Role = "editor"
+	Approver Role = "approver"
+)
+
+// Operator is a person who may use the operators' address.
+type Operator struct {
+	Name      string `yaml:"name"`
+	KeySHA256 string `yaml:"key_sha256"`
+	Role      Role   `yaml:"role"`
+}
+
+// Limits bounds what callers may use and how long a stop may take.
+type Limits struct {
+	MaxBodyBytes int64 `yaml:"max_body_bytes"`
+	// HeaderTimeout and BodyTimeout bound how long a caller may take to send a request.
+	HeaderTimeout config.Span `yaml:"header_timeout"`
+	BodyTimeout   config.Span `yaml:"body_timeout"`
+	// WaitingRoom is how many patient requests may wait for admission.
+	WaitingRoom int `yaml:"waiting_room"`
+	// DrainWait is how long a stopping host goes on taking requests, until the balancer has seen that it is leaving.
+	DrainWait config.Span `yaml:"drain_wait"`
+	// DrainTimeout bounds how long a stopping host waits for the requests in flight.
+	DrainTimeout config.Span `yaml:"drain_timeout"`
+}
+
+// Log says what is logged.
+type Log struct {
+	Level string `yaml:"level"`
+}
+
+// Defaults returns the settings that hold where the file names none.
+func Defaults() Settings {
+	return Settings{
+		Listen: Listen{
+			Callers:   "127.0.0.1:8080",
+			Operators: "127.0.0.1:8081",
+			Peers:     "127.0.0.1:8082",
+		},
+		Platform: Platform{
+			Timeout: config.Span(time.Second),
+		},
+		Peers: Peers{
+			Every: config.Span(500 * time.Millisecond),
+		},
+		Limits: Limits{
+			MaxBodyBytes:  1 << 20,
+			HeaderTimeout: config.Span(5 * time.Second),
+			BodyTimeout:   config.Span(10 * time.Second),
+			WaitingRoom:   256,
+			DrainWait:     config.Span(2 * time.Second),
+			DrainTimeout:  config.Span(60 * time.Second),
+		},
+		Log: Log{
+			Level: "info",
+		},
+	}
+}
+
+// Read reads and checks a settings file.
+func Read(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	s, err := Parse(path, data)
+	if err != nil {
+		return Settings{}, fmt.Errorf("check settings: %w", err)
+	}
+	return s, nil
+}
+
+// Parse decodes and checks settings.
+func Parse(name string, data []byte) (Settings, error) {
+	s := Defaults()
+	if err := strict.Decode(name, data, &s); err != nil {
+		return Settings{}, fmt.Errorf("decode settings: %w", err)
+	}
+	return s, nil
+}
+
+// Threshold returns the least severe level that is logged.
+func (l Log) Threshold() logrus.Level {
+	level, err := logrus.ParseLevel(l.Level)
+	if err != nil {
+		return logrus.InfoLevel
+	}
+	return level
+}
+
+// Secure reports whether the peers' certificates are set.
+func (p Peers) Secure() bool {
+	return p.CA != ""
+}
+
+// Faults returns everything that is wrong with the settings.
+func (s *Settings) Faults() []strict.Fault {
+	var c strict.Check
+	c.That(s.Host.Name != "", "host.name", "a name is needed")
+	c.That(s.Host.Domain != "", "host.domain", "a failure domain is needed")
+	checkAddr(&c, "listen.callers", s.Listen.Callers)
+	checkAddr(&c, "listen.operators", s.Listen.Operators)
+	checkAddr(&c, "listen.peers", s.Listen.Peers)
+	u, err := url.Parse(s.Platform.URL)
+	c.That(err == nil && u.Host != "" && (u.Scheme == "http" || u.Scheme == "https"), "platform.url", "%q is not an http or https URL", s.Platform.URL)
+	c.That(s.Platform.Timeout > 0, "platform.timeout", "%s is not above 0", s.Platform.Timeout)
+	s.checkPeers(&c)
+	s.checkOperators(&c)
+	s.checkLimits(&c)
+	_, err = logrus.ParseLevel(s.Log.Level)
+	c.That(err == nil, "log.level", "%q is not one of debug, info, warning, error", s.Log.Level)
+	return c.Faults()
+}
+
+func (s *Settings) checkPeers(c *strict.Check) {
+	p := s.Peers
+	all := p.CA != "" && p.Cert != "" && p.Key != ""
+	none := p.CA == "" && p.Cert == "" && p.Key == ""
+	c.That(all || none, "peers", "ca, cert and key go together")
+	c.That(none || !all || readable(p.CA, p.Cert, p.Key), "peers", "ca, cert and key must be files that can be read")
+	c.That(p.Every.D() >= 10*time.Millisecond, "peers.every", "%s is less than 10ms", p.Every)
+	for i, seed := range p.Seeds {
+		checkAddr(c, fmt.Sprintf("peers.seeds[%d]", i), seed)
+	}
+}
+
+func readable(paths ...string) bool {
+	for _, p := range paths {
+		f, err := os.Open(p)
+		if err != nil {
+			return false
+		}
+		// The file was only opened to see that it can be.
+		_ = f.Close()
+	}
+	return true
+}
+
+func (s *Settings) checkOperators(c *strict.Check) {
+	for i, o := range s.Operators {
+		at := fmt.Sprintf("operators[%d]", i)
+		c.That(o.Name != "", at+".name", "a name is needed")
+		b, err := hex.DecodeString(o.KeySHA256)
+		c.That(err == nil && len(b) == 32, at+".key_sha256", "it must be 64 hexadecimal digits")
+		c.That(o.Role == Viewer || o.Role == Editor || o.Role == Approver, at+".role", "%q is not one of viewer, editor, approver", o.Role)
+	}
+}
+
+func (s *Settings) checkLimits(c *strict.Check) {
+	l := s.Limits
+	c.That(l.MaxBodyBytes > 0, "limits.max_body_bytes", "%d is not above 0", l.MaxBodyBytes)
+	c.That(l.HeaderTimeout > 0, "limits.header_timeout", "%s is not above 0", l.HeaderTimeout)
+	c.That(l.BodyTimeout > 0, "limits.body_timeout", "%s is not above 0", l.BodyTimeout)
+	c.That(l.WaitingRoom >= 0, "limits.waiting_room", "%d is below 0", l.WaitingRoom)
+	c.That(l.DrainWait >= 0, "limits.drain_wait", "%s is below 0", l.DrainWait)
+	c.That(l.DrainTimeout > 0, "limits.drain_timeout", "%s is not above 0", l.DrainTimeout)
+}
+
+func checkAddr(c *strict.Check, at, addr string) {
+	host, _, err := net.SplitHostPort(addr)
+	c.That(err == nil && net.ParseIP(host) != nil, at, "%q is not an IP number and a port, for instance 127.0.0.1:8080", addr)
+}
--- /dev/null
+++ b/internal/stage/doc.go
@@ -0,0 +1,2 @@
+// Package stage holds the messages between an entry host and the upstreams that run the stages.
+package stage
--- /dev/null
+++ b/internal/stand/runner/doc.go
@@ -0,0 +1,2 @@
+// Package runner is the stand-in for upstreams: model engines, pools of workers and plain services.
+package runner
--- /dev/null
+++ b/internal/stand/table/doc.go
@@ -0,0 +1,2 @@
+// Package table is the stand-in for the platform's table service, object store and host list.
+package table
--- /dev/null
+++ b/internal/strict/fault.go
@@ -0,0 +1,68 @@
+package strict
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing wrong with a document: the place and the reason.
+type Fault struct {
+	Line   int    `json:"line,omitempty"`
+	Path   string `json:"path"`
+	Reason string `json:"reason"`
+}
+
+// String renders the fault for a person.
+func (f Fault) String() string {
+	if f.Path == "" {
+		return fmt.Sprintf("line %d: %s", f.Line, f.Reason)
+	}
+	if f.Line == 0 {
+		return fmt.Sprintf("%s: %s", f.Path, f.Reason)
+	}
+	return fmt.Sprintf("line %d: %s: %s", f.Line, f.Path, f.Reason)
+}
+
+// Error holds every fault found in one document.
+type Error struct {
+	Name   string
+	Faults []Fault
+}
+
+// Error lists the faults, one a line, each with the document's name.
+func (e *Error) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		if e.Name == "" {
+			lines = append(lines, f.String())
+			continue
+		}
+		lines = append(lines, e.Name+": "+f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Check collects faults while a document is validated.
+type Check struct {
+	faults []Fault
+}
+
+// Addf records a fault at the path.
+func (c *Check) Addf(path, format string, args ...any) {
+	c.faults = append(c.faults, Fault{
+		Path:   path,
+		Reason: fmt.Sprintf(format, args...),
+	})
+}
+
+// That records the fault unless ok holds.
+func (c *Check) That(ok bool, path, format string, args ...any) {
+	if !ok {
+		c.Addf(path, format, args...)
+	}
+}
+
+// Faults returns what was recorded.
+func (c *Check) Faults() []Fault {
+	return c.faults
+}
--- /dev/null
+++ b/pkg/config/document.go
@@ -0,0 +1,169 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/cornelwing/cornelwing/internal/strict"
+)
+
+// Document is the whole configuration; it is changed only as a whole and checked before it is accepted.
+type Document struct {
+	Pipelines []Pipeline `json:"pipelines" yaml:"pipelines"`
+	Pools     []Pool     `json:"pools" yaml:"pools"`
+	Accounts  []Account  `json:"accounts" yaml:"accounts"`
+	Objective Objective  `json:"objective" yaml:"objective"`
+}
+
+// Pipeline is a named chain of stages that serves a request under one deadline.
+type Pipeline struct {
+	Name     string `json:"name" yaml:"name"`
+	Deadline Span   `json:"deadline" yaml:"deadline"`
+	// Idempotent false says that a request to the pipeline may run at most once.
+	Idempotent bool    `json:"idempotent" yaml:"idempotent"`
+	MaxTokens  int     `json:"max_tokens,omitempty" yaml:"max_tokens,omitempty"`
+	Stages     []Stage `json:"stages" yaml:"stages"`
+}
+
+// Stage is one step of a pipeline, run by one upstream of a pool.
+type Stage struct {
+	Name string `json:"name" yaml:"name"`
+	Pool string `json:"pool" yaml:"pool"`
+	// Idempotent says that the stage may be sent again after a send whose end is not known.
+	Idempotent bool `json:"idempotent" yaml:"idempotent"`
+	// Expected is the time that the stage takes on an upstream without a queue.
+	Expected Span `json:"expected" yaml:"expected"`
+}
+
+// Kind says which interface the upstreams of a pool speak.
+type Kind string
+
+// The kinds of pools.
+const (
+	KindEngine  Kind = "engine"
+	KindWorker  Kind = "worker"
+	KindService Kind = "service"
+)
+
+// Pool is a group of upstreams that serve the same stage.
+type Pool struct {
+	Name string `json:"name" yaml:"name"`
+	Kind Kind   `json:"kind" yaml:"kind"`
+	// Slots is how many requests one upstream works on at a time.
+	Slots int `json:"slots" yaml:"slots"`
+	// CostPerSecond is the cost of one busy slot, a second.
+	CostPerSecond float64 `json:"cost_per_second" yaml:"cost_per_second"`
+	// ChecksFencing says that the pool's upstreams refuse an order with an old fencing number.
+	ChecksFencing bool `json:"checks_fencing,omitempty" yaml:"checks_fencing,omitempty"`
+	// Silence is how long an attempt may stay without any progress before it is given up.
+	Silence Span `json:"silence" yaml:"silence"`
+}
+
+// Account is a client account with its share and its limits.
+type Account struct {
+	Name string `json:"name" yaml:"name"`
+	// KeySHA256 is the hexadecimal SHA-256 of the account's bearer token.
+	KeySHA256 string `json:"key_sha256" yaml:"key_sha256"`
+	Weight    int    `json:"weight" yaml:"weight"`
+	// RatePerSecond bounds the account's requests over all hosts, a second.
+	RatePerSecond float64 `json:"rate_per_second" yaml:"rate_per_second"`
+}
+
+// Objective is the service-level objective over all pipelines.
+type Objective struct {
+	// Attainment is the share of requests that are to be answered whole within their deadline, from 0 to 1.
+	Attainment float64 `json:"attainment" yaml:"attainment"`
+}
+
+// Parse decodes and validates a document; the error names every fault with its line.
+func Parse(name string, data []byte) (Document, error) {
+	var d Document
+	if err := strict.Decode(name, data, &d); err != nil {
+		return Document{}, fmt.Errorf("parse document: %w", err)
+	}
+	return d, nil
+}
+
+// Encode renders the document as YAML.
+func (d Document) Encode() ([]byte, error) {
+	b, err := yaml.Marshal(d)
+	if err != nil {
+		return nil, fmt.Errorf("encode document: %w", err)
+	}
+	return b, nil
+}
+
+// Pipeline returns the pipeline of that name.
+func (d Document) Pipeline(name string) (Pipeline, bool) {
+	i := slices.IndexFunc(d.Pipelines, func(p Pipeline) bool { return p.Name == name })
+	if i < 0 {
+		return Pipeline{}, false
+	}
+	return d.Pipelines[i], true
+}
+
+// Pool returns the pool of that name.
+func (d Document) Pool(name string) (Pool, bool) {
+	i := slices.IndexFunc(d.Pools, func(p Pool) bool { return p.Name == name })
+	if i < 0 {
+		return Pool{}, false
+	}
+	return d.Pools[i], true
+}
+
+// WithAccount returns a copy in which the account replaces the one of its name, or is appended.
+func (d Document) WithAccount(a Account) Document {
+	d.Accounts = slices.Clone(d.Accounts)
+	i := slices.IndexFunc(d.Accounts, func(o Account) bool { return o.Name == a.Name })
+	if i < 0 {
+		d.Accounts = append(d.Accounts, a)
+		return d
+	}
+	d.Accounts[i] = a
+	return d
+}
+
+// WithPipeline returns a copy in which the pipeline replaces the one of its name, or is appended.
+func (d Document) WithPipeline(p Pipeline) Document {
+	d.Pipelines = slices.Clone(d.Pipelines)
+	i := slices.IndexFunc(d.Pipelines, func(o Pipeline) bool { return o.Name == p.Name })
+	if i < 0 {
+		d.Pipelines = append(d.Pipelines, p)
+		return d
+	}
+	d.Pipelines[i] = p
+	return d
+}
+
+// AccountByKey returns the account whose token has the hexadecimal SHA-256.
+func (d Document) AccountByKey(sha string) (Account, bool) {
+	i := slices.IndexFunc(d.Accounts, func(a Account) bool { return a.KeySHA256 == sha })
+	if i < 0 {
+		return Account{}, false
+	}
+	return d.Accounts[i], true
+}
+
+// HashKey returns the hexadecimal SHA-256 of a token.
+func HashKey(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// Expected returns what a stage of the pool is expected to take, the longest where pipelines differ.
+func (d Document) Expected(pool string) time.Duration {
+	var longest time.Duration
+	for _, p := range d.Pipelines {
+		for _, s := range p.Stages {
+			if s.Pool == pool {
+				longest = max(longest, s.Expected.D())
+			}
+		}
+	}
+	return longest
+}
--- /dev/null
+++ b/pkg/config/faults.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/strict"
+	"github.com/cornelwing/cornelwing/pkg/wire"
+)
+
+// Bounds of a document.
+const (
+	maxDeadline = 10 * time.Minute
+	maxStages   = 16
+	maxSlots    = 100_000
+	maxWeight   = 1_000
+	sha256Bytes = 32
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// Faults returns everything that is wrong with the document, each with its place.
+func (d *Document) Faults() []strict.Fault {
+	var c strict.Check
+	d.checkPools(&c)
+	d.checkPipelines(&c)
+	d.checkAccounts(&c)
+	c.That(d.Objective.Attainment > 0 && d.Objective.Attainment < 1,
+		"objective.attainment", "%v is not above 0 and below 1", d.Objective.Attainment)
+	return c.Faults()
+}
+
+func (d *Document) checkPools(c *strict.Check) {
+	c.That(len(d.Pools) > 0, "pools", "there must be at least one pool")
+	seen := map[string]bool{}
+	for i, p := range d.Pools {
+		at := fmt.Sprintf("pools[%d]", i)
+		checkName(c, at, p.Name, seen)
+		switch p.Kind {
+		case KindEngine, KindWorker, KindService:
+		default:
+			c.Addf(at+".kind", "%q is not one of engine, worker, service", p.Kind)
+		}
+		c.That(p.Slots > 0 && p.Slots <= maxSlots, at+".slots", "%d is not from 1 to %d", p.Slots, maxSlots)
+		c.That(p.CostPerSecond >= 0, at+".cost_per_second", "%v is below 0", p.CostPerSecond)
+		c.That(p.Silence > 0 && p.Silence.D() <= maxDeadline, at+".silence", "%s is not above 0 and at most %s", p.Silence, maxDeadline)
+	}
+}
+
+func (d *Document) checkPipelines(c *strict.Check) {
+	c.That(len(d.Pipelines) > 0, "pipelines", "there must be at least one pipeline")
+	seen := map[string]bool{}
+	for i, p := range d.Pipelines {
+		at := fmt.Sprintf("pipelines[%d]", i)
+		checkName(c, at, p.Name, seen)
+		c.That(p.Deadline > 0 && p.Deadline.D() <= maxDeadline, at+".deadline", "%s is not above 0 and at most %s", p.Deadline, maxDeadline)
+		c.That(p.MaxTokens >= 0 && p.MaxTokens <= wire.MaxTokens, at+".max_tokens", "%d is not from 0 to %d", p.MaxTokens, wire.MaxTokens)
+		c.That(len(p.Stages) > 0 && len(p.Stages) <= maxStages, at+".stages", "%d stages are not from 1 to %d", len(p.Stages), maxStages)
+		d.checkStages(c, at, p)
+	}
+}
+
+func (d *Document) checkStages(c *strict.Check, at string, p Pipeline) {
+	seen := map[string]bool{}
+	var sum time.Duration
+	for i, s := range p.Stages {
+		here := fmt.Sprintf("%s.stages[%d]", at, i)
+		checkName(c, here, s.Name, seen)
+		_, ok := d.Pool(s.Pool)
+		c.That(ok, here+".pool", "there is no pool %q", s.Pool)
+		c.That(s.Expected > 0, here+".expected", "%s is not above 0", s.Expected)
+		c.That(s.Idempotent || !p.Idempotent, here+".idempotent",
+			"a stage that is not idempotent makes pipeline %q not idempotent; mark the pipeline idempotent: false", p.Name)
+		sum += s.Expected.D()
+	}
+	c.That(sum <= p.Deadline.D(), at+".deadline", "%s is less than the %s that its stages are expected to take", p.Deadline, sum)
+}
+
+func (d *Document) checkAccounts(c *strict.Check) {
+	c.That(len(d.Accounts) > 0, "accounts", "there must be at least one account")
+	seen := map[string]bool{}
+	keys := map[string]bool{}
+	for i, a := range d.Accounts {
+		at := fmt.Sprintf("accounts[%d]", i)
+		checkName(c, at, a.Name, seen)
+		b, err := hex.DecodeString(a.KeySHA256)
+		c.That(err == nil && len(b) == sha256Bytes, at+".key_sha256", "it must be 64 hexadecimal digits")
+		c.That(!keys[a.KeySHA256], at+".key_sha256", "another account has the same key")
+		keys[a.KeySHA256] = true
+		c.That(a.Weight > 0 && a.Weight <= maxWeight, at+".weight", "%d is not from 1 to %d", a.Weight, maxWeight)
+		c.That(a.RatePerSecond > 0, at+".rate_per_second", "%v is not above 0", a.RatePerSecond)
+	}
+}
+
+func checkName(c *strict.Check, at, name string, seen map[string]bool) {
+	c.That(namePattern.MatchString(name), at+".name", "%q is not 1 to 63 of a-z, 0-9, '.', '_', '-'", name)
+	c.That(!seen[name], at+".name", "%q stands twice", name)
+	seen[name] = true
+}
