--- a/internal/opapi/api.go
+++ b/internal/opapi/api.go
@@ -94,6 +94,13 @@
 	return r, err
 }
 
+// Orders returns how far the pools have come, as the daemon sees it.
+func (a *API) Orders(ctx context.Context) (admin.Orders, error) {
+	var o admin.Orders
+	err := a.call(ctx, http.MethodGet, admin.PathOrders, nil, &o)
+	return o, err
+}
+
 func (a *API) call(ctx context.Context, method, path string, body, into any) error {
 	var in io.Reader
 	if body != nil {
--- a/internal/opcli/commands.go
+++ b/internal/opcli/commands.go
@@ -80,6 +80,12 @@
 			Long:  "Shows outcomes and costs for each client account and pipeline since the daemon started.",
 			run:   runReport,
 		},
+		{
+			Name:  "orders",
+			Short: "show how far the engines have come to what is wanted",
+			Long:  "Shows the pools whose engines take orders, as the order holder sees them. Any other host names none.",
+			run:   runOrders,
+		},
 		{
 			Name:  "certs",
 			Args:  "HOST ...",
--- a/internal/opcli/views.go
+++ b/internal/opcli/views.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -13,6 +14,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/cornelwing/cornelwing/internal/root/admin"
+	"github.com/cornelwing/cornelwing/internal/root/front/tally/burn"
 	"github.com/cornelwing/cornelwing/internal/root/view"
 	"github.com/cornelwing/cornelwing/pkg/config"
 )
@@ -253,9 +255,41 @@
 		return fmt.Errorf("report: %w", err)
 	}
 	return c.show(r, func(t *tabwriter.Writer) {
-		fmt.Fprintln(t, "ACCOUNT\tPIPELINE\tSENT\tIN TIME\tNOT RUN\tFAILED\tUNKNOWN\tCOST\tWASTED")
+		printBurn(t, r.Burn)
+		fmt.Fprintln(t, "ACCOUNT\tPIPELINE\tSENT\tATTAINMENT\tNOT RUN\tFAILED\tUNKNOWN\tP50 MS\tP95 MS\tCOST\tWASTED")
 		for _, x := range r.Counts {
-			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\n", x.Account, x.Pipeline, x.Sent, x.InTime, x.NotRun, x.Failed, x.Unknown, x.Cost, x.Wasted)
+			cost, wasted := x.Total()
+			fmt.Fprintf(t, "%s\t%s\t%d\t%.2f %%\t%d\t%d\t%d\t%.1f\t%.1f\t%.3f\t%.3f\n", x.Account, x.Pipeline, x.Sent, 100*x.Attainment(),
+				x.NotRun, x.Failed, x.Unknown, msOf(x.Quantile(50)), msOf(x.Quantile(95)), cost, wasted)
+		}
+	})
+}
+
+func printBurn(w io.Writer, b burn.Report) {
+	fmt.Fprintf(w, "Objective %.3f %%. Alert: %s.\n\nWINDOW\tIN TIME\tMISSED\tBURN RATE\n", 100*b.Objective, b.Severity)
+	for _, x := range b.Windows {
+		fmt.Fprintf(w, "%d min\t%d\t%d\t%.2f\n", x.Minutes, x.Good, x.Bad, x.Rate)
+	}
+	fmt.Fprintln(w)
+}
+
+func msOf(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+func runOrders(ctx context.Context, c *call) error {
+	o, err := c.api().Orders(ctx)
+	if err != nil {
+		return fmt.Errorf("orders: %w", err)
+	}
+	return c.show(o, func(t *tabwriter.Writer) {
+		if len(o.Pools) == 0 {
+			fmt.Fprintf(t, "%s does not hold the lease for orders, or nothing is wanted.\n", o.Host)
+			return
+		}
+		fmt.Fprintln(t, "POOL\tWANTED\tLIVE\tMATCH\tSTATE")
+		for _, p := range o.Pools {
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\n", p.Pool, p.Wanted, p.Live, p.Matches, p.Note)
 		}
 	})
 }
--- a/internal/root/admin/desk.go
+++ b/internal/root/admin/desk.go
@@ -6,7 +6,8 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
-	"github.com/cornelwing/cornelwing/internal/root/front"
+	"github.com/cornelwing/cornelwing/internal/root/front/tally"
+	"github.com/cornelwing/cornelwing/internal/root/orders"
 	"github.com/cornelwing/cornelwing/internal/root/view"
 	"github.com/cornelwing/cornelwing/internal/root/watch"
 	"github.com/cornelwing/cornelwing/pkg/config"
@@ -21,8 +22,9 @@
 	Ledger *watch.Ledger
 	Holder *watch.Holder
 	Book   *view.Book
-	Tally  *front.Tally
+	Tally  *tally.Book
 	Out    func() (time.Duration, bool)
+	Orders *orders.Orderer
 }
 
 // Apply checks the document and puts it in force, unless it is a dry run.
@@ -95,3 +97,13 @@
 	}
 	return out
 }
+
+// Report returns what this host has counted since it started.
+func (d *Desk) Report() Report {
+	rev, _ := d.Holder.Current()
+	return Report{
+		Host:   d.Host,
+		Burn:   d.Tally.Burn(d.Now(), rev.Document.Objective.Attainment),
+		Counts: d.Tally.Counts(),
+	}
+}
--- a/internal/root/admin/server.go
+++ b/internal/root/admin/server.go
@@ -96,6 +96,7 @@
 	mux.Handle("GET "+PathStatus, s.allow(setup.Viewer, s.getStatus))
 	mux.Handle("GET "+PathUpstreams, s.allow(setup.Viewer, s.getUpstreams))
 	mux.Handle("GET "+PathReport, s.allow(setup.Viewer, s.getReport))
+	mux.Handle("GET "+PathOrders, s.allow(setup.Viewer, s.getOrders))
 	mux.Handle("GET /debug/vars", s.allow(setup.Viewer, func(w http.ResponseWriter, r *http.Request, _ setup.Operator) {
 		expvar.Handler().ServeHTTP(w, r)
 	}))
@@ -193,9 +194,13 @@
 }
 
 func (s *Server) getReport(w http.ResponseWriter, _ *http.Request, _ setup.Operator) {
-	reply(w, http.StatusOK, Report{
-		Host:   s.Host,
-		Counts: s.Tally.Counts(),
+	reply(w, http.StatusOK, s.Report())
+}
+
+func (s *Server) getOrders(w http.ResponseWriter, _ *http.Request, _ setup.Operator) {
+	reply(w, http.StatusOK, Orders{
+		Host:  s.Host,
+		Pools: s.Orders.Progress(),
 	})
 }
 
--- a/internal/root/admin/wire.go
+++ b/internal/root/admin/wire.go
@@ -7,7 +7,9 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cornelwing/cornelwing/internal/root/front"
+	"github.com/cornelwing/cornelwing/internal/root/front/tally"
+	"github.com/cornelwing/cornelwing/internal/root/front/tally/burn"
+	"github.com/cornelwing/cornelwing/internal/root/orders"
 	"github.com/cornelwing/cornelwing/internal/root/view"
 	"github.com/cornelwing/cornelwing/internal/strict"
 	"github.com/cornelwing/cornelwing/pkg/config"
@@ -20,6 +22,7 @@
 	PathStatus    = "/v1/status"
 	PathUpstreams = "/v1/upstreams"
 	PathReport    = "/v1/report"
+	PathOrders    = "/v1/orders"
 )
 
 // ErrChange reports a change without an identity.
@@ -102,5 +105,12 @@
 // Report is what one host has counted.
 type Report struct {
 	Host   string        `json:"host"`
-	Counts []front.Count `json:"counts"`
+	Burn   burn.Report   `json:"burn"`
+	Counts []tally.Count `json:"counts"`
+}
+
+// Orders is how far the pools have come, as one host sees it; only the order holder names any.
+type Orders struct {
+	Host  string            `json:"host"`
+	Pools []orders.Progress `json:"pools"`
 }
--- a/internal/root/front/chain/route/entry.go
+++ b/internal/root/front/chain/route/entry.go
@@ -52,6 +52,8 @@
 
 	report   stage.Load
 	reportAt time.Time
+	// others is what the report counts besides the attempts of this host.
+	others int
 
 	service  time.Duration
 	sampleAt time.Time
@@ -95,8 +97,14 @@
 	if e.reportAt.IsZero() || now.Sub(e.reportAt) > staleAfter {
 		return e.own * max(1, hosts)
 	}
-	others := max(0, e.report.Busy+e.report.Queued-e.ownAt(e.reportAt))
-	return others + e.own
+	return e.others + e.own
+}
+
+// take replaces the report by a newer one.
+func (e *entry) take(load stage.Load, at time.Time) {
+	e.report = load
+	e.reportAt = at
+	e.others = max(0, load.Busy+load.Queued-e.ownAt(at))
 }
 
 // capacity is the number of slots, less while a returning upstream starts slowly.
--- a/internal/root/front/chain/route/table.go
+++ b/internal/root/front/chain/route/table.go
@@ -20,6 +20,8 @@
 	affinityBound = 1.25
 	// maxOutShare is the share of a pool that may be ejected at the same time.
 	maxOutShare = 0.5
+	// sumEvery is how long the summed pressure of a pool is used.
+	sumEvery = 5 * time.Millisecond
 )
 
 // PoolSpec is what a pool promises while nothing else is known of its upstreams.
@@ -80,6 +82,9 @@
 	// entries holds those of the own failure domain first.
 	entries []*entry
 	local   int
+	// sum is the pressure as it was summed up last; own attempts are counted in as they begin and end.
+	sum   Pressure
+	sumAt time.Time
 }
 
 // Table holds the upstreams of all pools and what is known of each.
@@ -160,8 +165,7 @@
 	if !ok || at.Before(e.reportAt) {
 		return
 	}
-	e.report = load
-	e.reportAt = at
+	e.take(load, at)
 }
 
 // Pick chooses an upstream and counts an attempt on it; false says that none is usable.
@@ -180,6 +184,7 @@
 		return Upstream{}, false
 	}
 	e.setOwn(now, e.own+1)
+	p.sum.Load++
 	return e.up, true
 }
 
@@ -190,13 +195,8 @@
 	}
 	var best *entry
 	var bestRank uint64
-	sum := 0
 	for _, e := range p.entries[:p.local] {
-		sum += e.load(now, t.hosts)
-		if !q.takes(now, e) {
-			continue
-		}
-		if r := mix(e.hash ^ q.Affinity); best == nil || r > bestRank {
+		if r := mix(e.hash ^ q.Affinity); (best == nil || r > bestRank) && q.takes(now, e) {
 			best = e
 			bestRank = r
 		}
@@ -204,7 +204,8 @@
 	if best == nil {
 		return nil
 	}
-	mean := float64(sum+1) / float64(p.local)
+	sum := t.pressure(now, p)
+	mean := float64(sum.Load+1) / float64(max(1, sum.Upstream))
 	load := float64(best.load(now, t.hosts) + 1)
 	if load > max(1, affinityBound*mean) || load > best.capacity(now, p.slots) {
 		return nil
@@ -288,6 +289,7 @@
 	p := t.pools[e.up.Pool]
 	over := float64(e.load(now, t.hosts)) / e.capacity(now, p.slots)
 	e.setOwn(now, max(0, e.own-1))
+	p.sum.Load--
 	if ok {
 		e.succeed(now, took, over)
 		return
@@ -303,6 +305,7 @@
 	defer t.mu.Unlock()
 	if e, ok := t.byName[name]; ok {
 		e.setOwn(now, max(0, e.own-1))
+		t.pools[e.up.Pool].sum.Load--
 	}
 }
 
@@ -325,6 +328,14 @@
 	if !ok {
 		return Pressure{}
 	}
+	return t.pressure(now, p)
+}
+
+// pressure sums the pool up anew only now and then, as that takes time in proportion to its size.
+func (t *Table) pressure(now time.Time, p *pool) Pressure {
+	if !p.sumAt.IsZero() && now.Sub(p.sumAt) < sumEvery {
+		return p.sum
+	}
 	sum := Pressure{
 		Service: p.expected,
 	}
@@ -341,5 +352,7 @@
 	if sum.Upstream > 0 {
 		sum.Service = service / time.Duration(sum.Upstream)
 	}
+	p.sum = sum
+	p.sumAt = now
 	return sum
 }
--- /dev/null
+++ b/internal/root/front/chain/route/table_test.go
@@ -0,0 +1,233 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/cornelwing/cornelwing/internal/stage"
+)
+
+const expected = 100 * time.Millisecond
+
+func newTable(ups, slots int) (*Table, []Upstream) {
+	t := New("d0")
+	list := make([]Upstream, ups)
+	for i := range list {
+		list[i] = Upstream{
+			Name:   fmt.Sprintf("u%03d", i),
+			Addr:   fmt.Sprintf("127.0.0.1:%d", 1000+i),
+			Domain: fmt.Sprintf("d%d", i%3),
+			Pool:   "p",
+		}
+	}
+	t.Sync([]PoolSpec{
+		{
+			Name:     "p",
+			Slots:    slots,
+			Expected: expected,
+		},
+	}, list, 1)
+	return t, list
+}
+
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(1, 1))
+}
+
+func TestPickStaysInItsDomainUntilThatIsFull(t *testing.T) {
+	Convey("Given 12 upstreams of 4 slots in 3 failure domains", t, func() {
+		table, _ := newTable(12, 4)
+		now := time.Unix(1000, 0)
+		rng := newRand()
+		domains := map[string]int{}
+		for range 48 {
+			u, ok := table.Pick(now, rng, Query{Pool: "p"})
+			So(ok, ShouldBeTrue)
+			domains[u.Domain]++
+		}
+		So(domains["d0"], ShouldBeGreaterThanOrEqualTo, 12)
+		So(domains["d1"]+domains["d2"], ShouldBeGreaterThan, 0)
+	})
+}
+
+func TestLeavingAndExcludedAreNeverPicked(t *testing.T) {
+	Convey("Given a table in which upstreams leave, are excluded and fail at random", t, func() {
+		rng := newRand()
+		table, list := newTable(12, 4)
+		now := time.Unix(1000, 0)
+		for range 20_000 {
+			now = now.Add(time.Millisecond)
+			i := rng.IntN(len(list))
+			list[i].Leaving = rng.IntN(2) == 0
+			table.Sync([]PoolSpec{{Name: "p", Slots: 4, Expected: expected}}, list, 1)
+			exclude := []string{list[rng.IntN(len(list))].Name}
+			u, ok := table.Pick(now, rng, Query{Pool: "p", Exclude: exclude, Affinity: rng.Uint64()})
+			if !ok {
+				continue
+			}
+			if u.Leaving || u.Name == exclude[0] {
+				t.Fatalf("picked %+v, excluded %v", u, exclude)
+			}
+			table.Done(now, u.Name, expected, rng.IntN(3) > 0)
+		}
+	})
+}
+
+func TestEjectionKeepsAFloor(t *testing.T) {
+	Convey("Given a pool in which every attempt fails", t, func() {
+		table, _ := newTable(6, 4)
+		now := time.Unix(1000, 0)
+		rng := newRand()
+		for range 500 {
+			u, ok := table.Pick(now, rng, Query{Pool: "p"})
+			So(ok, ShouldBeTrue)
+			table.Done(now, u.Name, expected, false)
+		}
+		Convey("At most half of it is out, and the rest is still tried", func() {
+			out := 0
+			for _, e := range table.byName {
+				if e.isOut(now) {
+					out++
+				}
+			}
+			So(out, ShouldEqual, 3)
+		})
+		Convey("One that was out is probed by a single attempt before it gets more", func() {
+			later := now.Add(time.Hour)
+			e := table.pools["p"].entries[0]
+			e.outs = 1
+			e.own = 1
+			So(e.usable(later), ShouldBeFalse)
+			e.own = 0
+			So(e.usable(later), ShouldBeTrue)
+			e.succeed(later, expected, 1)
+			So(e.capacity(later, 10), ShouldBeLessThan, 2)
+			So(e.capacity(later.Add(slowStart), 10), ShouldEqual, 10)
+		})
+	})
+}
+
+func TestReportsAreCorrectedByOwnSends(t *testing.T) {
+	Convey("Given a report that is one second old", t, func() {
+		table, list := newTable(1, 64)
+		now := time.Unix(1000, 0)
+		rng := newRand()
+		for range 5 {
+			table.Pick(now, rng, Query{Pool: "p"})
+		}
+		e := table.byName[list[0].Name]
+		table.Report(list[0].Name, stage.Load{Busy: 20, Slots: 64}, now.Add(10*time.Millisecond))
+		later := now.Add(time.Second)
+		for range 7 {
+			table.Pick(later, rng, Query{Pool: "p"})
+		}
+		So(e.load(later, 9), ShouldEqual, 27)
+		table.Done(later, list[0].Name, expected, true)
+		So(e.load(later, 9), ShouldEqual, 26)
+		Convey("One that is too old no longer counts", func() {
+			So(e.load(now.Add(time.Minute), 9), ShouldEqual, 9*e.own)
+		})
+		Convey("An older one does not replace it", func() {
+			table.Report(list[0].Name, stage.Load{Busy: 1, Slots: 64}, now)
+			So(e.report.Busy, ShouldEqual, 20)
+		})
+	})
+}
+
+// spread sends n requests that never end through pick and returns the highest and lowest count.
+func spread(n, ups int, pick func() int) (highest, lowest int) {
+	counts := make([]int, ups)
+	for range n {
+		counts[pick()]++
+	}
+	lowest = n
+	for _, c := range counts {
+		highest = max(highest, c)
+		lowest = min(lowest, c)
+	}
+	return highest, lowest
+}
+
+func TestSpreadIsNarrowerThanTheNaive(t *testing.T) {
+	Convey("Given 1,200 requests on 12 upstreams whose reports never come", t, func() {
+		table := New("d")
+		var list []Upstream
+		for i := range 12 {
+			list = append(list, Upstream{Name: fmt.Sprint(i), Domain: "d", Pool: "p"})
+		}
+		table.Sync([]PoolSpec{{Name: "p", Slots: 4, Expected: expected}}, list, 1)
+		rng := newRand()
+		now := time.Unix(1000, 0)
+		high, low := spread(1200, 12, func() int {
+			u, _ := table.Pick(now, rng, Query{Pool: "p"})
+			var i int
+			fmt.Sscan(u.Name, &i)
+			return i
+		})
+		naiveHigh, naiveLow := spread(1200, 12, func() int { return rng.IntN(12) })
+		So(high-low, ShouldBeLessThan, naiveHigh-naiveLow)
+		So(high-low, ShouldBeLessThanOrEqualTo, 12)
+	})
+}
+
+func TestAffinityIsBoundedByLoad(t *testing.T) {
+	Convey("Given requests that all have the same prefix", t, func() {
+		table, _ := newTable(12, 16)
+		rng := newRand()
+		now := time.Unix(1000, 0)
+		first, _ := table.Pick(now, rng, Query{Pool: "p", Affinity: 42})
+		table.Done(now, first.Name, expected, true)
+		again, _ := table.Pick(now, rng, Query{Pool: "p", Affinity: 42})
+		So(again.Name, ShouldEqual, first.Name)
+		counts := map[string]int{}
+		for range 32 {
+			u, _ := table.Pick(now, rng, Query{Pool: "p", Affinity: 42})
+			counts[u.Name]++
+		}
+		So(counts[first.Name], ShouldBeLessThan, 16)
+		So(len(counts), ShouldBeGreaterThan, 1)
+	})
+}
+
+func TestPickDoesNotAllocate(t *testing.T) {
+	table, list := newTable(710, 16)
+	now := time.Unix(1000, 0)
+	rng := newRand()
+	got := testing.AllocsPerRun(1000, func() {
+		u, _ := table.Pick(now, rng, Query{Pool: "p", Affinity: 7})
+		table.Release(now, u.Name)
+	})
+	if got != 0 {
+		t.Errorf("Pick among %d allocates %v times", len(list), got)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, ups := range []int{60, 240, 710} {
+		for _, affinity := range []uint64{0, 7} {
+			b.Run(fmt.Sprintf("upstreams=%d/affinity=%v", ups, affinity > 0), func(b *testing.B) {
+				table, _ := newTable(ups, 16)
+				now := time.Unix(1000, 0)
+				rng := newRand()
+				b.ReportAllocs()
+				for b.Loop() {
+					u, _ := table.Pick(now, rng, Query{Pool: "p", Affinity: affinity})
+					table.Release(now, u.Name)
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkPressure(b *testing.B) {
+	table, _ := newTable(710, 16)
+	now := time.Unix(1000, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Pressure(now, "p")
+	}
+}
--- a/internal/root/front/claim/batch.go
+++ b/internal/root/front/claim/batch.go
@@ -38,6 +38,8 @@
 	table store.Table
 	hosts func() int
 	in    chan write
+	// twins are writes to a row that the last batch wrote as well; they go into the next one.
+	twins []write
 }
 
 func newBatcher(table store.Table, hosts func() int) *batcher {
@@ -71,26 +73,42 @@
 
 func (b *batcher) run(ctx context.Context) {
 	for {
-		select {
-		case <-ctx.Done():
+		batch, ok := b.next(ctx)
+		if !ok {
 			return
-		case first := <-b.in:
-			began := time.Now()
-			b.commit(b.gather(first))
-			b.space(ctx, began)
 		}
+		began := time.Now()
+		b.commit(b.splitTwins(batch))
+		b.space(ctx, began)
+	}
+}
+
+// next waits for something to write.
+func (b *batcher) next(ctx context.Context) ([]write, bool) {
+	if len(b.twins) > 0 {
+		twins := b.twins
+		b.twins = nil
+		return b.gather(twins), true
+	}
+	select {
+	case <-ctx.Done():
+		return nil, false
+	case first := <-b.in:
+		return b.gather([]write{first}), true
 	}
 }
 
 // gather takes what waits; a write whose caller has gone away is dropped, since it was never sent.
-func (b *batcher) gather(first write) []write {
+func (b *batcher) gather(first []write) []write {
 	var batch []write
 	add := func(w write) {
 		if w.ctx.Err() == nil {
 			batch = append(batch, w)
 		}
 	}
-	add(first)
+	for _, w := range first {
+		add(w)
+	}
 	for len(batch) < maxBatch {
 		select {
 		case w := <-b.in:
@@ -119,7 +137,6 @@
 
 // commit writes the batch, setting aside the writes whose condition fails until the rest goes through.
 func (b *batcher) commit(batch []write) {
-	batch = b.splitTwins(batch)
 	for len(batch) > 0 {
 		// A write's own context must not cut off the others'; the store bounds the call.
 		err := b.table.Commit(context.Background(), txnOf(batch))
@@ -139,13 +156,13 @@
 	}
 }
 
-// splitTwins sets aside writes to a row that the batch writes already, as a transaction can hold only one.
+// splitTwins puts off writes to a row that the batch writes already, as a transaction can hold only one.
 func (b *batcher) splitTwins(batch []write) []write {
 	seen := make(map[string]bool, len(batch))
 	first := batch[:0]
 	for _, w := range batch {
 		if seen[w.put.Key] {
-			w.done <- errTaken
+			b.twins = append(b.twins, w)
 			continue
 		}
 		seen[w.put.Key] = true
--- a/internal/root/front/desk.go
+++ b/internal/root/front/desk.go
@@ -13,6 +13,7 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain"
 	"github.com/cornelwing/cornelwing/internal/root/front/claim"
+	"github.com/cornelwing/cornelwing/internal/root/front/tally"
 	"github.com/cornelwing/cornelwing/internal/root/store"
 	"github.com/cornelwing/cornelwing/pkg/config"
 	"github.com/cornelwing/cornelwing/pkg/wire"
@@ -62,7 +63,7 @@
 	lobby  *Lobby
 	keeper *claim.Keeper
 	runner *chain.Runner
-	tally  Tally
+	tally  *tally.Book
 }
 
 // Reply is what the caller is told.
@@ -85,10 +86,40 @@
 	} else {
 		r = d.serveClaimed(ctx, a)
 	}
-	d.tally.count(a, r, d.Now())
+	if !r.callersFault() {
+		d.tally.Add(d.Now(), entryOf(a, r, d.Now()))
+	}
 	return r
 }
 
+// callersFault reports whether the caller was refused for what it did, which is no miss of the objective.
+func (r Reply) callersFault() bool {
+	if r.Problem == nil {
+		return false
+	}
+	switch r.Problem.Kind() {
+	case wire.KindLimit, wire.KindKeyReused, wire.KindInProgress, wire.KindCut:
+		return true
+	default:
+		return false
+	}
+}
+
+func entryOf(a Ask, r Reply, now time.Time) tally.Entry {
+	e := tally.Entry{
+		Account:  a.Account.Name,
+		Pipeline: a.Pipeline.Name,
+		Outcome:  wire.Answered,
+		InTime:   r.Answer != nil && !now.After(a.Deadline),
+		Took:     now.Sub(a.Arrived),
+		Stages:   r.Stages,
+	}
+	if r.Problem != nil {
+		e.Outcome = r.Problem.Outcome
+	}
+	return e
+}
+
 // serveFree serves a request that may run more than once.
 func (d *Desk) serveFree(ctx context.Context, a Ask) Reply {
 	pass, p := d.lobby.Enter(ctx, a)
--- a/internal/root/front/server.go
+++ b/internal/root/front/server.go
@@ -13,6 +13,7 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain"
 	"github.com/cornelwing/cornelwing/internal/root/front/claim"
+	"github.com/cornelwing/cornelwing/internal/root/front/tally"
 	"github.com/cornelwing/cornelwing/internal/root/watch"
 	"github.com/cornelwing/cornelwing/internal/setup"
 )
@@ -59,6 +60,7 @@
 			lobby:  lobby,
 			keeper: keeper,
 			runner: runner,
+			tally:  tally.NewBook(),
 		},
 		lobby:   lobby,
 		holder:  holder,
@@ -84,8 +86,8 @@
 }
 
 // Tally returns the counts of outcomes.
-func (s *Server) Tally() *Tally {
-	return &s.desk.tally
+func (s *Server) Tally() *tally.Book {
+	return s.desk.tally
 }
 
 // Run listens until ctx ends, then goes on until the balancer has seen that the host is leaving, and lets every request in flight end.
--- /dev/null
+++ b/internal/root/front/tally/book.go
@@ -0,0 +1,158 @@
+package tally
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cornelwing/cornelwing/internal/root/front/tally/burn"
+	"github.com/cornelwing/cornelwing/pkg/wire"
+)
+
+const (
+	// haltWindow and haltRate say when a roll-out has to wait for the objective.
+	haltWindow = time.Minute
+	haltRate   = 10
+	haltLeast  = 20
+)
+
+// Entry is the end of one request.
+type Entry struct {
+	Account  string
+	Pipeline string
+	Outcome  wire.Outcome
+	// InTime says that a whole answer was given before the deadline.
+	InTime bool
+	Took   time.Duration
+	Stages []wire.StageReport
+}
+
+// Book counts entries.
+type Book struct {
+	mu     sync.Mutex
+	counts map[key]*count
+	meter  burn.Meter
+}
+
+type key struct {
+	account  string
+	pipeline string
+}
+
+// count is a Count under construction.
+type count struct {
+	Count
+	hist   *hdrhistogram.Histogram
+	stages map[string]*Cost
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{
+		counts: map[key]*count{},
+	}
+}
+
+// Add counts an entry that ended at now.
+func (b *Book) Add(now time.Time, e Entry) {
+	b.meter.Add(now, e.InTime)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := key{
+		account:  e.Account,
+		pipeline: e.Pipeline,
+	}
+	c, ok := b.counts[k]
+	if !ok {
+		c = newCount(k)
+		b.counts[k] = c
+	}
+	c.add(e)
+}
+
+func newCount(k key) *count {
+	return &count{
+		Count: Count{
+			Account:  k.account,
+			Pipeline: k.pipeline,
+		},
+		hist:   newHistogram(),
+		stages: map[string]*Cost{},
+	}
+}
+
+func (c *count) add(e Entry) {
+	c.Sent++
+	if e.InTime {
+		c.InTime++
+	}
+	switch e.Outcome {
+	case wire.Answered:
+		c.Answered++
+		// The histogram covers ten minutes, and no request lives longer.
+		_ = c.hist.RecordValue(e.Took.Microseconds())
+	case wire.NotRun:
+		c.NotRun++
+	case wire.Failed:
+		c.Failed++
+	default:
+		c.Unknown++
+	}
+	for _, s := range e.Stages {
+		c.stage(s.Stage).add(s)
+	}
+}
+
+func (c *count) stage(name string) *Cost {
+	s, ok := c.stages[name]
+	if !ok {
+		s = &Cost{
+			Stage: name,
+		}
+		c.stages[name] = s
+	}
+	return s
+}
+
+// Counts returns what was counted, in order of accounts and pipelines.
+func (b *Book) Counts() []Count {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Count, 0, len(b.counts))
+	for _, c := range b.counts {
+		out = append(out, c.export())
+	}
+	sortCounts(out)
+	return out
+}
+
+func (c *count) export() Count {
+	out := c.Count
+	out.Stages = nil
+	for _, s := range c.stages {
+		out.Stages = append(out.Stages, *s)
+	}
+	slices.SortFunc(out.Stages, func(x, y Cost) int { return cmp.Compare(x.Stage, y.Stage) })
+	out.Latency = encode(c.hist)
+	return out
+}
+
+// Burn returns the burn of the objective at now.
+func (b *Book) Burn(now time.Time, objective float64) burn.Report {
+	return b.meter.Over(now, objective)
+}
+
+// Burning reports whether the objective is missed so fast at now that a roll-out has to wait.
+func (b *Book) Burning(now time.Time, objective float64) bool {
+	good, bad := b.meter.Sum(now, haltWindow)
+	return good+bad >= haltLeast && burn.Rate(good, bad, objective) > haltRate
+}
+
+func sortCounts(cs []Count) {
+	slices.SortFunc(cs, func(x, y Count) int {
+		return cmp.Or(cmp.Compare(x.Account, y.Account), cmp.Compare(x.Pipeline, y.Pipeline))
+	})
+}
--- /dev/null
+++ b/internal/root/front/tally/doc.go
@@ -0,0 +1,2 @@
+// Package tally counts attainment, latency and cost by stage for each client account and pipeline.
+package tally
--- a/internal/root/links.go
+++ b/internal/root/links.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
@@ -104,3 +106,17 @@
 	}
 	return loads.Turn(upstream, r.book.Upstreams(now), names) == r.Host
 }
+
+// nonce returns a new mark for a write of the lease.
+func nonce() string {
+	var b [8]byte
+	// The source of the standard library never fails.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// burning reports whether this host misses the objective now.
+func (r *Root) burning() bool {
+	rev, ok := r.holder.Current()
+	return ok && r.front.Tally().Burning(r.Now(), rev.Document.Objective.Attainment)
+}
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -16,6 +16,8 @@
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/front/claim"
 	"github.com/cornelwing/cornelwing/internal/root/loads"
+	"github.com/cornelwing/cornelwing/internal/root/orders"
+	"github.com/cornelwing/cornelwing/internal/root/orders/lease"
 	"github.com/cornelwing/cornelwing/internal/root/peers"
 	"github.com/cornelwing/cornelwing/internal/root/store"
 	"github.com/cornelwing/cornelwing/internal/root/view"
@@ -44,6 +46,8 @@
 	mesh     *peers.Mesh
 	rounds   *peers.Rounds
 	certs    peers.Certs
+	lease    *lease.Keeper
+	orders   *orders.Orderer
 	restarts restarts
 }
 
@@ -103,6 +107,9 @@
 		chain.WithSuspects(crash.NewGuard(r.Deps, r.tracker, r.alive, r.mine, r.push)),
 		chain.WithLeaving(r.leaving))
 	r.front = front.New(r.Deps, s.Listen.Callers, s.Limits, r.holder, r.lobby, r.keeper, r.runner, front.WithLeave(r.leave))
+	r.lease = lease.NewKeeper(r.Deps, r.platform, "orders", lease.New(s.Host.Name, lease.DefaultTerms(), nonce))
+	members := func() []route.Upstream { return r.book.Upstreams(r.Now()) }
+	r.orders = orders.New(r.Deps, r.lease, r.reach, r.holder, members, r.burning)
 	r.admin = admin.New(&admin.Desk{
 		Deps:   r.Deps,
 		Ledger: r.ledger,
@@ -110,6 +117,7 @@
 		Book:   r.book,
 		Tally:  r.front.Tally(),
 		Out:    r.platform.Out,
+		Orders: r.orders,
 	}, s.Listen.Operators, s.Operators)
 }
 
@@ -145,6 +153,8 @@
 		watch.NewWatcher(r.ledger, r.holder, r.hosts).Part(),
 		super.Every("table", func() time.Duration { return syncEvery }, r.syncTable),
 		loads.NewPoller(r.Deps, r.board, r.book, r.reach, r.onLoad).Part(),
+		r.lease,
+		r.orders.Part(),
 		r.admin,
 		r.front,
 	)
--- a/internal/stand/fault/switch.go
+++ b/internal/stand/fault/switch.go
@@ -28,6 +28,8 @@
 	CrashOn string `json:"crash_on,omitempty"`
 	// Leaving says that the upstream is about to go.
 	Leaving bool `json:"leaving,omitempty"`
+	// Refuse turns every call away as not run, with the word that the upstream is leaving.
+	Refuse bool `json:"refuse,omitempty"`
 	// StaleMS is how far the load report lags, in milliseconds.
 	StaleMS int `json:"stale_ms,omitempty"`
 	// Chaos is the share of results that are doubled, swapped, cut or out of order, from 0 to 1.
--- a/internal/stand/runner/server.go
+++ b/internal/stand/runner/server.go
@@ -47,6 +47,7 @@
 	downUntil time.Time
 	cancels   map[string]context.CancelFunc
 	reports   []report
+	engine    Engine
 }
 
 type report struct {
@@ -82,6 +83,8 @@
 	mux.HandleFunc("POST "+stage.PathGenerate, s.generate)
 	mux.HandleFunc("POST "+stage.PathCancel, s.cancel)
 	mux.HandleFunc("GET "+stage.PathLoad, s.load)
+	mux.HandleFunc("GET "+stage.PathState, s.getState)
+	mux.HandleFunc("POST "+stage.PathOrders, s.postOrder)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.misbehave(r.Context())
 		mux.ServeHTTP(w, r)
@@ -111,6 +114,14 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return call, nil, nil, false
 	}
+	if s.State().Loading {
+		refuse(w, call, "loading", false)
+		return call, nil, nil, false
+	}
+	if s.Faults.Get().Refuse {
+		refuse(w, call, "leaving", true)
+		return call, nil, nil, false
+	}
 	ctx, cancel := context.WithCancel(r.Context())
 	s.mu.Lock()
 	s.cancels[call.AttemptID] = cancel
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -62,6 +62,20 @@
 	ChecksFencing bool `json:"checks_fencing,omitempty" yaml:"checks_fencing,omitempty"`
 	// Silence is how long an attempt may stay without any progress before it is given up.
 	Silence Span `json:"silence" yaml:"silence"`
+	// Wanted is what the engines of the pool are to have loaded; nil leaves them as they are.
+	Wanted *Wanted `json:"wanted,omitempty" yaml:"wanted,omitempty"`
+}
+
+// Wanted is the desired state of a pool's engines.
+type Wanted struct {
+	Model    string   `json:"model" yaml:"model"`
+	Version  string   `json:"version" yaml:"version"`
+	Adapters []string `json:"adapters,omitempty" yaml:"adapters,omitempty"`
+	Role     string   `json:"role,omitempty" yaml:"role,omitempty"`
+	// RollShare is the share of the live engines that may be loading at the same time, above 0 and at most 1.
+	RollShare float64 `json:"roll_share" yaml:"roll_share"`
+	// MaxLoads is how many engines of the pool may draw on the weight store at the same time.
+	MaxLoads int `json:"max_loads" yaml:"max_loads"`
 }
 
 // Account is a client account with its share and its limits.
@@ -118,28 +132,38 @@
 
 // WithAccount returns a copy in which the account replaces the one of its name, or is appended.
 func (d Document) WithAccount(a Account) Document {
-	d.Accounts = slices.Clone(d.Accounts)
-	i := slices.IndexFunc(d.Accounts, func(o Account) bool { return o.Name == a.Name })
-	if i < 0 {
-		d.Accounts = append(d.Accounts, a)
-		return d
-	}
-	d.Accounts[i] = a
+	d.Accounts = replaced(d.Accounts, a, func(o Account) bool { return o.Name == a.Name })
+	return d
+}
+
+// WithPool returns a copy in which the pool replaces the one of its name, or is appended.
+func (d Document) WithPool(p Pool) Document {
+	d.Pools = replaced(d.Pools, p, func(o Pool) bool { return o.Name == p.Name })
 	return d
 }
 
+// WithWanted returns a copy of the pool with another desired state of its engines.
+func (p Pool) WithWanted(w Wanted) Pool {
+	p.Wanted = &w
+	return p
+}
+
 // WithPipeline returns a copy in which the pipeline replaces the one of its name, or is appended.
 func (d Document) WithPipeline(p Pipeline) Document {
-	d.Pipelines = slices.Clone(d.Pipelines)
-	i := slices.IndexFunc(d.Pipelines, func(o Pipeline) bool { return o.Name == p.Name })
-	if i < 0 {
-		d.Pipelines = append(d.Pipelines, p)
-		return d
-	}
-	d.Pipelines[i] = p
+	d.Pipelines = replaced(d.Pipelines, p, func(o Pipeline) bool { return o.Name == p.Name })
 	return d
 }
 
+// replaced returns a copy in which x stands in the place of the one that matches, or at the end.
+func replaced[T any](list []T, x T, match func(T) bool) []T {
+	out := slices.Clone(list)
+	if i := slices.IndexFunc(out, match); i >= 0 {
+		out[i] = x
+		return out
+	}
+	return append(out, x)
+}
+
 // AccountByKey returns the account whose token has the hexadecimal SHA-256.
 func (d Document) AccountByKey(sha string) (Account, bool) {
 	i := slices.IndexFunc(d.Accounts, func(a Account) bool { return a.KeySHA256 == sha })
--- a/pkg/config/faults.go
+++ b/pkg/config/faults.go
@@ -46,9 +46,22 @@
 		c.That(p.Slots > 0 && p.Slots <= maxSlots, at+".slots", "%d is not from 1 to %d", p.Slots, maxSlots)
 		c.That(p.CostPerSecond >= 0, at+".cost_per_second", "%v is below 0", p.CostPerSecond)
 		c.That(p.Silence > 0 && p.Silence.D() <= maxDeadline, at+".silence", "%s is not above 0 and at most %s", p.Silence, maxDeadline)
+		checkWanted(c, at+".wanted", p)
 	}
 }
 
+func checkWanted(c *strict.Check, at string, p Pool) {
+	w := p.Wanted
+	if w == nil {
+		return
+	}
+	c.That(p.Kind == KindEngine, at, "only pools of engines take orders, and %q is one of %ss", p.Name, p.Kind)
+	c.That(w.Model != "", at+".model", "a name is needed")
+	c.That(w.Version != "", at+".version", "a version is needed")
+	c.That(w.RollShare > 0 && w.RollShare <= 1, at+".roll_share", "%v is not above 0 and at most 1", w.RollShare)
+	c.That(w.MaxLoads > 0, at+".max_loads", "%d is not above 0", w.MaxLoads)
+}
+
 func (d *Document) checkPipelines(c *strict.Check) {
 	c.That(len(d.Pipelines) > 0, "pipelines", "there must be at least one pipeline")
 	seen := map[string]bool{}
