--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -73,6 +73,21 @@
 
 // Start starts a daemon and lists it.
 func (f *Fleet) Start(name, domain string) (*Daemon, error) {
+	d, err := f.StartAt(name, domain, f.Platform())
+	if err != nil {
+		return nil, fmt.Errorf("start daemon: %w", err)
+	}
+	f.World.AddHost(plat.Host{
+		Name:   name,
+		Addr:   d.Peers(),
+		Domain: domain,
+		Role:   plat.RoleEntry,
+	})
+	return d, nil
+}
+
+// StartAt starts a daemon that looks for the platform at the base URL, and does not list it.
+func (f *Fleet) StartAt(name, domain, platform string) (*Daemon, error) {
 	pair, err := f.authority.Issue(name)
 	if err != nil {
 		return nil, fmt.Errorf("issue certificate: %w", err)
@@ -82,7 +97,7 @@
 		return nil, fmt.Errorf("take certificate: %w", err)
 	}
 	deps := common.NewDeps(name, domain, f.log, f.level)
-	r, err := root.New(deps, daemonSettings(name, domain, f.Platform(), f.Seeds()), root.WithCerts(source))
+	r, err := root.New(deps, daemonSettings(name, domain, platform, f.Seeds()), root.WithCerts(source))
 	if err != nil {
 		return nil, fmt.Errorf("make daemon: %w", err)
 	}
@@ -105,12 +120,6 @@
 	f.mu.Lock()
 	f.daemons = append(f.daemons, d)
 	f.mu.Unlock()
-	f.World.AddHost(plat.Host{
-		Name:   name,
-		Addr:   r.Peers(),
-		Domain: domain,
-		Role:   plat.RoleEntry,
-	})
 	return d, nil
 }
 
--- /dev/null
+++ b/internal/demo/fleet_test.go
@@ -0,0 +1,549 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cornelwing/cornelwing/internal/opapi"
+	"github.com/cornelwing/cornelwing/internal/plat"
+	"github.com/cornelwing/cornelwing/internal/root/admin"
+	"github.com/cornelwing/cornelwing/internal/stand"
+	"github.com/cornelwing/cornelwing/internal/stand/fault"
+	"github.com/cornelwing/cornelwing/pkg/client"
+	"github.com/cornelwing/cornelwing/pkg/config"
+	"github.com/cornelwing/cornelwing/pkg/wire"
+)
+
+const account = "ring-irapuato"
+
+// raised returns a running fleet of n daemons that is torn down with the test.
+func raised(t *testing.T, n int, doc config.Document) *Fleet {
+	t.Helper()
+	f, err := NewFleet(standSettings(1), io.Discard, logrus.PanicLevel)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	for i := range n {
+		if _, err := f.Start(fmt.Sprintf("entry-%d", i), Domains()[i%len(Domains())]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.Apply(context.Background(), 0, doc); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.WaitReady(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// eventually waits for ok, up to the limit.
+func eventually(t *testing.T, limit time.Duration, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("after %s still not: %s", limit, what)
+}
+
+func (d *Daemon) client(opts ...client.Option) *client.Client {
+	return client.New([]string{"http://" + d.Callers()}, TokenOf(account), opts...)
+}
+
+// sendOnce sends an input to a pipeline of one daemon, once.
+func sendOnce(d *Daemon, pipeline, input, key string) (wire.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), giveUpAfter)
+	defer cancel()
+	return d.client().Send(ctx, client.Call{
+		Pipeline: pipeline,
+		Request: wire.Request{
+			Input: input,
+		},
+		Key: key,
+	}, 0)
+}
+
+// outcomeOf returns the outcome that an answer or error stands for.
+func outcomeOf(err error) wire.Outcome {
+	var p wire.Problem
+	switch {
+	case err == nil:
+		return wire.Answered
+	case errors.As(err, &p):
+		return p.Outcome
+	default:
+		return wire.Outcome("broken: " + err.Error())
+	}
+}
+
+// ranAny reports whether any stage ran on an input that begins with the text.
+func ranAny(f *Fleet, text string) bool {
+	for run := range f.World.Ledger.Runs() {
+		if strings.HasPrefix(run.Input, text) {
+			return true
+		}
+	}
+	return false
+}
+
+func faults(t *testing.T, f *Fleet, name string, x fault.Faults) {
+	t.Helper()
+	if err := f.World.Endpoint(name).Apply(x); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// poolFaults sets the faults of every upstream of a pool.
+func poolFaults(t *testing.T, f *Fleet, pool string, x fault.Faults) {
+	t.Helper()
+	for _, h := range f.World.Hosts() {
+		if h.Pool == pool {
+			faults(t, f, h.Name, x)
+		}
+	}
+}
+
+func TestRefusedAsNotRunMeansNothingRan(t *testing.T) {
+	slow := Document().WithAccount(config.Account{
+		Name:          "salon-brno",
+		KeySHA256:     config.HashKey(TokenOf("salon-brno")),
+		Weight:        1,
+		RatePerSecond: 0.001,
+	})
+	f := raised(t, 1, slow)
+	d := f.Daemons()[0]
+	type shape struct {
+		pipeline string
+		token    string
+		body     string
+		header   map[string]string
+	}
+	scenarios := []struct {
+		name string
+		req  shape
+		// before makes the trouble, and after ends it.
+		before func()
+		after  func()
+		kind   wire.Kind
+		want   wire.Outcome
+		retry  bool
+	}{
+		{name: "malformed JSON", req: shape{body: `{"input":`}, kind: wire.KindMalformed, want: wire.NotRun},
+		{name: "unknown field", req: shape{body: `{"input":"INPUT","x":1}`}, kind: wire.KindMalformed, want: wire.NotRun},
+		{name: "bad priority", req: shape{header: map[string]string{"Priority": "u=9"}}, kind: wire.KindMalformed, want: wire.NotRun},
+		{name: "bad deadline", req: shape{header: map[string]string{"Prefer": "wait=0"}}, kind: wire.KindMalformed, want: wire.NotRun},
+		{name: "body too large", req: shape{body: `{"input":"` + strings.Repeat("x", 2<<20) + `"}`}, kind: wire.KindTooLarge, want: wire.NotRun},
+		{name: "wrong account", req: shape{token: "nobody"}, kind: wire.KindAccount, want: wire.NotRun},
+		{name: "unknown pipeline", req: shape{pipeline: "nowhere"}, kind: wire.KindNoPipeline, want: wire.NotRun},
+		{name: "missing key", req: shape{pipeline: pipeBooking}, kind: wire.KindKeyMissing, want: wire.NotRun},
+		{
+			name: "marked not idempotent by the caller, without a key",
+			req:  shape{body: `{"input":"INPUT","idempotent":false}`},
+			kind: wire.KindKeyMissing,
+			want: wire.NotRun,
+		},
+		{
+			name:  "too little time",
+			req:   shape{header: map[string]string{"Grpc-Timeout": "20m"}},
+			kind:  wire.KindOverload,
+			want:  wire.NotRun,
+			retry: true,
+		},
+		{
+			name:  "too little time for a booking",
+			req:   shape{pipeline: pipeBooking, header: map[string]string{"Grpc-Timeout": "5m", "Idempotency-Key": "late"}},
+			kind:  wire.KindOverload,
+			want:  wire.NotRun,
+			retry: true,
+		},
+		{
+			name:  "too little time for a request that was sent before",
+			req:   shape{header: map[string]string{"Grpc-Timeout": "20m", "Idempotency-Key": "again", "Grpc-Previous-Rpc-Attempts": "1"}},
+			kind:  wire.KindOverload,
+			want:  wire.Unknown,
+			retry: true,
+		},
+		{
+			name:   "over the account's rate",
+			req:    shape{token: TokenOf("salon-brno")},
+			before: func() { _, _ = sendAs(d, "salon-brno", pipeAssistant, "first") },
+			kind:   wire.KindLimit,
+			want:   wire.NotRun,
+			retry:  true,
+		},
+		{
+			name:   "booking with the store out",
+			req:    shape{pipeline: pipeBooking, header: map[string]string{"Idempotency-Key": "out"}},
+			before: func() { faults(t, f, stand.PlatformName, fault.Faults{Down: true}) },
+			after:  func() { faults(t, f, stand.PlatformName, fault.Faults{}) },
+			kind:   wire.KindStoreOut,
+			want:   wire.Unknown,
+			retry:  true,
+		},
+		{
+			name:   "every upstream of a stage down",
+			req:    shape{pipeline: pipeAvailability},
+			before: func() { poolFaults(t, f, "bookings", fault.Faults{Down: true}) },
+			after:  func() { poolFaults(t, f, "bookings", fault.Faults{}) },
+			kind:   wire.KindUpstream,
+			want:   wire.NotRun,
+			retry:  true,
+		},
+		{
+			name:   "every upstream of a stage refuses",
+			req:    shape{pipeline: pipeSummary},
+			before: func() { poolFaults(t, f, "encoders", fault.Faults{Refuse: true}) },
+			after:  func() { poolFaults(t, f, "encoders", fault.Faults{}) },
+			kind:   wire.KindUpstream,
+			want:   wire.NotRun,
+			retry:  true,
+		},
+	}
+	for i, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			if sc.before != nil {
+				sc.before()
+			}
+			input := fmt.Sprintf("refused-%d", i)
+			r := sc.req
+			r.pipeline = orElse(r.pipeline, pipeAssistant)
+			r.token = orElse(r.token, TokenOf(account))
+			r.body = strings.ReplaceAll(orElse(r.body, `{"input":"INPUT"}`), "INPUT", input)
+			p, after := post(t, d, r.pipeline, r.token, r.body, r.header)
+			if sc.after != nil {
+				sc.after()
+			}
+			if p.Kind() != sc.kind || p.Outcome != sc.want {
+				t.Errorf("got %s (%s) %q, want %s (%s)", p.Kind(), p.Outcome, p.Detail, sc.kind, sc.want)
+			}
+			if sc.retry && (p.RetryAfterMS == 0 || after == "") {
+				t.Errorf("no word on when to come back: %+v, Retry-After %q", p, after)
+			}
+			if ranAny(f, input) {
+				t.Errorf("something of it ran")
+			}
+		})
+	}
+}
+
+func sendAs(d *Daemon, who, pipeline, input string) (wire.Answer, error) {
+	return client.New([]string{"http://" + d.Callers()}, TokenOf(who)).Send(context.Background(), client.Call{
+		Pipeline: pipeline,
+		Request:  wire.Request{Input: input},
+		Key:      input,
+	}, 0)
+}
+
+func orElse(s, other string) string {
+	if s == "" {
+		return other
+	}
+	return s
+}
+
+func post(t *testing.T, d *Daemon, pipeline, token, body string, header map[string]string) (wire.Problem, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.Callers()+"/v1/pipelines/"+pipeline+"/requests", bytes.NewBufferString(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var p wire.Problem
+	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil {
+		t.Fatalf("status %d without a problem document: %v", resp.StatusCode, err)
+	}
+	if ct := resp.Header.Get("Content-Type"); ct != wire.TypeProblem {
+		t.Errorf("content type %q", ct)
+	}
+	return p, resp.Header.Get("Retry-After")
+}
+
+func TestWithTheStoreOutAvailabilityIsStillServed(t *testing.T) {
+	f := raised(t, 3, Document())
+	faults(t, f, stand.PlatformName, fault.Faults{Frozen: true})
+	for i, d := range f.Daemons() {
+		if _, err := sendOnce(d, pipeAvailability, fmt.Sprintf("free-%d", i), ""); err != nil {
+			t.Errorf("availability with the store frozen: %v", err)
+		}
+		_, err := sendOnce(d, pipeBooking, fmt.Sprintf("book-%d", i), fmt.Sprintf("key-%d", i))
+		if got := outcomeOf(err); got != wire.Unknown {
+			t.Errorf("booking with the store frozen: %s", got)
+		}
+		if ranAny(f, fmt.Sprintf("book-%d", i)) {
+			t.Errorf("a booking ran without its claim")
+		}
+	}
+	faults(t, f, stand.PlatformName, fault.Faults{})
+	eventually(t, 10*time.Second, "a booking is taken again", func() bool {
+		_, err := sendOnce(f.Daemons()[0], pipeBooking, "book-after", "key-after")
+		return err == nil
+	})
+}
+
+func TestTwoHostsWithTheSameKey(t *testing.T) {
+	f := raised(t, 3, Document())
+	const keys = 40
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	answers := map[int][]wire.Answer{}
+	for k := range keys {
+		for _, d := range f.Daemons() {
+			wg.Go(func() {
+				a, err := d.client(client.WithTries(8)).Do(context.Background(), client.Call{
+					Pipeline: pipeBooking,
+					Request:  wire.Request{Input: fmt.Sprintf("twice-%d", k)},
+					Key:      fmt.Sprintf("twice-%d", k),
+				})
+				if err != nil {
+					t.Errorf("key %d: %v", k, err)
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				answers[k] = append(answers[k], a)
+			})
+		}
+	}
+	wg.Wait()
+	for k := range keys {
+		input := after(fmt.Sprintf("twice-%d", k), stageRetrieve)
+		if n := f.World.Ledger.Count(stageBook, input); n != 1 {
+			t.Errorf("key %d was booked %d times", k, n)
+		}
+		for _, a := range answers[k] {
+			if a.RequestID != answers[k][0].RequestID || a.Output != after(input, stageBook) {
+				t.Errorf("key %d: answers differ: %+v", k, a)
+			}
+		}
+	}
+}
+
+func TestARollingRestartLosesNothing(t *testing.T) {
+	f := raised(t, 3, Document())
+	book := NewBook()
+	load := Load{
+		Hosts: f.Callers,
+		Rate:  80,
+		For:   6 * time.Second,
+		Seed:  3,
+		Book:  book,
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		load.Run(context.Background())
+	}()
+	for i, d := range f.Daemons() {
+		time.Sleep(500 * time.Millisecond)
+		if _, err := f.Start(fmt.Sprintf("next-%d", i), d.Domain); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, 5*time.Second, "the new host is ready", f.Daemons()[len(f.Daemons())-1].Ready)
+		if err := f.Stop(d); err != nil {
+			t.Errorf("stop %s: %v", d.Name, err)
+		}
+	}
+	<-done
+	r := book.Close(f.World.Ledger)
+	t.Logf("%d sent, %d answered, %d not run, %d failed, %d unknown", r.Sent, r.Answered, r.NotRun, r.Failed, r.Unknown)
+	if err := r.Check(); err != nil {
+		t.Error(err)
+	}
+	if r.Answered != r.Sent {
+		t.Errorf("%d of %d requests were answered", r.Answered, r.Sent)
+	}
+}
+
+func TestALeavingUpstreamGetsNoNewWork(t *testing.T) {
+	scenarios := []struct {
+		name  string
+		leave func(t *testing.T, f *Fleet, h plat.Host)
+	}{
+		{
+			name: "by the platform's list",
+			leave: func(_ *testing.T, f *Fleet, h plat.Host) {
+				h.Leaving = true
+				f.World.AddHost(h)
+			},
+		},
+		{
+			name: "by its own word while the list cannot be read",
+			leave: func(t *testing.T, f *Fleet, h plat.Host) {
+				faults(t, f, stand.PlatformName, fault.Faults{Down: true})
+				faults(t, f, h.Name, fault.Faults{Leaving: true})
+			},
+		},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			f := raised(t, 3, Document())
+			var leaver plat.Host
+			for _, h := range f.World.Hosts() {
+				if h.Pool == "bookings" && h.Domain == Domains()[0] {
+					leaver = h
+				}
+			}
+			send := func(tag string) {
+				for i := range 60 {
+					d := f.Daemons()[i%3]
+					if _, err := sendOnce(d, pipeAvailability, fmt.Sprintf("%s-%d", tag, i), ""); err != nil {
+						t.Errorf("%s: %v", tag, err)
+					}
+				}
+			}
+			send("before")
+			up := f.World.Upstream(leaver.Name)
+			if up.Served() == 0 {
+				t.Fatal("the upstream got no work while it was live")
+			}
+			sc.leave(t, f, leaver)
+			time.Sleep(3 * time.Second)
+			served := up.Served()
+			send("after")
+			if n := up.Served() - served; n > 0 {
+				t.Errorf("%d calls went to the leaving upstream", n)
+			}
+		})
+	}
+}
+
+func TestAFreshHostInACutOffDomainStartsFromItsPeers(t *testing.T) {
+	f := raised(t, 3, Document())
+	faults(t, f, stand.PlatformName, fault.Faults{Down: true})
+	d, err := f.StartAt("fresh", Domains()[0], "http://127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, 5*time.Second, "the fresh host has the configuration", d.Ready)
+	if _, err := sendOnce(d, pipeAssistant, "from-peers", ""); err != nil {
+		t.Errorf("request to the fresh host: %v", err)
+	}
+}
+
+func apiOf(d *Daemon) *opapi.API {
+	return opapi.New("http://"+d.Operators(), OperatorToken)
+}
+
+func TestAChangeIsInForceOnNineHostsWithinFiveSeconds(t *testing.T) {
+	f := raised(t, 9, Document())
+	ctx := context.Background()
+	if err := f.Apply(ctx, 1, Document().WithAccount(config.Account{
+		Name:          "new",
+		KeySHA256:     config.HashKey("new"),
+		Weight:        1,
+		RatePerSecond: 1,
+	})); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	eventually(t, 5*time.Second, "every host has revision 2", func() bool {
+		for _, d := range f.Daemons() {
+			if s, err := apiOf(d).Status(ctx); err != nil || s.Revision != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("revision 2 was in force on 9 hosts after %s", time.Since(began).Round(time.Millisecond))
+	eventually(t, 5*time.Second, "a host sees that all have it", func() bool {
+		s, err := apiOf(f.Daemons()[0]).Status(ctx)
+		return err == nil && s.InForce && len(s.Live) == 9
+	})
+}
+
+func TestOfTwoOperatorsWhoRaceOneIsTold(t *testing.T) {
+	f := raised(t, 3, Document())
+	faults(t, f, stand.PlatformName, fault.Faults{Chaos: 0.5})
+	text, err := Document().Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for base := int64(1); base <= 10; base++ {
+		var wg sync.WaitGroup
+		won := make([]bool, 3)
+		for i, d := range f.Daemons() {
+			wg.Go(func() {
+				_, err := apiOf(d).Apply(context.Background(), admin.Change{
+					ChangeID: fmt.Sprintf("change-%d-%d", base, i),
+					Base:     base,
+					Document: string(text),
+				})
+				var refused *opapi.StatusError
+				switch {
+				case err == nil:
+					won[i] = true
+				case errors.As(err, &refused) && refused.Refusal.Winner != nil:
+				default:
+					t.Errorf("base %d: %v", base, err)
+				}
+			})
+		}
+		wg.Wait()
+		winners := 0
+		for _, w := range won {
+			if w {
+				winners++
+			}
+		}
+		if winners != 1 {
+			t.Errorf("base %d: %d operators were told that they won", base, winners)
+		}
+	}
+}
+
+func TestARequestThatCrashesUpstreamsIsStoppedAlone(t *testing.T) {
+	f := raised(t, 3, Document())
+	poolFaults(t, f, "engines", fault.Faults{CrashOn: "poison"})
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			input := fmt.Sprintf("innocent-%d", i)
+			a, err := f.Daemons()[i%3].client().Do(context.Background(), client.Call{
+				Pipeline: pipeAssistant,
+				Request:  wire.Request{Input: input},
+			})
+			if err != nil || a.Output == "" {
+				t.Errorf("%s: %v", input, err)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	for i := range 9 {
+		_, err := sendOnce(f.Daemons()[i%3], pipeAssistant, "poison", fmt.Sprintf("poison-%d", i))
+		var p wire.Problem
+		if !errors.As(err, &p) || p.Kind() != wire.KindQuarantined {
+			t.Errorf("send %d of the crashing request: %v", i, err)
+		}
+	}
+	wg.Wait()
+	crashes := 0
+	for _, u := range f.World.Upstreams {
+		crashes += u.Crashes()
+	}
+	if crashes > 2 {
+		t.Errorf("the request crashed %d upstreams", crashes)
+	}
+}
--- a/internal/root/crash/guard.go
+++ b/internal/root/crash/guard.go
@@ -52,12 +52,17 @@
 	g.tracker.Free(p, upstream)
 }
 
-// Broke marks the request if the upstream is really gone, and returns once the other hosts know.
-func (g *Guard) Broke(ctx context.Context, p Print, up route.Upstream) {
+// Alive probes an upstream.
+func (g *Guard) Alive(ctx context.Context, up route.Upstream) bool {
 	probe, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if g.alive(probe, up.Addr) {
-		return
+	return g.alive(probe, up.Addr)
+}
+
+// Broke marks the request and reports true if the upstream is really gone, and returns once the other hosts know.
+func (g *Guard) Broke(ctx context.Context, p Print, up route.Upstream) bool {
+	if g.Alive(ctx, up) {
+		return false
 	}
 	now := g.Now()
 	news := g.tracker.Add(Mark{
@@ -65,9 +70,9 @@
 		Upstream: up.Name,
 		At:       now.UnixMilli(),
 	}, now)
-	if !news {
-		return
+	if news {
+		g.Log.Warnf("Upstream %s was lost while it ran request %x.", up.Name, uint64(p))
+		g.push(ctx)
 	}
-	g.Log.Warnf("Upstream %s was lost while it ran request %x.", up.Name, uint64(p))
-	g.push(ctx)
+	return true
 }
--- a/internal/root/front/chain/route/table.go
+++ b/internal/root/front/chain/route/table.go
@@ -299,6 +299,16 @@
 	}
 }
 
+// Eject takes an upstream that is known to be gone out of the choice at once, as far as the floor allows.
+func (t *Table) Eject(now time.Time, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.byName[name]
+	if ok && !e.isOut(now) && t.mayEject(now, t.pools[e.up.Pool], e) {
+		e.eject(now)
+	}
+}
+
 // Release takes back an attempt that says nothing about the upstream.
 func (t *Table) Release(now time.Time, name string) {
 	t.mu.Lock()
--- a/internal/root/front/chain/runner.go
+++ b/internal/root/front/chain/runner.go
@@ -46,8 +46,11 @@
 	Hold(p crash.Print, upstream string) bool
 	// Free ends the trial.
 	Free(p crash.Print, upstream string)
-	// Broke tells that the connection to an upstream was lost while it ran the request; it returns once the other hosts know.
-	Broke(ctx context.Context, p crash.Print, up route.Upstream)
+	// Alive probes an upstream before a suspect is sent to it, as one that is gone already would bear false witness.
+	Alive(ctx context.Context, up route.Upstream) bool
+	// Broke tells that the connection to an upstream was lost while it ran the request.
+	// It reports whether the upstream is gone, and returns once the other hosts know.
+	Broke(ctx context.Context, p crash.Print, up route.Upstream) bool
 }
 
 // Runner runs jobs.
@@ -108,11 +111,12 @@
 
 type noSuspects struct{}
 
-func (noSuspects) Crashes(crash.Print) (int, bool)                    { return 0, false }
-func (noSuspects) Mine(string) bool                                   { return true }
-func (noSuspects) Hold(crash.Print, string) bool                      { return true }
-func (noSuspects) Free(crash.Print, string)                           {}
-func (noSuspects) Broke(context.Context, crash.Print, route.Upstream) {}
+func (noSuspects) Crashes(crash.Print) (int, bool)                         { return 0, false }
+func (noSuspects) Mine(string) bool                                        { return true }
+func (noSuspects) Hold(crash.Print, string) bool                           { return true }
+func (noSuspects) Free(crash.Print, string)                                {}
+func (noSuspects) Alive(context.Context, route.Upstream) bool              { return true }
+func (noSuspects) Broke(context.Context, crash.Print, route.Upstream) bool { return false }
 
 // run is the state of one job on its way.
 type run struct {
@@ -237,7 +241,11 @@
 			up, ok = u.pick(t, nil)
 		}
 		if ok && u.suspects.Hold(u.print, up.Name) {
-			return up, true
+			if u.suspects.Alive(ctx, up) {
+				return up, true
+			}
+			u.suspects.Free(u.print, up.Name)
+			u.Table.Eject(u.Now(), up.Name)
 		}
 		if ok {
 			u.Table.Release(u.Now(), up.Name)
@@ -377,7 +385,9 @@
 	}
 	u.Table.Done(u.Now(), up.Name, took, false)
 	if !errors.Is(err, reach.ErrSilent) && !errors.Is(err, reach.ErrStray) && !errors.Is(err, reach.ErrGap) {
-		u.suspects.Broke(ctx, u.print, up)
+		if u.suspects.Broke(ctx, u.print, up) {
+			u.Table.Eject(u.Now(), up.Name)
+		}
 	}
 	u.Log.WithError(err).Debugf("Attempt on %s broke.", up.Name)
 }
--- a/internal/root/front/server.go
+++ b/internal/root/front/server.go
@@ -26,8 +26,8 @@
 	intake  Intake
 	desk    *Desk
 	lobby   *Lobby
-	holder  *watch.Holder
 	onLeave func()
+	notYet  func() string
 	leaving atomic.Bool
 	bound   atomic.Pointer[string]
 }
@@ -42,6 +42,13 @@
 	}
 }
 
+// WithReady sets a function that says why the host cannot serve yet, or "".
+func WithReady(f func() string) Option {
+	return func(s *Server) {
+		s.notYet = f
+	}
+}
+
 // New returns a server for callers on the address.
 func New(deps common.Deps, addr string, limits setup.Limits, holder *watch.Holder, lobby *Lobby, keeper *claim.Keeper, runner *chain.Runner, opts ...Option) *Server {
 	deps = deps.WithPart("front")
@@ -63,8 +70,8 @@
 			tally:  tally.NewBook(),
 		},
 		lobby:   lobby,
-		holder:  holder,
 		onLeave: func() {},
+		notYet:  func() string { return "" },
 	}
 	for _, o := range opts {
 		o(s)
@@ -147,8 +154,5 @@
 	if s.leaving.Load() {
 		return "leaving"
 	}
-	if s.holder.Number() == 0 {
-		return "no configuration: neither the platform nor a peer could be asked yet"
-	}
-	return ""
+	return s.notYet()
 }
--- a/internal/root/links.go
+++ b/internal/root/links.go
@@ -36,7 +36,9 @@
 		r.WithPart("list").Log.WithError(err).Debug("Host list cannot be read.")
 		return
 	}
-	r.book.TakeList(list)
+	if r.book.TakeList(list) {
+		r.syncTable(ctx)
+	}
 }
 
 // syncTable brings the members and the pools of the configuration into the routing table.
@@ -61,6 +63,20 @@
 		members[u.Addr] = true
 	}
 	r.reach.Forget(func(addr string) bool { return members[addr] })
+	if len(ups) > 0 {
+		r.synced.Store(rev.Number)
+	}
+}
+
+// unready says why the balancer should send nothing here, or "".
+func (r *Root) unready() string {
+	if r.holder.Number() == 0 {
+		return "no configuration: neither the platform nor a peer could be asked yet"
+	}
+	if r.synced.Load() == 0 {
+		return "no upstreams are known: neither the platform nor a peer could be asked yet"
+	}
+	return ""
 }
 
 func (r *Root) onLoad(rep loads.Report) {
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/certs"
@@ -49,6 +50,8 @@
 	lease    *lease.Keeper
 	orders   *orders.Orderer
 	restarts restarts
+	// synced is the revision that the routing table was last made from, once it holds upstreams.
+	synced atomic.Int64
 }
 
 // Option changes a Root under construction.
@@ -106,7 +109,7 @@
 	r.runner = chain.New(r.Deps, r.table, r.reach,
 		chain.WithSuspects(crash.NewGuard(r.Deps, r.tracker, r.alive, r.mine, r.push)),
 		chain.WithLeaving(r.leaving))
-	r.front = front.New(r.Deps, s.Listen.Callers, s.Limits, r.holder, r.lobby, r.keeper, r.runner, front.WithLeave(r.leave))
+	r.front = front.New(r.Deps, s.Listen.Callers, s.Limits, r.holder, r.lobby, r.keeper, r.runner, front.WithLeave(r.leave), front.WithReady(r.unready))
 	r.lease = lease.NewKeeper(r.Deps, r.platform, "orders", lease.New(s.Host.Name, lease.DefaultTerms(), nonce))
 	members := func() []route.Upstream { return r.book.Upstreams(r.Now()) }
 	r.orders = orders.New(r.Deps, r.lease, r.reach, r.holder, members, r.burning)
@@ -175,9 +178,9 @@
 	return r.admin.Addr()
 }
 
-// Ready reports whether the host has a configuration and knows upstreams.
+// Ready reports whether the host can serve callers.
 func (r *Root) Ready() bool {
-	return r.holder.Number() > 0 && len(r.book.Upstreams(r.Now())) > 0
+	return r.unready() == ""
 }
 
 // Peers returns the address for peers, or "" where the host works alone.
--- a/internal/stand/runner/server.go
+++ b/internal/stand/runner/server.go
@@ -43,6 +43,7 @@
 	cache *prefixCache
 
 	mu        sync.Mutex
+	served    int
 	crashes   int
 	downUntil time.Time
 	cancels   map[string]context.CancelFunc
@@ -76,6 +77,13 @@
 	return s.crashes
 }
 
+// Served returns how many calls the upstream has taken.
+func (s *Server) Served() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.served
+}
+
 // Handler returns the upstream's interface.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -125,6 +133,7 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	s.mu.Lock()
 	s.cancels[call.AttemptID] = cancel
+	s.served++
 	s.mu.Unlock()
 	forget := func() {
 		s.mu.Lock()
--- a/internal/stand/world.go
+++ b/internal/stand/world.go
@@ -107,6 +107,15 @@
 	return w.endpoints[i]
 }
 
+// Upstream returns the upstream of that name, or nil.
+func (w *World) Upstream(name string) *runner.Server {
+	i := slices.IndexFunc(w.Upstreams, func(u *runner.Server) bool { return u.Spec.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return w.Upstreams[i]
+}
+
 // Hosts returns the listed hosts.
 func (w *World) Hosts() []plat.Host {
 	w.mu.Lock()
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -98,7 +98,7 @@
 	if call.OnToken != nil {
 		call.OnToken = onlyNew(call.OnToken)
 	}
-	key := call.Key
+	key, closed := call.Key, 0
 	var last error
 	for i := range c.tries {
 		a, err := c.Send(ctx, call, i)
@@ -112,7 +112,9 @@
 		}
 		var p wire.Problem
 		if errors.As(err, &p) && p.RetryWith == wire.RetryNewKey {
-			call = call.WithKey(fmt.Sprintf("%s.%d", key, i+1))
+			// The next key follows from the closed ones alone, so that all who send the call under one key go on under one key.
+			closed++
+			call = call.WithKey(fmt.Sprintf("%s.%d", key, closed))
 		}
 	}
 	return wire.Answer{}, last
