--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -547,3 +547,31 @@
 		t.Errorf("the request crashed %d upstreams", crashes)
 	}
 }
+
+func TestACutOffDomainServesWhatItCan(t *testing.T) {
+	f := raised(t, 3, Document())
+	faults(t, f, stand.PlatformName, fault.Faults{Frozen: true})
+	for _, h := range f.World.Hosts() {
+		if h.Role == plat.RoleUpstream && h.Domain != Domains()[0] {
+			faults(t, f, h.Name, fault.Faults{Frozen: true})
+		}
+	}
+	d := f.Daemons()[0]
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			for _, pipeline := range []string{pipeAssistant, pipeAvailability} {
+				if _, err := sendOnce(d, pipeline, fmt.Sprintf("cut-%d", i), ""); err != nil {
+					t.Errorf("%s in the domain that is cut off: %v", pipeline, err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if _, err := sendOnce(d, pipeBooking, "cut-booking", "cut-booking"); outcomeOf(err) != wire.Unknown {
+		t.Errorf("booking without the platform: %v", err)
+	}
+	if ranAny(f, "cut-booking") {
+		t.Error("a booking ran without its claim")
+	}
+}
--- a/internal/root/crash/guard.go
+++ b/internal/root/crash/guard.go
@@ -52,8 +52,7 @@
 	g.tracker.Free(p, upstream)
 }
 
-// Alive probes an upstream.
-func (g *Guard) Alive(ctx context.Context, up route.Upstream) bool {
+func (g *Guard) answers(ctx context.Context, up route.Upstream) bool {
 	probe, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	return g.alive(probe, up.Addr)
@@ -61,7 +60,7 @@
 
 // Broke marks the request and reports true if the upstream is really gone, and returns once the other hosts know.
 func (g *Guard) Broke(ctx context.Context, p Print, up route.Upstream) bool {
-	if g.Alive(ctx, up) {
+	if g.answers(ctx, up) {
 		return false
 	}
 	now := g.Now()
--- a/internal/root/front/chain/retry/decide.go
+++ b/internal/root/front/chain/retry/decide.go
@@ -26,7 +26,10 @@
 }
 
 // Broken is an attempt that may have run.
-type Broken struct{}
+type Broken struct {
+	// Free says that another attempt adds no load to a pool that has too much already.
+	Free bool
+}
 
 func (Unsent) event()  {}
 func (Refused) event() {}
@@ -96,7 +99,7 @@
 	if s.Left < s.Need+pause {
 		return Stop{Reason: NoTime}
 	}
-	if _, broken := ev.(Broken); broken && !b.Spend() {
+	if broken, ok := ev.(Broken); ok && !broken.Free && !b.Spend() {
 		return Stop{Reason: NoBudget}
 	}
 	return Again{Pause: pause}
--- a/internal/root/front/chain/route/entry.go
+++ b/internal/root/front/chain/route/entry.go
@@ -15,6 +15,8 @@
 	Domain  string
 	Pool    string
 	Leaving bool
+	// Probe says that the upstream was ejected and has to answer a probe before it is given a request; Pick sets it.
+	Probe bool
 }
 
 const (
--- a/internal/root/front/chain/route/table.go
+++ b/internal/root/front/chain/route/table.go
@@ -185,7 +185,9 @@
 	}
 	e.setOwn(now, e.own+1)
 	p.sum.Load++
-	return e.up, true
+	up := e.up
+	up.Probe = e.outs > 0
+	return up, true
 }
 
 // preferred returns the upstream of the own domain that most likely holds the prefix, unless it has too much in hand.
@@ -299,12 +301,12 @@
 	}
 }
 
-// Eject takes an upstream that is known to be gone out of the choice at once, as far as the floor allows.
+// Eject takes an upstream that answers no probe out of the choice at once; the floor is for those that only seem bad.
 func (t *Table) Eject(now time.Time, name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.byName[name]
-	if ok && !e.isOut(now) && t.mayEject(now, t.pools[e.up.Pool], e) {
+	if ok && !e.isOut(now) {
 		e.eject(now)
 	}
 }
--- a/internal/root/front/chain/runner.go
+++ b/internal/root/front/chain/runner.go
@@ -29,11 +29,15 @@
 	comeBack = time.Second
 	// trialPause is how long a suspect waits for an upstream on which no other is tried.
 	trialPause = 10 * time.Millisecond
+	// probeTimeout bounds the check whether an upstream still answers.
+	probeTimeout = 200 * time.Millisecond
 )
 
 // Caller sends one attempt to an upstream.
 type Caller interface {
 	Do(ctx context.Context, a reach.Attempt) reach.Result
+	// Probe reads an upstream's load report over a connection of its own.
+	Probe(ctx context.Context, addr string) (stage.Load, error)
 }
 
 // Suspects stops requests that crash the upstreams they run on, and keeps those that might be to blame apart.
@@ -46,8 +50,6 @@
 	Hold(p crash.Print, upstream string) bool
 	// Free ends the trial.
 	Free(p crash.Print, upstream string)
-	// Alive probes an upstream before a suspect is sent to it, as one that is gone already would bear false witness.
-	Alive(ctx context.Context, up route.Upstream) bool
 	// Broke tells that the connection to an upstream was lost while it ran the request.
 	// It reports whether the upstream is gone, and returns once the other hosts know.
 	Broke(ctx context.Context, p crash.Print, up route.Upstream) bool
@@ -177,6 +179,8 @@
 	// built is the text that the stage has streamed so far, and tokens its length.
 	built  strings.Builder
 	tokens int
+	// fresh asks for new connections, after one that was open fell silent.
+	fresh  bool
 	began  time.Time
 	cost   float64
 	wasted float64
@@ -220,11 +224,32 @@
 	return u.giveUp(t, wire.KindDeadline, fmt.Sprintf("%s are left, too few for stage %s and what follows", left.Round(time.Millisecond), t.spec.Name))
 }
 
-// choose picks an upstream; those that were tried are taken again only when no other is left.
+// choose picks an upstream; one that may be gone has to answer a probe first.
 func (u *run) choose(ctx context.Context, t *try, suspect bool) (route.Upstream, bool) {
-	if suspect {
-		return u.chooseTrial(ctx, t)
+	for {
+		pick := u.pickAny
+		if suspect {
+			pick = func(t *try) (route.Upstream, bool) { return u.pickTrial(ctx, t) }
+		}
+		up, ok := pick(t)
+		if !ok {
+			return route.Upstream{}, false
+		}
+		// A suspect on an upstream that is gone already would be blamed for it.
+		if !up.Probe && !suspect {
+			return up, true
+		}
+		if _, alive := u.probe(ctx, up); alive {
+			return up, true
+		}
+		u.suspects.Free(u.print, up.Name)
+		u.Table.Release(u.Now(), up.Name)
+		u.Table.Eject(u.Now(), up.Name)
 	}
+}
+
+// pickAny takes those that were tried again only when no other is left.
+func (u *run) pickAny(t *try) (route.Upstream, bool) {
 	up, ok := u.pick(t, nil)
 	if !ok && len(t.exclude) > 0 {
 		t.exclude = nil
@@ -233,19 +258,15 @@
 	return up, ok
 }
 
-// chooseTrial picks an upstream on which no other suspect is tried, by this host or another, and waits for one if it must.
-func (u *run) chooseTrial(ctx context.Context, t *try) (route.Upstream, bool) {
+// pickTrial picks an upstream on which no other suspect is tried, by this host or another, and waits for one if it must.
+func (u *run) pickTrial(ctx context.Context, t *try) (route.Upstream, bool) {
 	for {
 		up, ok := u.pick(t, u.suspects.Mine)
 		if !ok {
-			up, ok = u.pick(t, nil)
+			up, ok = u.pickAny(t)
 		}
 		if ok && u.suspects.Hold(u.print, up.Name) {
-			if u.suspects.Alive(ctx, up) {
-				return up, true
-			}
-			u.suspects.Free(u.print, up.Name)
-			u.Table.Eject(u.Now(), up.Name)
+			return up, true
 		}
 		if ok {
 			u.Table.Release(u.Now(), up.Name)
@@ -256,6 +277,14 @@
 	}
 }
 
+// probe reports whether an upstream answers over a new connection, and its load.
+func (u *run) probe(ctx context.Context, up route.Upstream) (stage.Load, bool) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	load, err := u.caller.Probe(ctx, up.Addr)
+	return load, err == nil
+}
+
 func (u *run) pick(t *try, allow func(string) bool) (route.Upstream, bool) {
 	q := route.Query{
 		Pool:    t.pool.Name,
@@ -300,8 +329,7 @@
 		}
 		return retry.Refused{After: time.Duration(res.Refusal.RetryAfterMS) * time.Millisecond}, nil
 	case reach.Broken:
-		u.broke(ctx, t, up, res.Err, took)
-		return retry.Broken{}, nil
+		return u.broke(ctx, t, up, res.Err, took), nil
 	default:
 		panic(fmt.Sprintf("unknown result %T", result))
 	}
@@ -312,7 +340,7 @@
 	return reach.Attempt{
 		Addr:   up.Addr,
 		Stream: t.pool.Kind == config.KindEngine,
-		Once:   u.once(t),
+		Once:   u.once(t) || t.fresh,
 		// A whole result shows no progress before its end, so that the stage's share of the deadline bounds it as well.
 		Silence: min(t.pool.Silence.D(), left),
 		Call: stage.Call{
@@ -369,7 +397,7 @@
 	return nil
 }
 
-func (u *run) broke(ctx context.Context, t *try, up route.Upstream, err error, took time.Duration) {
+func (u *run) broke(ctx context.Context, t *try, up route.Upstream, err error, took time.Duration) retry.Broken {
 	u.mayHaveRun = true
 	u.unsure = u.unsure || u.once(t)
 	t.ran++
@@ -378,18 +406,35 @@
 	t.cost += waste
 	t.wasted += waste
 	u.stats.Broken.Add(1)
+	u.Log.WithError(err).Debugf("Attempt on %s broke.", up.Name)
 	if ctx.Err() != nil {
 		// The deadline or the caller ended the attempt, which says nothing about the upstream.
 		u.Table.Release(u.Now(), up.Name)
-		return
+		return retry.Broken{}
 	}
 	u.Table.Done(u.Now(), up.Name, took, false)
-	if !errors.Is(err, reach.ErrSilent) && !errors.Is(err, reach.ErrStray) && !errors.Is(err, reach.ErrGap) {
-		if u.suspects.Broke(ctx, u.print, up) {
-			u.Table.Eject(u.Now(), up.Name)
-		}
+	switch {
+	case errors.Is(err, reach.ErrSilent):
+		t.fresh = true
+		return retry.Broken{Free: u.idle(ctx, up)}
+	case errors.Is(err, reach.ErrStray), errors.Is(err, reach.ErrGap):
+		return retry.Broken{}
 	}
-	u.Log.WithError(err).Debugf("Attempt on %s broke.", up.Name)
+	if u.suspects.Broke(ctx, u.print, up) {
+		u.Table.Eject(u.Now(), up.Name)
+	}
+	return retry.Broken{}
+}
+
+// idle reports whether an upstream that fell silent is gone or has slots to spare.
+// In both cases another attempt adds no load to a pool that is slow because it has too much.
+func (u *run) idle(ctx context.Context, up route.Upstream) bool {
+	load, alive := u.probe(ctx, up)
+	if !alive {
+		u.Table.Eject(u.Now(), up.Name)
+		return true
+	}
+	return load.Busy+load.Queued <= load.Slots
 }
 
 // next asks for the decision after an attempt without a result, and waits as it says.
--- a/internal/root/front/chain/runner_test.go
+++ b/internal/root/front/chain/runner_test.go
@@ -181,6 +181,10 @@
 	return s.results[i]
 }
 
+func (s *scripted) Probe(context.Context, string) (stage.Load, error) {
+	return stage.Load{Slots: 64}, nil
+}
+
 func TestOutcomeFollowsFromWhatMayHaveRun(t *testing.T) {
 	done := reach.Done{Result: stage.Result{Output: "x", BusyMS: 1}}
 	unsent := reach.Unsent{Err: errors.New("refused")}
--- /dev/null
+++ b/internal/root/front/chain/silent_test.go
@@ -0,0 +1,84 @@
+package chain_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/reach"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/stand"
+	"github.com/cornelwing/cornelwing/pkg/config"
+)
+
+const silence = 300 * time.Millisecond
+
+func TestASilentConnectionCostsAtMostOneProgressLimit(t *testing.T) {
+	w, _ := worldOf(t)
+	table := route.New("d")
+	var ups []route.Upstream
+	var relays []*stand.Relay
+	for _, h := range w.Hosts() {
+		relay, err := stand.NewRelay(h.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(relay.Close)
+		relays = append(relays, relay)
+		ups = append(ups, route.Upstream{
+			Name:   h.Name,
+			Addr:   relay.Addr(),
+			Domain: h.Domain,
+			Pool:   h.Pool,
+		})
+	}
+	table.Sync([]route.PoolSpec{
+		{Name: "workers", Slots: 64, Expected: time.Millisecond},
+		{Name: "engines", Slots: 64, Expected: 10 * time.Millisecond},
+	}, ups, 1)
+	r := chain.New(common.Quiet("h", "d"), table, reach.New())
+	send := func(from, n int, once bool) []chain.Outcome {
+		out := make([]chain.Outcome, n)
+		var wg sync.WaitGroup
+		for i := range n {
+			wg.Go(func() {
+				job := jobOf(from+i, once)
+				for p := range job.Pools {
+					job.Pools[p].Silence = config.Span(silence)
+				}
+				out[i] = r.Run(context.Background(), job)
+			})
+		}
+		wg.Wait()
+		return out
+	}
+	send(0, 60, false)
+	open := 0
+	for _, relay := range relays {
+		open += relay.Forget()
+	}
+	if open < len(relays) {
+		t.Fatalf("only %d connections were open", open)
+	}
+	for i, o := range append(send(100, 20, false), send(200, 20, true)...) {
+		whole, ok := o.(chain.Whole)
+		if !ok {
+			t.Errorf("job %d was not answered: %+v", i, o)
+			continue
+		}
+		for _, s := range whole.Answer.Stages {
+			if s.Attempts > 2 {
+				t.Errorf("job %d: stage %s took %d attempts", i, s.Stage, s.Attempts)
+			}
+		}
+	}
+	for i := 200; i < 220; i++ {
+		if n := w.Ledger.Count("s2", fmt.Sprintf("input-%d|s1", i)); n != 1 {
+			t.Errorf("a stage that must run once ran %d times", n)
+		}
+	}
+}
--- a/internal/root/store/client.go
+++ b/internal/root/store/client.go
@@ -184,6 +184,8 @@
 		if isDialError(err) {
 			return 0, nil, fmt.Errorf("dial platform: %w", ErrOut)
 		}
+		// What lost one connection may have lost them all, so the next call begins with a new one.
+		c.http.CloseIdleConnections()
 		return 0, nil, fmt.Errorf("call platform: %w", ErrLost)
 	}
 	defer resp.Body.Close()
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -178,6 +178,8 @@
 	c.setHeaders(req.Header, call, before)
 	resp, err := c.http.Do(req)
 	if err != nil {
+		// What lost one connection may have lost them all, so the next try begins with a new one.
+		c.http.CloseIdleConnections()
 		return wire.Answer{}, fmt.Errorf("send request: %v: %w", err, ErrBroken)
 	}
 	defer resp.Body.Close()
