--- /dev/null
+++ b/internal/opcli/bench.go
@@ -0,0 +1,57 @@
+package opcli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cornelwing/cornelwing/internal/bench"
+)
+
+// benchOptions are the flags of the bench command.
+type benchOptions struct {
+	target   bench.Target
+	requests int
+}
+
+// benchResult is what the bench command prints.
+type benchResult struct {
+	Path    bench.Path      `json:"path"`
+	Streams []bench.Streams `json:"streams"`
+}
+
+func benchFlags(c *call) {
+	o := &c.opts.bench
+	c.StringVar(&o.target.Direct, "direct", "127.0.0.1:23100", "`address` of the upstream that is called directly")
+	c.StringVar(&o.target.Callers, "callers", "http://127.0.0.1:23010", "base `URL` of the daemon's callers' address")
+	c.StringVar(&o.target.Account, "account", "bench", "`token` of the client account")
+	c.StringVar(&o.target.Pipeline, "pipeline", "echo", "`pipeline` of one stage on the upstream")
+	c.StringVar(&o.target.Streams, "streams", "stream", "`pipeline` of one stage on an engine")
+	c.IntVar(&o.requests, "n", 5000, "`number` of pairs of calls")
+}
+
+func runBench(ctx context.Context, c *call) error {
+	t := c.opts.bench.target
+	t.Operators = c.addr
+	t.Operator = c.token
+	path, err := bench.RunPath(ctx, t, max(10, c.opts.bench.requests))
+	if err != nil {
+		return fmt.Errorf("measure path: %w", err)
+	}
+	r := benchResult{
+		Path: path,
+	}
+	for _, open := range []int{64, 1000} {
+		s, err := bench.RunStreams(ctx, t, open)
+		if err != nil {
+			return fmt.Errorf("measure streams: %w", err)
+		}
+		r.Streams = append(r.Streams, s)
+	}
+	enc := json.NewEncoder(c.out)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(r); err != nil {
+		return fmt.Errorf("print result: %w", err)
+	}
+	return nil
+}
--- a/internal/opcli/commands.go
+++ b/internal/opcli/commands.go
@@ -22,6 +22,7 @@
 	wait   time.Duration
 	dir    string
 	demo   demo.Options
+	bench  benchOptions
 }
 
 // Commands returns the client's commands in the order of the help text.
@@ -86,6 +87,13 @@
 			Long:  "Shows the pools whose engines take orders, as the order holder sees them. Any other host names none.",
 			run:   runOrders,
 		},
+		{
+			Name:  "bench",
+			Short: "measure what the path through a daemon costs",
+			Long:  "Calls an upstream directly and through a daemon in turn, then holds streams open, and prints the costs as JSON. bench/path.sh starts what it needs.",
+			run:   runBench,
+			flags: benchFlags,
+		},
 		{
 			Name:  "certs",
 			Args:  "HOST ...",
--- /dev/null
+++ b/internal/root/metrics.go
@@ -0,0 +1,93 @@
+package root
+
+import (
+	"expvar"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/root/front/chain"
+)
+
+// metricsName is the name under which a host's metrics stand among the published variables, followed by the host's name.
+const metricsName = "cornelwing."
+
+// Metrics is what a host publishes of itself.
+type Metrics struct {
+	Revision   int64          `json:"revision"`
+	LiveHosts  int            `json:"live_hosts"`
+	Upstreams  int            `json:"upstreams"`
+	Waiting    int            `json:"waiting"`
+	StoreOut   bool           `json:"store_out"`
+	Attempts   Attempts       `json:"attempts"`
+	Peers      PeerTraffic    `json:"peers"`
+	Restarts   map[string]int `json:"restarts"`
+	CPUSeconds float64        `json:"cpu_seconds"`
+	Goroutines int            `json:"goroutines"`
+}
+
+// Attempts counts what became of attempts that brought no result, and the results that were dropped.
+type Attempts struct {
+	Unsent  int64 `json:"unsent"`
+	Refused int64 `json:"refused"`
+	Broken  int64 `json:"broken"`
+	Retries int64 `json:"retries"`
+	Strays  int64 `json:"strays"`
+}
+
+// PeerTraffic counts the bytes of messages between hosts.
+type PeerTraffic struct {
+	SentBytes     int64 `json:"sent_bytes"`
+	ReceivedBytes int64 `json:"received_bytes"`
+}
+
+// publish makes the metrics readable under /debug/vars.
+func (r *Root) publish() {
+	name := metricsName + r.Host
+	if expvar.Get(name) != nil {
+		return
+	}
+	expvar.Publish(name, expvar.Func(func() any { return r.Metrics() }))
+}
+
+// Metrics returns the metrics of now.
+func (r *Root) Metrics() Metrics {
+	_, out := r.platform.Out()
+	m := Metrics{
+		Revision:   r.holder.Number(),
+		LiveHosts:  r.hosts(),
+		Upstreams:  len(r.book.Upstreams(r.Now())),
+		Waiting:    r.lobby.Waiting(),
+		StoreOut:   out,
+		Attempts:   attemptsOf(r.runner.Stats(), r.reach.Strays.Results.Load()+r.reach.Strays.Tokens.Load()),
+		Restarts:   r.restarts.counts(),
+		CPUSeconds: cpuTime().Seconds(),
+		Goroutines: runtime.NumGoroutine(),
+	}
+	if r.mesh != nil {
+		m.Peers = PeerTraffic{
+			SentBytes:     r.mesh.Sent.Load(),
+			ReceivedBytes: r.mesh.Received.Load(),
+		}
+	}
+	return m
+}
+
+func attemptsOf(s *chain.Stats, strays int64) Attempts {
+	return Attempts{
+		Unsent:  s.Unsent.Load(),
+		Refused: s.Refused.Load(),
+		Broken:  s.Broken.Load(),
+		Retries: s.Retries.Load(),
+		Strays:  strays,
+	}
+}
+
+// cpuTime returns the processor time that the process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/root/restarts.go
+++ b/internal/root/restarts.go
@@ -1,6 +1,9 @@
 package root
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // restarts counts how often each part was restarted.
 type restarts struct {
@@ -16,3 +19,9 @@
 	}
 	r.by[part]++
 }
+
+func (r *restarts) counts() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.by)
+}
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -90,6 +90,7 @@
 		r.certs = source
 	}
 	r.build()
+	r.publish()
 	return r, nil
 }
 
