--- a/cmd/cornelwingd/main.go
+++ b/cmd/cornelwingd/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/cornelwing/cornelwing/internal/common"
@@ -14,6 +15,13 @@
 	"github.com/cornelwing/cornelwing/internal/setup"
 )
 
+const (
+	// gcPercent lets the heap grow further between collections, up to memoryLimit.
+	gcPercent = 400
+	// memoryLimit is in bytes; near it the collector works harder.
+	memoryLimit = 200 << 20
+)
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
@@ -48,6 +56,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return common.ExitUsage
 	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := daemon.Run(ctx, func() { deps.Log.Info("Ready.") }); err != nil {
--- /dev/null
+++ b/internal/bench/rate.go
@@ -0,0 +1,86 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cornelwing/cornelwing/pkg/client"
+	"github.com/cornelwing/cornelwing/pkg/wire"
+)
+
+const (
+	// pace is how often the open-loop sender sends a burst.
+	pace      = 10 * time.Millisecond
+	rateConns = 64
+)
+
+// Rate is the daemon's processor time at a steady rate.
+type Rate struct {
+	PerSecond    float64 `json:"per_second"`
+	Answered     int     `json:"answered"`
+	Sent         int     `json:"sent"`
+	Cores        float64 `json:"cores"`
+	AllocsPerReq float64 `json:"allocs_per_request"`
+}
+
+// RunRate sends small requests at a steady rate whether or not earlier ones have ended.
+func RunRate(ctx context.Context, t Target, perSecond int, length time.Duration) (Rate, error) {
+	hc := &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: rateConns,
+		},
+	}
+	defer hc.CloseIdleConnections()
+	c := client.New([]string{t.Callers}, t.Account, client.WithHTTP(hc))
+	before, err := readVars(ctx, t)
+	if err != nil {
+		return Rate{}, fmt.Errorf("read metrics: %w", err)
+	}
+	began := time.Now()
+	sent, answered := sendSteadily(ctx, c, t, perSecond, length)
+	took := time.Since(began).Seconds()
+	after, err := readVars(ctx, t)
+	if err != nil {
+		return Rate{}, fmt.Errorf("read metrics: %w", err)
+	}
+	return Rate{
+		PerSecond:    float64(sent) / took,
+		Answered:     answered,
+		Sent:         sent,
+		Cores:        (after.cpu - before.cpu) / took,
+		AllocsPerReq: float64(after.mallocs-before.mallocs) / float64(max(1, sent)),
+	}, nil
+}
+
+func sendSteadily(ctx context.Context, c *client.Client, t Target, perSecond int, length time.Duration) (sent, answered int) {
+	ticker := time.NewTicker(pace)
+	defer ticker.Stop()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	burst := int(float64(perSecond) * pace.Seconds())
+	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; <-ticker.C {
+		for range burst {
+			n := sent
+			sent++
+			wg.Go(func() {
+				_, err := c.Send(ctx, client.Call{
+					Pipeline: t.Pipeline,
+					Request: wire.Request{
+						Input: fmt.Sprintf("rate-%d", n),
+					},
+					Key: fmt.Sprintf("rate-%d", n),
+				}, 0)
+				if err == nil {
+					mu.Lock()
+					defer mu.Unlock()
+					answered++
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return sent, answered
+}
--- a/internal/opcli/bench.go
+++ b/internal/opcli/bench.go
@@ -4,10 +4,17 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/cornelwing/cornelwing/internal/bench"
 )
 
+const (
+	// benchRate is in requests a second.
+	benchRate   = 1000
+	benchLength = 5 * time.Second
+)
+
 // benchOptions are the flags of the bench command.
 type benchOptions struct {
 	target   bench.Target
@@ -17,6 +24,7 @@
 // benchResult is what the bench command prints.
 type benchResult struct {
 	Path    bench.Path      `json:"path"`
+	Rate    bench.Rate      `json:"rate"`
 	Streams []bench.Streams `json:"streams"`
 }
 
@@ -38,8 +46,13 @@
 	if err != nil {
 		return fmt.Errorf("measure path: %w", err)
 	}
+	rate, err := bench.RunRate(ctx, t, benchRate, benchLength)
+	if err != nil {
+		return fmt.Errorf("measure rate: %w", err)
+	}
 	r := benchResult{
 		Path: path,
+		Rate: rate,
 	}
 	for _, open := range []int{64, 1000} {
 		s, err := bench.RunStreams(ctx, t, open)
--- a/internal/root/admin/server.go
+++ b/internal/root/admin/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -100,6 +101,12 @@
 	mux.Handle("GET /debug/vars", s.allow(setup.Viewer, func(w http.ResponseWriter, r *http.Request, _ setup.Operator) {
 		expvar.Handler().ServeHTTP(w, r)
 	}))
+	mux.Handle("GET /debug/pprof/profile", s.allow(setup.Approver, func(w http.ResponseWriter, r *http.Request, _ setup.Operator) {
+		pprof.Profile(w, r)
+	}))
+	mux.Handle("GET /debug/pprof/", s.allow(setup.Approver, func(w http.ResponseWriter, r *http.Request, _ setup.Operator) {
+		pprof.Index(w, r)
+	}))
 	return mux
 }
 
