--- a/internal/root/front/admit/decide.go
+++ b/internal/root/front/admit/decide.go
@@ -6,9 +6,10 @@
 
 const (
 	// patientBelow is the load of a slot up to which patient work is let in.
-	patientBelow = 0.8
-	// safety is the part of the time left that a prediction may fill.
-	safety = 0.9
+	patientBelow = 1.5
+	// safety is the part of the time left that a prediction may fill, and safetyOver the part for an account that is over its share.
+	safety     = 0.8
+	safetyOver = 0.5
 	// minRetry and maxRetry bound when a refused caller is told to come back.
 	minRetry = 200 * time.Millisecond
 	maxRetry = 30 * time.Second
@@ -30,7 +31,17 @@
 	Left time.Duration
 	// Patient work gives way to urgent work.
 	Patient bool
-	Needs   []Need
+	// Over says that the account uses more than its share while others want theirs.
+	Over  bool
+	Needs []Need
+}
+
+// budget is how much time the request may be predicted to take.
+func (a Ask) budget() time.Duration {
+	if a.Over {
+		return time.Duration(safetyOver * float64(a.Left))
+	}
+	return time.Duration(safety * float64(a.Left))
 }
 
 // Verdict is Admit, Wait or Refuse.
@@ -55,10 +66,8 @@
 
 // Decide predicts when the request would be done and compares it with what is left.
 func Decide(a Ask) Verdict {
-	finish := Predict(a.Needs)
-	budget := time.Duration(safety * float64(a.Left))
-	if finish > budget {
-		return Refuse{After: min(max(finish-budget, minRetry), maxRetry)}
+	if over := Predict(a.Needs) - a.budget(); over > 0 {
+		return Refuse{After: min(max(over, minRetry), maxRetry)}
 	}
 	if !a.Patient {
 		return Admit{}
--- a/internal/root/front/chain/reach/client.go
+++ b/internal/root/front/chain/reach/client.go
@@ -75,6 +75,8 @@
 	Once bool
 	// Silence is how long the attempt may stay without progress.
 	Silence time.Duration
+	// OnSilence, where set, is asked whether an attempt that stayed silent for that long may go on waiting.
+	OnSilence func(ctx context.Context) bool
 	// OnToken takes the tokens of a stream in order; an error ends the attempt.
 	OnToken func(stage.Token) error
 }
@@ -87,7 +89,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := time.AfterFunc(a.Silence, func() { cancel(ErrSilent) })
+	watch := NewWatch(ctx, a, func() { cancel(ErrSilent) })
 	defer watch.Stop()
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -110,7 +112,7 @@
 		return c.refused(resp, a)
 	}
 	if a.Stream {
-		return c.stream(ctx, resp.Body, a, func() { watch.Reset(a.Silence) })
+		return c.stream(ctx, resp.Body, a, watch.Progress)
 	}
 	return c.whole(ctx, resp.Body, a)
 }
--- a/internal/root/front/chain/runner.go
+++ b/internal/root/front/chain/runner.go
@@ -27,6 +27,8 @@
 	prefixBytes = 32
 	// comeBack is when to come back after a request failed at its upstreams.
 	comeBack = time.Second
+	// maxWaits is how many times a silent attempt on a busy upstream may go on waiting.
+	maxWaits = 2
 	// trialPause is how long a suspect waits for an upstream on which no other is tried.
 	trialPause = 10 * time.Millisecond
 	// probeTimeout bounds the check whether an upstream still answers.
@@ -352,7 +354,22 @@
 			ResumeFrom: t.tokens,
 			DeadlineMS: left.Milliseconds(),
 		},
-		OnToken: func(tok stage.Token) error { return u.onToken(t, tok) },
+		OnSilence: u.mayWait(up),
+		OnToken:   func(tok stage.Token) error { return u.onToken(t, tok) },
+	}
+}
+
+// mayWait lets an attempt wait on a busy upstream of a busy pool, where giving it up would waste its work for nothing.
+// It is asked again after each further silence, and says no after a few.
+func (u *run) mayWait(up route.Upstream) func(ctx context.Context) bool {
+	waits := 0
+	return func(ctx context.Context) bool {
+		waits++
+		if waits > maxWaits || u.Table.Pressure(u.Now(), up.Pool).Utilization() < 1 {
+			return false
+		}
+		load, alive := u.probe(ctx, up)
+		return alive && load.Busy >= load.Slots
 	}
 }
 
@@ -434,7 +451,7 @@
 		u.Table.Eject(u.Now(), up.Name)
 		return true
 	}
-	return load.Busy+load.Queued <= load.Slots
+	return load.Busy < load.Slots
 }
 
 // next asks for the decision after an attempt without a result, and waits as it says.
--- a/internal/root/front/desk.go
+++ b/internal/root/front/desk.go
@@ -45,6 +45,8 @@
 	Arrived  time.Time
 	Deadline time.Time
 	OnToken  func(wire.Token) error
+	// over says that the account uses more than its share.
+	over bool
 }
 
 // Idempotent reports whether the request may run more than once; the stricter of caller and pipeline wins.
--- a/internal/root/front/lobby.go
+++ b/internal/root/front/lobby.go
@@ -9,17 +9,18 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/front/admit"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
-	"github.com/cornelwing/cornelwing/pkg/config"
 	"github.com/cornelwing/cornelwing/pkg/wire"
 )
 
 const (
-	// recheck is how often a waiting request asks again.
+	// recheck is how often the usher looks at those that wait.
 	recheck = 10 * time.Millisecond
-	// heads is how many of those that wait may ask, the longest waiting first.
+	// heads is how many of those that wait may be let in at a time.
 	heads = 8
+	// sweepEvery is how many rounds pass between two looks at all of those that wait.
+	sweepEvery = 20
 	// trickle is how often patient work is let in however busy the pools are, so that it is never starved.
-	trickle = time.Second
+	trickle = 2 * time.Second
 )
 
 // Lobby admits requests, and lets patient ones wait.
@@ -28,11 +29,13 @@
 	table *route.Table
 	flow  *admit.Flow
 	quota *admit.Quota
+	usage *admit.Usage
 	hosts func() int
 	room  int
 
 	mu       sync.Mutex
-	waiting  []*Ask
+	waiting  []*seat
+	ushered  bool
 	trickled time.Time
 	draining bool
 }
@@ -44,6 +47,7 @@
 		table: table,
 		flow:  admit.NewFlow(),
 		quota: admit.NewQuota(),
+		usage: admit.NewUsage(),
 		hosts: hosts,
 		room:  room,
 	}
@@ -80,6 +84,7 @@
 	if p := l.refuseDraining(); p != nil {
 		return nil, p
 	}
+	a.over = l.usage.Add(l.Now(), a.Account.Name, a.Account.Weight)
 	switch v := l.decide(a).(type) {
 	case admit.Refuse:
 		return nil, refuseFor(wire.KindOverload, "the request would not be done in time", v.After)
@@ -118,16 +123,17 @@
 	return admit.Decide(admit.Ask{
 		Left:    a.Deadline.Sub(l.Now()),
 		Patient: a.Patient(),
-		Needs:   l.needs(a.Pipeline),
+		Over:    a.over,
+		Needs:   l.needs(a),
 	})
 }
 
 // needs joins what the pools report with what this host has on its way to them; others are taken to be alike.
-func (l *Lobby) needs(p config.Pipeline) []admit.Need {
+func (l *Lobby) needs(a Ask) []admit.Need {
 	now := l.Now()
 	hosts := max(1, l.hosts())
-	needs := make([]admit.Need, 0, len(p.Stages))
-	for _, s := range p.Stages {
+	needs := make([]admit.Need, 0, len(a.Pipeline.Stages))
+	for _, s := range a.Pipeline.Stages {
 		pressure := l.table.Pressure(now, s.Pool)
 		needs = append(needs, admit.Need{
 			Service: max(pressure.Service, s.Expected.D()),
@@ -139,69 +145,166 @@
 	return needs
 }
 
+// seat is one patient request that waits; it is told its end once.
+type seat struct {
+	ask  Ask
+	told chan told
+}
+
+type told struct {
+	pass    *Pass
+	problem *wire.Problem
+}
+
+// wait sits the request down until the usher tells it its end.
 func (l *Lobby) wait(ctx context.Context, a Ask) (*Pass, *wire.Problem) {
-	if !l.sit(&a) {
+	s := &seat{
+		ask:  a,
+		told: make(chan told, 1),
+	}
+	if !l.sit(s) {
 		return nil, refuseFor(wire.KindOverload, "too many patient requests wait", l.roomDrain(a))
 	}
-	defer l.rise(&a)
-	ticker := time.NewTicker(recheck)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil, refuseFor(wire.KindCut, "the caller went away", time.Second)
-		case <-ticker.C:
-		}
-		switch v := l.decide(a).(type) {
-		case admit.Refuse:
-			return nil, refuseFor(wire.KindOverload, "urgent work left no room in time", v.After)
-		case admit.Wait:
-			if l.trickles(&a) {
-				return l.pass(a), nil
-			}
-		case admit.Admit:
-			if l.mayAsk(&a) {
-				return l.pass(a), nil
-			}
+	select {
+	case t := <-s.told:
+		return t.pass, t.problem
+	case <-ctx.Done():
+	}
+	if !l.rise(s) {
+		// The usher was first, so a pass may have been given.
+		if t := <-s.told; t.pass != nil {
+			t.pass.End()
 		}
 	}
+	return nil, refuseFor(wire.KindCut, "the caller went away", time.Second)
 }
 
-func (l *Lobby) sit(a *Ask) bool {
+// sit takes a seat if there is one, half of which are kept from accounts that are over their share, and calls the usher if there is none.
+func (l *Lobby) sit(s *seat) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.waiting) >= l.room {
+	if len(l.waiting) >= l.room || (s.ask.over && len(l.waiting) >= l.room/2) {
 		return false
 	}
-	if len(l.waiting) == 0 {
+	l.waiting = append(l.waiting, s)
+	if !l.ushered {
+		l.ushered = true
 		l.trickled = l.Now()
+		go l.usher()
 	}
-	l.waiting = append(l.waiting, a)
 	return true
 }
 
-func (l *Lobby) rise(a *Ask) {
+// rise gives up a seat, and reports false if it was taken from the request already.
+func (l *Lobby) rise(s *seat) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if i := slices.Index(l.waiting, a); i >= 0 {
-		l.waiting = slices.Delete(l.waiting, i, i+1)
+	i := slices.Index(l.waiting, s)
+	if i < 0 {
+		return false
+	}
+	l.waiting = slices.Delete(l.waiting, i, i+1)
+	return true
+}
+
+// usher lets those that wait in, the longest waiting first, until nobody waits.
+func (l *Lobby) usher() {
+	ticker := time.NewTicker(recheck)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		<-ticker.C
+		for range heads {
+			if !l.letIn() {
+				break
+			}
+		}
+		if round%sweepEvery == 0 {
+			l.sweep()
+		}
+		if l.dismissed() {
+			return
+		}
 	}
 }
 
-// mayAsk lets those that wait longest go first.
-func (l *Lobby) mayAsk(a *Ask) bool {
+// dismissed reports whether nobody waits, after which whoever sits down calls another usher.
+func (l *Lobby) dismissed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	i := slices.Index(l.waiting, a)
-	return i >= 0 && i < heads
+	l.ushered = len(l.waiting) > 0
+	return !l.ushered
+}
+
+// letIn settles the request that waits longest, and reports false if it has to wait on.
+func (l *Lobby) letIn() bool {
+	l.mu.Lock()
+	if len(l.waiting) == 0 {
+		l.mu.Unlock()
+		return false
+	}
+	s := l.first()
+	l.mu.Unlock()
+	switch v := l.decide(s.ask).(type) {
+	case admit.Refuse:
+		l.tell(s, told{problem: hopeless(v)})
+	case admit.Wait:
+		if !l.trickles() {
+			return false
+		}
+		l.admit(s)
+	default:
+		l.admit(s)
+	}
+	return true
+}
+
+// first returns the one that waits longest, of an account within its share if there is one.
+func (l *Lobby) first() *seat {
+	for _, s := range l.waiting {
+		if !s.ask.over {
+			return s
+		}
+	}
+	return l.waiting[0]
+}
+
+func hopeless(v admit.Refuse) *wire.Problem {
+	return refuseFor(wire.KindOverload, "urgent work left no room in time", v.After)
+}
+
+func (l *Lobby) admit(s *seat) {
+	if p := l.pass(s.ask); !l.tell(s, told{pass: p}) {
+		p.End()
+	}
+}
+
+// tell ends the wait of a request, unless it has gone away.
+func (l *Lobby) tell(s *seat, t told) bool {
+	if !l.rise(s) {
+		return false
+	}
+	s.told <- t
+	return true
+}
+
+// sweep refuses those that can no longer be done in time, so that none is held to its deadline in vain.
+func (l *Lobby) sweep() {
+	l.mu.Lock()
+	all := slices.Clone(l.waiting)
+	l.mu.Unlock()
+	for _, s := range all {
+		if v, ok := l.decide(s.ask).(admit.Refuse); ok {
+			l.tell(s, told{problem: hopeless(v)})
+		}
+	}
 }
 
-// trickles lets the one that waits longest in, now and then.
-func (l *Lobby) trickles(a *Ask) bool {
+// trickles lets the one that waits longest in now and then, however busy the pools are.
+func (l *Lobby) trickles() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
-	if len(l.waiting) == 0 || l.waiting[0] != a || now.Sub(l.trickled) < trickle {
+	if now.Sub(l.trickled) < trickle {
 		return false
 	}
 	l.trickled = now
@@ -211,7 +314,7 @@
 // roomDrain estimates how long the waiting room takes to empty at the pace of the slowest pool.
 func (l *Lobby) roomDrain(a Ask) time.Duration {
 	var slowest time.Duration
-	for _, n := range l.needs(a.Pipeline) {
+	for _, n := range l.needs(a) {
 		slowest = max(slowest, n.Service/time.Duration(max(1, n.Slots)))
 	}
 	drain := slowest * time.Duration(l.room*max(1, l.hosts()))
--- a/internal/stand/runner/queue.go
+++ b/internal/stand/queue/queue.go
@@ -1,4 +1,4 @@
-package runner
+package queue
 
 import (
 	"container/heap"
@@ -6,8 +6,8 @@
 	"sync"
 )
 
-// queue hands out a fixed number of slots, the most urgent waiter first.
-type queue struct {
+// Queue hands out a fixed number of slots, the most urgent waiter first.
+type Queue struct {
 	mu    sync.Mutex
 	slots int
 	busy  int
@@ -15,6 +15,13 @@
 	wait  waiters
 }
 
+// New returns a queue with a number of slots.
+func New(slots int) *Queue {
+	return &Queue{
+		slots: slots,
+	}
+}
+
 type waiter struct {
 	urgency int
 	order   int
@@ -22,7 +29,8 @@
 	ready   chan struct{}
 }
 
-func (q *queue) acquire(ctx context.Context, urgency int) bool {
+// Acquire waits for a slot, and reports false if ctx ended first.
+func (q *Queue) Acquire(ctx context.Context, urgency int) bool {
 	q.mu.Lock()
 	if q.busy < q.slots {
 		q.busy++
@@ -46,7 +54,7 @@
 }
 
 // abandon leaves the queue; a slot that was handed over in the meantime is given back.
-func (q *queue) abandon(w *waiter) bool {
+func (q *Queue) abandon(w *waiter) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if w.index >= 0 {
@@ -57,13 +65,14 @@
 	return false
 }
 
-func (q *queue) release() {
+// Release gives a slot back.
+func (q *Queue) Release() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.handOver()
 }
 
-func (q *queue) handOver() {
+func (q *Queue) handOver() {
 	if len(q.wait) == 0 {
 		q.busy--
 		return
@@ -72,7 +81,8 @@
 	close(w.ready)
 }
 
-func (q *queue) load() (busy, queued int) {
+// Load returns how many slots are taken and how many wait for one.
+func (q *Queue) Load() (busy, queued int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.busy, len(q.wait)
--- a/internal/stand/runner/engine.go
+++ b/internal/stand/runner/engine.go
@@ -56,7 +56,7 @@
 
 // tokenTime grows with the batch, up to half as much again.
 func (s *Server) tokenTime() time.Duration {
-	busy, _ := s.queue.load()
+	busy, _ := s.queue.Load()
 	return s.Token + s.Token*time.Duration(busy)/time.Duration(2*s.Slots)
 }
 
--- a/internal/stand/runner/server.go
+++ b/internal/stand/runner/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/stage"
 	"github.com/cornelwing/cornelwing/internal/stand/fault"
+	"github.com/cornelwing/cornelwing/internal/stand/queue"
 )
 
 const (
@@ -39,7 +40,7 @@
 	Faults *fault.Switch
 	Ledger *Ledger
 
-	queue queue
+	queue *queue.Queue
 	cache *prefixCache
 
 	mu        sync.Mutex
@@ -59,12 +60,10 @@
 // New returns a healthy upstream.
 func New(spec Spec, faults *fault.Switch, ledger *Ledger) *Server {
 	return &Server{
-		Spec:   spec,
-		Faults: faults,
-		Ledger: ledger,
-		queue: queue{
-			slots: spec.Slots,
-		},
+		Spec:    spec,
+		Faults:  faults,
+		Ledger:  ledger,
+		queue:   queue.New(spec.Slots),
 		cache:   newPrefixCache(cachedPrefix),
 		cancels: map[string]context.CancelFunc{},
 	}
@@ -141,19 +140,19 @@
 		s.mu.Unlock()
 		cancel()
 	}
-	if !s.queue.acquire(ctx, call.Urgency) {
+	if !s.queue.Acquire(ctx, call.Urgency) {
 		forget()
 		panic(http.ErrAbortHandler)
 	}
 	s.Ledger.Add(call.Stage, call.Input)
 	if f := s.Faults.Get(); f.CrashOn != "" && strings.Contains(call.Input, f.CrashOn) {
-		s.queue.release()
+		s.queue.Release()
 		forget()
 		s.crash()
 		panic(http.ErrAbortHandler)
 	}
 	return call, ctx, func() {
-		s.queue.release()
+		s.queue.Release()
 		forget()
 	}, true
 }
@@ -226,7 +225,7 @@
 
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
 	f := s.Faults.Get()
-	busy, queued := s.queue.load()
+	busy, queued := s.queue.Load()
 	now := time.Now()
 	fresh := stage.Load{
 		Busy:    busy,
