--- /dev/null
+++ b/internal/common/mix.go
@@ -0,0 +1,10 @@
+package common
+
+// Mix spreads the bits of a hash over all of its bits, as the finalizer of SplitMix64 does.
+func Mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/internal/root/front/chain/route/table.go
+++ b/internal/root/front/chain/route/table.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/stage"
 )
 
@@ -198,7 +199,7 @@
 	var best *entry
 	var bestRank uint64
 	for _, e := range p.entries[:p.local] {
-		if r := mix(e.hash ^ q.Affinity); (best == nil || r > bestRank) && q.takes(now, e) {
+		if r := common.Mix(e.hash ^ q.Affinity); (best == nil || r > bestRank) && q.takes(now, e) {
 			best = e
 			bestRank = r
 		}
@@ -215,15 +216,6 @@
 	return best
 }
 
-// mix spreads the bits of a hash, as the finalizer of SplitMix64 does.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // sample compares a few candidates of the own domain, and others only where these have a queue.
 func (t *Table) sample(now time.Time, rng *rand.Rand, p *pool, q Query) *entry {
 	best, cost := t.best(now, rng, p, p.entries[:p.local], q, 0)
--- a/internal/root/front/policy_test.go
+++ b/internal/root/front/policy_test.go
@@ -50,6 +50,12 @@
 				{at: 35 * time.Second, do: func(f *fleetModel) { f.each(inPool("rerankers"), setSlow(1)) }},
 			}
 		})},
+		{name: "rerankers choke", rig: with(steady(0.8), func(r *rig) {
+			r.events = []event{
+				{at: 15 * time.Second, do: func(f *fleetModel) { f.each(inPool("rerankers"), setSlow(20)) }},
+				{at: 35 * time.Second, do: func(f *fleetModel) { f.each(inPool("rerankers"), setSlow(1)) }},
+			}
+		})},
 		{name: "engines at a third", rig: with(steady(0.8), func(r *rig) {
 			r.events = []event{
 				{at: 15 * time.Second, do: func(f *fleetModel) { f.each(inPool("engines"), setSlow(3)) }},
--- a/internal/root/links.go
+++ b/internal/root/links.go
@@ -6,8 +6,11 @@
 	"encoding/hex"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/loads"
+	"github.com/cornelwing/cornelwing/internal/root/store"
 	"github.com/cornelwing/cornelwing/internal/root/view"
 )
 
@@ -31,7 +34,10 @@
 
 // readList takes the platform's list of hosts.
 func (r *Root) readList(ctx context.Context) {
-	list, err := r.platform.Hosts(ctx)
+	list, err := r.platform.Hosts(ctx, r.book.List().Version)
+	if errors.Is(err, store.ErrSame) {
+		return
+	}
 	if err != nil {
 		r.WithPart("list").Log.WithError(err).Debug("Host list cannot be read.")
 		return
--- a/internal/root/loads/board.go
+++ b/internal/root/loads/board.go
@@ -14,12 +14,12 @@
 
 // Report is an upstream's load with the time at which it was true.
 type Report struct {
-	Upstream string `json:"upstream" cbor:"1,keyasint"`
-	Busy     int    `json:"busy" cbor:"2,keyasint"`
-	Queued   int    `json:"queued" cbor:"3,keyasint,omitempty"`
-	Slots    int    `json:"slots" cbor:"4,keyasint"`
+	Upstream string `json:"upstream"`
+	Busy     int    `json:"busy"`
+	Queued   int    `json:"queued"`
+	Slots    int    `json:"slots"`
 	// At is in milliseconds since 1970.
-	At int64 `json:"at" cbor:"5,keyasint"`
+	At int64 `json:"at"`
 }
 
 // Load returns the report as a load.
@@ -31,6 +31,16 @@
 	}
 }
 
+// Brief is a report as messages carry it: the upstream by the hash of its name, and the age in place of the time.
+type Brief struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream uint64
+	Busy     int
+	Queued   int
+	Slots    int
+	AgeMS    int64
+}
+
 // Time returns when the report was true.
 func (r Report) Time() time.Time {
 	return time.UnixMilli(r.At)
--- a/internal/root/peers/desk.go
+++ b/internal/root/peers/desk.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/plat"
@@ -28,16 +29,53 @@
 func (d *Desk) Digest() Message {
 	now := d.Now()
 	leaves := d.Book.Leaves(now)
+	from := d.Book.Beat(now, d.Holder.Number())
+	beats, met := d.Book.News(now, maxBeats, metWithin)
 	return Message{
-		From:        d.Book.Beat(d.Holder.Number()),
-		Peers:       d.Book.Freshest(maxPeers)[1:],
+		From:        from,
+		Beats:       beats,
+		Met:         met,
 		ListVersion: d.Book.List().Version,
 		Leaves:      leaves[:min(maxLeaves, len(leaves))],
-		Loads:       d.Board.Newest(now, maxLoads),
+		Loads:       d.briefs(now),
 		Marks:       d.Marks.Marks(now, maxMarks),
 	}
 }
 
+func (d *Desk) briefs(now time.Time) []loads.Brief {
+	newest := d.Board.Newest(now, maxLoads)
+	out := make([]loads.Brief, 0, len(newest))
+	for _, r := range newest {
+		out = append(out, loads.Brief{
+			Upstream: view.HashName(r.Upstream),
+			Busy:     r.Busy,
+			Queued:   r.Queued,
+			Slots:    r.Slots,
+			AgeMS:    now.UnixMilli() - r.At,
+		})
+	}
+	return out
+}
+
+func (d *Desk) takeLoads(now time.Time, briefs []loads.Brief) {
+	for _, b := range briefs {
+		name, ok := d.Book.UpstreamName(b.Upstream)
+		if !ok {
+			continue
+		}
+		r := loads.Report{
+			Upstream: name,
+			Busy:     b.Busy,
+			Queued:   b.Queued,
+			Slots:    b.Slots,
+			At:       now.UnixMilli() - b.AgeMS,
+		}
+		if d.Board.Put(r) {
+			d.OnLoad(r)
+		}
+	}
+}
+
 // Attach adds to m the documents of which the other has an older version, and reports whether there are any.
 func (d *Desk) Attach(m Message, other Message) (Message, bool, error) {
 	if rev, ok := d.Holder.Current(); ok && rev.Number > other.From.Revision {
@@ -67,17 +105,16 @@
 	}
 	now := d.Now()
 	d.Book.Hear(now, m.From)
-	for _, p := range m.Peers {
+	for _, p := range m.Met {
 		d.Book.Hear(now, p)
 	}
+	for _, b := range m.Beats {
+		d.Book.HearBrief(now, b)
+	}
 	for _, l := range m.Leaves {
 		d.Book.TakeLeave(now, l)
 	}
-	for _, r := range m.Loads {
-		if d.Board.Put(r) {
-			d.OnLoad(r)
-		}
-	}
+	d.takeLoads(now, m.Loads)
 	for _, mark := range m.Marks {
 		d.Marks.Add(mark, now)
 	}
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -102,7 +102,6 @@
 		Name:   s.Host.Name,
 		Addr:   s.Listen.Peers,
 		Domain: s.Host.Domain,
-		Start:  r.Now().UnixMilli(),
 	})
 	r.keeper = claim.New(r.Deps, r.platform, r.hosts)
 	r.lobby = front.NewLobby(r.Deps, r.table, r.hosts, s.Limits.WaitingRoom)
--- a/internal/root/store/client.go
+++ b/internal/root/store/client.go
@@ -139,17 +139,22 @@
 	return data, nil
 }
 
-// Hosts returns the newest list that the platform gives.
-func (c *Client) Hosts(ctx context.Context) (plat.HostList, error) {
+// Hosts returns the platform's list, or ErrSame if its version is still the known one.
+func (c *Client) Hosts(ctx context.Context, known int64) (plat.HostList, error) {
 	var list plat.HostList
-	if err := c.read(ctx, "/v1/hosts", &list); err != nil {
+	if err := c.readTagged(ctx, "/v1/hosts", strconv.Quote(strconv.FormatInt(known, 10)), &list); err != nil {
 		return plat.HostList{}, fmt.Errorf("get host list: %w", err)
 	}
 	return list, nil
 }
 
 func (c *Client) read(ctx context.Context, path string, into any) error {
-	status, data, err := c.do(ctx, http.MethodGet, path, nil)
+	return c.readTagged(ctx, path, "", into)
+}
+
+// readTagged reads unless the entity tag is still that of what would be read.
+func (c *Client) readTagged(ctx context.Context, path, tag string, into any) error {
+	status, data, err := c.doTagged(ctx, http.MethodGet, path, tag, nil)
 	if err != nil {
 		return fmt.Errorf("read %s: %w", path, err)
 	}
@@ -164,21 +169,28 @@
 
 // do sends one call; its error is ErrOut where nothing was sent and ErrLost where something may have been.
 func (c *Client) do(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	return c.doTagged(ctx, method, path, "", body)
+}
+
+func (c *Client) doTagged(ctx context.Context, method, path, tag string, body []byte) (int, []byte, error) {
 	if !c.gate.Allow(c.Now()) {
 		return 0, nil, ErrOut
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	status, data, err := c.send(ctx, method, path, body)
+	status, data, err := c.send(ctx, method, path, tag, body)
 	c.gate.Done(c.Now(), err == nil && status < http.StatusInternalServerError)
 	return status, data, err
 }
 
-func (c *Client) send(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+func (c *Client) send(ctx context.Context, method, path, tag string, body []byte) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, fmt.Errorf("make request: %w", err)
 	}
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if isDialError(err) {
@@ -206,6 +218,8 @@
 	switch {
 	case status < http.StatusMultipleChoices:
 		return nil
+	case status == http.StatusNotModified:
+		return ErrSame
 	case status == http.StatusNotFound:
 		return ErrAbsent
 	case status == http.StatusTooManyRequests:
--- a/internal/root/store/errors.go
+++ b/internal/root/store/errors.go
@@ -10,6 +10,8 @@
 var (
 	// ErrAbsent says that there is no such row or object.
 	ErrAbsent = errors.New("absent")
+	// ErrSame says that nothing has changed since the version that is known.
+	ErrSame = errors.New("not changed")
 	// ErrOut says that the store could not be reached and that nothing took effect.
 	ErrOut = errors.New("store is out")
 	// ErrBusy says that the store refused a call for its rate and that nothing took effect.
--- a/internal/root/store/store.go
+++ b/internal/root/store/store.go
@@ -26,8 +26,8 @@
 
 // Hosts is the platform's lagging list of hosts.
 type Hosts interface {
-	// Hosts returns the newest list that the platform gives.
-	Hosts(ctx context.Context) (plat.HostList, error)
+	// Hosts returns the platform's list, or ErrSame if its version is still the known one.
+	Hosts(ctx context.Context, known int64) (plat.HostList, error)
 }
 
 // Platform is all that lasts.
--- a/internal/root/view/book.go
+++ b/internal/root/view/book.go
@@ -6,13 +6,14 @@
 	"sync"
 	"time"
 
+	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/plat"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 )
 
 const (
 	// liveFor is how long a host counts as live after its last heartbeat.
-	liveFor = 10 * time.Second
+	liveFor = 15 * time.Second
 	// forgetAfter is how long a silent host is remembered.
 	forgetAfter = 5 * time.Minute
 	// leavingFor is how long a word that an upstream is leaving counts without being repeated.
@@ -21,28 +22,32 @@
 
 // Book is what this host knows of the others and of the upstreams.
 type Book struct {
-	mu      sync.Mutex
-	self    Peer
-	peers   map[string]heard
-	list    plat.HostList
-	leaving map[string]Leave
-	stamp   int64
+	mu    sync.Mutex
+	self  Peer
+	peers map[uint64]heard
+	list  plat.HostList
+	// entries and upstreams are what the list names, by the hashes of the names.
+	entries   map[uint64]plat.Host
+	upstreams map[uint64]string
+	leaving   map[string]Leave
+	stamp     int64
 }
 
 // NewBook returns a book that knows only the host itself.
 func NewBook(self Peer) *Book {
 	return &Book{
 		self:    self,
-		peers:   map[string]heard{},
+		peers:   map[uint64]heard{},
 		leaving: map[string]Leave{},
 	}
 }
 
 // Beat counts the host's own heartbeat and returns it.
-func (b *Book) Beat(revision int64) Peer {
+func (b *Book) Beat(now time.Time, revision int64) Peer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.self.Beat++
+	// A clock that was set back does not make the host fall silent.
+	b.self.Beat = max(b.self.Beat+1, now.UnixMilli())
 	b.self.Revision = revision
 	return b.self
 }
@@ -75,20 +80,60 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.hear(now, p)
+}
+
+func (b *Book) hear(now time.Time, p Peer) bool {
 	if p.Name == b.self.Name {
 		return false
 	}
-	old, ok := b.peers[p.Name]
+	hash := HashName(p.Name)
+	old, ok := b.peers[hash]
 	if ok && !p.newer(old.peer) {
 		return false
 	}
-	b.peers[p.Name] = heard{
+	met := old.met
+	if !ok || p.Addr != old.peer.Addr {
+		met = now
+	}
+	b.peers[hash] = heard{
 		peer: p,
 		at:   now,
+		met:  met,
 	}
 	return true
 }
 
+// HearBrief takes a heartbeat without an identity, if the host is known.
+func (b *Book) HearBrief(now time.Time, x Beat) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.peers[x.Host].peer
+	if p.Name == "" {
+		p = b.listed(x.Host)
+	}
+	if p.Name == "" {
+		return false
+	}
+	p.Beat = x.Beat
+	p.Revision = x.Revision
+	p.Leaving = x.Leaving
+	return b.hear(now, p)
+}
+
+// listed returns the identity of an entry host that the platform lists.
+func (b *Book) listed(hash uint64) Peer {
+	h, ok := b.entries[hash]
+	if !ok {
+		return Peer{}
+	}
+	return Peer{
+		Name:   h.Name,
+		Addr:   h.Addr,
+		Domain: h.Domain,
+	}
+}
+
 // TakeList takes a version of the platform's list if it is newer, and reports whether it was.
 func (b *Book) TakeList(list plat.HostList) bool {
 	b.mu.Lock()
@@ -97,6 +142,15 @@
 		return false
 	}
 	b.list = list
+	b.entries = map[uint64]plat.Host{}
+	b.upstreams = map[uint64]string{}
+	for _, h := range list.Hosts {
+		if h.Role == plat.RoleEntry {
+			b.entries[HashName(h.Name)] = h
+			continue
+		}
+		b.upstreams[HashName(h.Name)] = h.Name
+	}
 	b.stamp++
 	return true
 }
@@ -182,6 +236,14 @@
 	return out
 }
 
+// UpstreamName returns the name of a listed upstream by its hash.
+func (b *Book) UpstreamName(hash uint64) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	name, ok := b.upstreams[hash]
+	return name, ok
+}
+
 // Live returns the hosts with a recent heartbeat, this one included, in order of their names.
 func (b *Book) Live(now time.Time) []Peer {
 	b.mu.Lock()
@@ -215,24 +277,28 @@
 	return out
 }
 
-// Freshest returns at most limit heartbeats, those heard last first, the own one at the head.
-func (b *Book) Freshest(limit int) []Peer {
+// News returns at most limit heartbeats of live hosts, others each time, and the identities of hosts that were met within the time and are not listed.
+func (b *Book) News(now time.Time, limit int, within time.Duration) (beats []Beat, met []Peer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	all := make([]heard, 0, len(b.peers))
-	for _, h := range b.peers {
-		all = append(all, h)
-	}
-	slices.SortFunc(all, func(x, y heard) int { return y.at.Compare(x.at) })
-	out := make([]Peer, 0, limit)
-	out = append(out, b.self)
-	for _, h := range all {
-		if len(out) == limit {
-			break
+	for hash, h := range b.peers {
+		if now.Sub(h.at) >= liveFor {
+			continue
+		}
+		beats = append(beats, h.peer.Brief())
+		// Where the list names the same address, the hash is enough.
+		if now.Sub(h.met) < within && len(met) < limit && b.entries[hash].Addr != h.peer.Addr {
+			met = append(met, h.peer)
 		}
-		out = append(out, h.peer)
 	}
-	return out
+	if len(beats) > limit {
+		// An order by a salted hash is a fair draw that needs no source of chance.
+		salt := uint64(b.self.Beat)
+		slices.SortFunc(beats, func(x, y Beat) int { return cmp.Compare(common.Mix(x.Host^salt), common.Mix(y.Host^salt)) })
+		beats = beats[:limit]
+	}
+	sortPeers(met)
+	return beats, met
 }
 
 // Count returns the number of live hosts.
--- a/internal/root/view/peer.go
+++ b/internal/root/view/peer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -16,9 +17,7 @@
 	Name   string `json:"name" cbor:"1,keyasint"`
 	Addr   string `json:"addr" cbor:"2,keyasint"`
 	Domain string `json:"domain" cbor:"3,keyasint"`
-	// Start is when the host's process started, in milliseconds since 1970; a restarted host has a later one.
-	Start int64 `json:"start" cbor:"4,keyasint"`
-	// Beat grows while the process lives.
+	// Beat is when the heartbeat was sent, in milliseconds since 1970 by the host's own clock; it grows with each.
 	Beat int64 `json:"beat" cbor:"5,keyasint"`
 	// Revision is the number of the configuration in force on the host.
 	Revision int64 `json:"revision" cbor:"6,keyasint"`
@@ -46,9 +45,6 @@
 
 // newer reports whether p was sent after q.
 func (p Peer) newer(q Peer) bool {
-	if p.Start != q.Start {
-		return p.Start > q.Start
-	}
 	return p.Beat > q.Beat
 }
 
@@ -56,4 +52,31 @@
 type heard struct {
 	peer Peer
 	at   time.Time
+	// met is when the host was heard of first.
+	met time.Time
+}
+
+// Beat is a heartbeat without the identity of its host, which the other end knows from the list or an earlier message.
+type Beat struct {
+	_ struct{} `cbor:",toarray"`
+	// Host is the hash of the host's name.
+	Host     uint64
+	Beat     int64
+	Revision int64
+	Leaving  bool
+}
+
+// Brief returns the heartbeat without the identity.
+func (p Peer) Brief() Beat {
+	return Beat{
+		Host:     HashName(p.Name),
+		Beat:     p.Beat,
+		Revision: p.Revision,
+		Leaving:  p.Leaving,
+	}
+}
+
+// HashName returns the hash by which messages name a host or an upstream.
+func HashName(name string) uint64 {
+	return xxhash.Sum64String(name)
 }
--- a/internal/setup/settings.go
+++ b/internal/setup/settings.go
@@ -103,7 +103,7 @@
 			Timeout: config.Span(time.Second),
 		},
 		Peers: Peers{
-			Every: config.Span(500 * time.Millisecond),
+			Every: config.Span(time.Second),
 		},
 		Limits: Limits{
 			MaxBodyBytes:  1 << 20,
--- a/internal/stand/table/server.go
+++ b/internal/stand/table/server.go
@@ -191,13 +191,19 @@
 	_, _ = w.Write(data)
 }
 
-func (s *Server) hostList(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) hostList(w http.ResponseWriter, r *http.Request) {
 	if !s.allowRead(w) {
 		return
 	}
 	s.mu.Lock()
 	list := s.hosts
 	s.mu.Unlock()
+	tag := strconv.Quote(strconv.FormatInt(list.Version, 10))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	reply(w, http.StatusOK, list)
 }
 
