--- a/internal/root/front/chain/job.go
+++ b/internal/root/front/chain/job.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"context"
 	"time"
 
 	"github.com/cornelwing/cornelwing/pkg/config"
@@ -19,10 +20,12 @@
 	Urgency   int
 	Arrived   time.Time
 	Deadline  time.Time
-	// Idempotent false forbids a second send of any stage.
+	// Idempotent false forbids a second send of any stage, whatever the stage's own mark.
 	Idempotent bool
 	// OnToken, where set, takes the tokens of the last stage in order.
 	OnToken func(wire.Token) error
+	// OnOnce, where set, is called before the first send of a stage that must run once; an error forbids the send.
+	OnOnce func(ctx context.Context) error
 	// OnStage, where set, is called as each stage begins.
 	OnStage func()
 }
--- a/internal/root/front/chain/runner.go
+++ b/internal/root/front/chain/runner.go
@@ -133,7 +133,9 @@
 	// mayHaveRun says that some attempt of some stage may have run.
 	mayHaveRun bool
 	// unsure says that a stage that must not run twice ended without a known end.
-	unsure       bool
+	unsure bool
+	// marked says that the first send of something that must run once was announced.
+	marked       bool
 	firstTokenMS float64
 }
 
@@ -309,6 +311,11 @@
 // attempt sends the stage to one upstream; a nil event says that the stage ended, well or with a problem.
 func (u *run) attempt(ctx context.Context, t *try, up route.Upstream) (retry.Event, *wire.Problem) {
 	defer u.suspects.Free(u.print, up.Name)
+	if err := u.mark(ctx, t); err != nil {
+		u.Table.Release(u.Now(), up.Name)
+		u.Log.WithError(err).Debug("A stage that must run once may not be sent.")
+		return nil, u.giveUp(t, wire.KindStoreOut, "the claim could not be marked before the send")
+	}
 	began := u.Now()
 	result := u.caller.Do(ctx, u.makeAttempt(t, up))
 	took := u.Now().Sub(began)
@@ -337,6 +344,18 @@
 	}
 }
 
+// mark announces the first send of something that must run once.
+func (u *run) mark(ctx context.Context, t *try) error {
+	if u.marked || u.job.OnOnce == nil || !u.once(t) {
+		return nil
+	}
+	if err := u.job.OnOnce(ctx); err != nil {
+		return fmt.Errorf("mark before send: %w", err)
+	}
+	u.marked = true
+	return nil
+}
+
 func (u *run) makeAttempt(t *try, up route.Upstream) reach.Attempt {
 	left := u.job.Deadline.Sub(u.Now())
 	return reach.Attempt{
--- a/internal/root/front/claim/keeper.go
+++ b/internal/root/front/claim/keeper.go
@@ -27,6 +27,9 @@
 	fresh = 1
 )
 
+// ErrClosed says that another host has closed the key, so that nothing may be sent for it.
+var ErrClosed = errors.New("key was closed")
+
 // Keeper claims keys and closes them.
 type Keeper struct {
 	common.Deps
@@ -75,9 +78,8 @@
 	return nil
 }
 
-// Begin claims the record's key, and returns an error only where the store gives no certain word before ctx ends.
+// Begin claims the record's key in the state that it is in, and returns an error only where the store gives no certain word before ctx ends.
 func (k *Keeper) Begin(ctx context.Context, r Record) (Verdict, error) {
-	r.State = Started
 	v, err := k.insert(ctx, r)
 	if err != nil {
 		return nil, fmt.Errorf("claim key: %w", err)
@@ -85,6 +87,41 @@
 	return v, nil
 }
 
+// Mark records that what must run once is about to be sent; it returns ErrClosed if another host has closed the key.
+// Without a certain word before ctx ends nothing may be sent.
+func (k *Keeper) Mark(ctx context.Context, r Record) (Record, error) {
+	next := r.WithState(Sending)
+	for {
+		err := k.write(ctx, next, r.version)
+		if err == nil {
+			next.version = r.version + 1
+			return next, nil
+		}
+		if errors.Is(err, errTaken) {
+			old, readErr := k.Lookup(ctx, r.Account, r.Key)
+			switch {
+			case readErr == nil && old.State == Sending && old.Token == r.Token:
+				return old, nil
+			case readErr == nil:
+				return r, fmt.Errorf("mark key: %w", ErrClosed)
+			}
+			err = readErr
+		}
+		if !pause(ctx, resolvePause) {
+			return r, fmt.Errorf("mark key: %w", err)
+		}
+	}
+}
+
+// Expire closes a claim whose holder let its deadline pass without sending what must run once.
+func (k *Keeper) Expire(ctx context.Context, r Record, p wire.Problem) (Record, error) {
+	closed := r.WithProblem(p)
+	if err := k.write(ctx, closed, r.version); err != nil {
+		return r, fmt.Errorf("close expired key: %w", err)
+	}
+	return closed, nil
+}
+
 // Refuse closes the key as not run, unless another send of it came first.
 func (k *Keeper) Refuse(ctx context.Context, r Record, p wire.Problem) (Verdict, error) {
 	v, err := k.insert(ctx, r.WithProblem(p))
@@ -105,7 +142,8 @@
 		err := k.batch.put(ctx, condOf(r, 0), putOf(r, value))
 		switch {
 		case err == nil:
-			return Mine{}, nil
+			r.version = fresh
+			return Mine{Record: r}, nil
 		case errors.Is(err, errTaken):
 			v, readErr := k.judge(ctx, r)
 			if readErr == nil {
@@ -133,16 +171,15 @@
 // tryAbandon reports whether the key no longer depends on the claim that was given up.
 func (k *Keeper) tryAbandon(ctx context.Context, closed Record) bool {
 	old, err := k.Lookup(ctx, closed.Account, closed.Key)
-	version := int64(fresh)
 	switch {
 	case errors.Is(err, store.ErrAbsent):
-		version = 0
+		old.version = 0
 	case err != nil:
 		return false
 	case old.Token != closed.Token || old.State == Closed:
 		return true
 	}
-	return k.write(ctx, closed, version) == nil
+	return k.write(ctx, closed, old.version) == nil
 }
 
 // judge reads the row that stands in the way.
@@ -153,7 +190,7 @@
 	}
 	switch {
 	case old.Token == r.Token && old.State == r.State:
-		return Mine{}, nil
+		return Mine{Record: old}, nil
 	case old.BodyHash != r.BodyHash:
 		return Reused{}, nil
 	case old.State == Closed:
@@ -173,6 +210,7 @@
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return Record{}, fmt.Errorf("look up key: %w", err)
 	}
+	r.version = row.Version
 	return r, nil
 }
 
@@ -183,7 +221,7 @@
 
 // trySettle reports whether the outcome stands in the table.
 func (k *Keeper) trySettle(ctx context.Context, r Record) bool {
-	err := k.write(ctx, r, fresh)
+	err := k.write(ctx, r, r.version)
 	if err == nil {
 		return true
 	}
@@ -197,7 +235,11 @@
 	if old.Token != r.Token {
 		panic(fmt.Sprintf("invariant broken: claim %s passed from %s to %s", r.RowKey(), r.Token, old.Token))
 	}
-	return old.State == Closed
+	if old.State == Closed {
+		return true
+	}
+	// A mark whose answer was lost has taken effect after all.
+	return k.write(ctx, r, old.version) == nil
 }
 
 func (k *Keeper) write(ctx context.Context, r Record, version int64) error {
--- a/internal/root/front/claim/record.go
+++ b/internal/root/front/claim/record.go
@@ -16,9 +16,11 @@
 // State is how far a claimed request has come.
 type State string
 
-// The states: started is not final, the others are.
+// The states: while a request is started nothing that must run once was sent, and anyone may close it after its deadline;
+// from sending on only its holder may.
 const (
 	Started State = "started"
+	Sending State = "sending"
 	Closed  State = "closed"
 )
 
@@ -40,6 +42,8 @@
 	Deadline  time.Time     `json:"deadline"`
 	Answer    *wire.Answer  `json:"answer,omitempty"`
 	Problem   *wire.Problem `json:"problem,omitempty"`
+	// version is that of the row that the record was read from or written to.
+	version int64
 }
 
 // UnmarshalJSON decodes a record and checks that a closed one has exactly one end.
@@ -67,6 +71,12 @@
 	return account + "/" + key
 }
 
+// WithState returns a copy in another state.
+func (r Record) WithState(s State) Record {
+	r.State = s
+	return r
+}
+
 // WithAnswer returns a copy that is closed by an answer.
 func (r Record) WithAnswer(a wire.Answer) Record {
 	r.State = Closed
@@ -83,13 +93,15 @@
 	return r
 }
 
-// Verdict is what a claim came to: Mine, Closing, Running or Reused.
+// Verdict is what a claim came to: Mine, Ended, Running or Reused.
 type Verdict interface {
 	verdict()
 }
 
-// Mine says that this writer holds the claim.
-type Mine struct{}
+// Mine says that this writer holds the claim, with the record as it was written.
+type Mine struct {
+	Record Record
+}
 
 // Ended says that the key has a final outcome.
 type Ended struct {
--- a/internal/root/front/desk.go
+++ b/internal/root/front/desk.go
@@ -26,6 +26,8 @@
 	storeWait = 300 * time.Millisecond
 	// busyRetry is when to ask again for the outcome of a request that is running.
 	busyRetry = time.Second
+	// clockSlack is how far the clocks of two hosts may differ.
+	clockSlack = 2 * time.Second
 	// storeRetry is when to come back while the store is out.
 	storeRetry = 2 * time.Second
 )
@@ -54,6 +56,11 @@
 	return a.Pipeline.Idempotent && (a.Body.Idempotent == nil || *a.Body.Idempotent)
 }
 
+// stagesRepeat reports whether the stages' own marks say what may be sent again; a caller's mark forbids it for all of them.
+func (a Ask) stagesRepeat() bool {
+	return a.Body.Idempotent == nil || *a.Body.Idempotent
+}
+
 // Patient reports whether the request gives way to urgent ones.
 func (a Ask) Patient() bool {
 	return a.Urgency >= wire.PatientUrgency
@@ -157,11 +164,11 @@
 	}
 	switch v := v.(type) {
 	case claim.Mine:
-		return d.runClaimed(ctx, a, rec, pass)
+		return d.runClaimed(ctx, a, v.Record, pass)
 	case claim.Ended:
 		return replay(v.Record)
 	case claim.Running:
-		return refusal(inProgress(v.Record, d.Now()))
+		return d.running(ctx, v.Record)
 	case claim.Reused:
 		return refusal(reused(a))
 	default:
@@ -171,7 +178,18 @@
 
 // runClaimed runs to the end even if the caller goes away, who may then ask for the outcome.
 func (d *Desk) runClaimed(ctx context.Context, a Ask, rec claim.Record, pass *Pass) Reply {
-	r := replyOf(d.runner.Run(context.WithoutCancel(ctx), jobOf(a, pass)))
+	job := jobOf(a, pass)
+	if rec.State == claim.Started {
+		job.OnOnce = func(ctx context.Context) error {
+			marked, err := d.keeper.Mark(ctx, rec)
+			if err != nil {
+				return fmt.Errorf("mark claim: %w", err)
+			}
+			rec = marked
+			return nil
+		}
+	}
+	r := replyOf(d.runner.Run(context.WithoutCancel(ctx), job))
 	if r.Answer != nil {
 		rec = rec.WithAnswer(*r.Answer)
 	} else {
@@ -203,7 +221,7 @@
 	case claim.Ended:
 		return replay(v.Record)
 	case claim.Running:
-		return refusal(inProgress(v.Record, d.Now()))
+		return d.running(ctx, v.Record)
 	default:
 		return refusal(wire.NewProblem(wire.KindKeyReused, wire.NotRun, "the key stands for another request"))
 	}
@@ -218,12 +236,31 @@
 	if err != nil {
 		return refusal(wire.NewProblem(wire.KindStoreOut, wire.Unknown, "the record cannot be read now").WithRetry(storeRetry, wire.RetrySameKey))
 	}
-	if rec.State == claim.Started {
-		return refusal(inProgress(rec, d.Now()))
+	if rec.State != claim.Closed {
+		return d.running(ctx, rec)
 	}
 	return replay(rec)
 }
 
+// running answers for a key without an outcome, and closes it if its host let the deadline pass before it sent what must run once.
+func (d *Desk) running(ctx context.Context, rec claim.Record) Reply {
+	if rec.State != claim.Started || !expired(rec, d.Now()) {
+		return refusal(inProgress(rec, d.Now()))
+	}
+	p := wire.NewProblem(wire.KindDeadline, wire.Failed, "host "+rec.Host+" left the request before what must run once was sent").
+		WithRequestID(rec.RequestID).WithRetry(busyRetry, wire.RetryNewKey)
+	closed, err := d.keeper.Expire(ctx, rec, p)
+	if err != nil {
+		return refusal(inProgress(rec, d.Now()))
+	}
+	return replay(closed)
+}
+
+// expired reports whether the deadline has passed, with room for clocks that differ.
+func expired(rec claim.Record, now time.Time) bool {
+	return now.After(rec.Deadline.Add(clockSlack))
+}
+
 func replay(rec claim.Record) Reply {
 	return Reply{
 		Answer:   rec.Answer,
@@ -235,7 +272,7 @@
 // inProgress answers for a claim without an outcome: it is running, or its host is gone and nobody will ever know.
 func inProgress(rec claim.Record, now time.Time) wire.Problem {
 	p := wire.NewProblem(wire.KindInProgress, wire.Unknown, "the request has started and its outcome is not recorded").WithRequestID(rec.RequestID)
-	if now.After(rec.Deadline.Add(claimTimeout)) {
+	if expired(rec, now) {
 		p.Detail = "the request was started by host " + rec.Host + ", which left no outcome"
 	}
 	return p.WithRetry(busyRetry, wire.RetrySameKey)
@@ -260,7 +297,16 @@
 		Pipeline:  a.Pipeline.Name,
 		Host:      host,
 		Deadline:  a.Deadline,
+		State:     firstState(a),
+	}
+}
+
+// firstState spares the mark where the first stage must run once already.
+func firstState(a Ask) claim.State {
+	if !a.stagesRepeat() || !a.Pipeline.Stages[0].Idempotent {
+		return claim.Sending
 	}
+	return claim.Started
 }
 
 func jobOf(a Ask, pass *Pass) chain.Job {
@@ -278,7 +324,7 @@
 		Urgency:    a.Urgency,
 		Arrived:    a.Arrived,
 		Deadline:   a.Deadline,
-		Idempotent: a.Idempotent(),
+		Idempotent: a.stagesRepeat(),
 		OnToken:    a.OnToken,
 		OnStage:    pass.Reach,
 	}
