--- a/internal/root/front/admit/quota.go
+++ b/internal/root/front/admit/quota.go
@@ -50,5 +50,6 @@
 		b.tokens--
 		return 0
 	}
-	return time.Duration((1 - b.tokens) / rate * float64(time.Second))
+	// A wait that rounds to nothing would read as leave to go on.
+	return max(1, time.Duration((1-b.tokens)/rate*float64(time.Second)))
 }
--- a/internal/root/front/lobby.go
+++ b/internal/root/front/lobby.go
@@ -30,8 +30,10 @@
 	flow  *admit.Flow
 	quota *admit.Quota
 	usage *admit.Usage
-	hosts func() int
-	room  int
+	// hosts is the number of live hosts, and members that of the hosts that share the limits.
+	hosts   func() int
+	members func() int
+	room    int
 
 	mu       sync.Mutex
 	waiting  []*seat
@@ -40,16 +42,17 @@
 	draining bool
 }
 
-// NewLobby returns a lobby in which at most room patient requests wait; hosts gives the number of live hosts.
-func NewLobby(deps common.Deps, table *route.Table, hosts func() int, room int) *Lobby {
+// NewLobby returns a lobby in which at most room patient requests wait; hosts gives the number of live hosts, members that of the hosts that share the limits.
+func NewLobby(deps common.Deps, table *route.Table, hosts, members func() int, room int) *Lobby {
 	return &Lobby{
-		Deps:  deps.WithPart("lobby"),
-		table: table,
-		flow:  admit.NewFlow(),
-		quota: admit.NewQuota(),
-		usage: admit.NewUsage(),
-		hosts: hosts,
-		room:  room,
+		Deps:    deps.WithPart("lobby"),
+		table:   table,
+		flow:    admit.NewFlow(),
+		quota:   admit.NewQuota(),
+		usage:   admit.NewUsage(),
+		hosts:   hosts,
+		members: members,
+		room:    room,
 	}
 }
 
@@ -77,7 +80,7 @@
 
 // Enter admits the request, or returns the refusal at once; only patient requests wait.
 func (l *Lobby) Enter(ctx context.Context, a Ask) (*Pass, *wire.Problem) {
-	rate := a.Account.RatePerSecond / float64(max(1, l.hosts()))
+	rate := a.Account.RatePerSecond / float64(max(1, l.members()))
 	if after := l.quota.Take(l.Now(), a.Account.Name, rate); after > 0 {
 		return nil, refuseFor(wire.KindLimit, "the account is over its rate", after)
 	}
--- a/internal/root/links.go
+++ b/internal/root/links.go
@@ -28,6 +28,11 @@
 	return r.book.Count(r.Now())
 }
 
+// members returns the number of hosts that share the limits of accounts.
+func (r *Root) members() int {
+	return r.book.Members(r.Now())
+}
+
 func (r *Root) listPause() time.Duration {
 	return max(listEvery, time.Second*time.Duration(r.hosts())/listBudget)
 }
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -104,7 +104,7 @@
 		Domain: s.Host.Domain,
 	})
 	r.keeper = claim.New(r.Deps, r.platform, r.hosts)
-	r.lobby = front.NewLobby(r.Deps, r.table, r.hosts, s.Limits.WaitingRoom)
+	r.lobby = front.NewLobby(r.Deps, r.table, r.hosts, r.members, s.Limits.WaitingRoom)
 	r.buildPeers()
 	r.runner = chain.New(r.Deps, r.table, r.reach,
 		chain.WithSuspects(crash.NewGuard(r.Deps, r.tracker, r.alive, r.mine, r.push)),
--- a/internal/root/view/book.go
+++ b/internal/root/view/book.go
@@ -314,6 +314,15 @@
 	return n
 }
 
+// Members returns the number of hosts that limits are shared among: those listed or live, whichever are more.
+// A host that is cut off counts on those it cannot hear, so that the parts together stay within a limit.
+func (b *Book) Members(now time.Time) int {
+	live := b.Count(now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(live, len(b.entries))
+}
+
 // Targets returns the addresses of other entry hosts, those of the own failure domain first.
 func (b *Book) Targets() (near, far []string) {
 	b.mu.Lock()
