--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -194,6 +194,15 @@
 			want:   wire.Unknown,
 			retry:  true,
 		},
+		{
+			name:   "too little time for a booking, with the store out",
+			req:    shape{pipeline: pipeBooking, header: map[string]string{"Grpc-Timeout": "5m", "Idempotency-Key": "late-out"}},
+			before: func() { faults(t, f, stand.PlatformName, fault.Faults{Down: true}) },
+			after:  func() { faults(t, f, stand.PlatformName, fault.Faults{}) },
+			kind:   wire.KindOverload,
+			want:   wire.Unknown,
+			retry:  true,
+		},
 		{
 			name:   "every upstream of a stage down",
 			req:    shape{pipeline: pipeAvailability},
--- a/internal/root/front/intake.go
+++ b/internal/root/front/intake.go
@@ -30,15 +30,14 @@
 
 // account returns the account whose token the caller shows, and the document that says so.
 func (in *Intake) account(r *http.Request) (config.Account, config.Document, *wire.Problem) {
-	rev, ok := in.holder.Current()
-	if !ok {
+	if in.holder.Number() == 0 {
 		p := wire.NewProblem(wire.KindNotReady, wire.NotRun, "the host has no configuration yet").WithRetry(notReadyRetry, "")
 		return config.Account{}, config.Document{}, &p
 	}
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
 	if ok {
-		if a, found := rev.Document.AccountByKey(config.HashKey(token)); found {
-			return a, rev.Document, nil
+		if a, doc, found := in.holder.Account(config.HashKey(token)); found {
+			return a, doc, nil
 		}
 	}
 	p := wire.NewProblem(wire.KindAccount, wire.NotRun, "Authorization must be Bearer and the token of a client account")
--- a/internal/root/front/tally/book.go
+++ b/internal/root/front/tally/book.go
@@ -17,6 +17,8 @@
 	haltWindow = time.Minute
 	haltRate   = 10
 	haltLeast  = 20
+	// maxHistograms bounds the memory of latencies; accounts beyond it are counted without them.
+	maxHistograms = 1000
 )
 
 // Entry is the end of one request.
@@ -67,21 +69,24 @@
 	}
 	c, ok := b.counts[k]
 	if !ok {
-		c = newCount(k)
+		c = newCount(k, len(b.counts) < maxHistograms)
 		b.counts[k] = c
 	}
 	c.add(e)
 }
 
-func newCount(k key) *count {
-	return &count{
+func newCount(k key, latencies bool) *count {
+	c := &count{
 		Count: Count{
 			Account:  k.account,
 			Pipeline: k.pipeline,
 		},
-		hist:   newHistogram(),
 		stages: map[string]*Cost{},
 	}
+	if latencies {
+		c.hist = newHistogram()
+	}
+	return c
 }
 
 func (c *count) add(e Entry) {
@@ -92,8 +97,10 @@
 	switch e.Outcome {
 	case wire.Answered:
 		c.Answered++
-		// The histogram covers ten minutes, and no request lives longer.
-		_ = c.hist.RecordValue(e.Took.Microseconds())
+		if c.hist != nil {
+			// The histogram covers ten minutes, and no request lives longer.
+			_ = c.hist.RecordValue(e.Took.Microseconds())
+		}
 	case wire.NotRun:
 		c.NotRun++
 	case wire.Failed:
--- a/internal/root/front/tally/count.go
+++ b/internal/root/front/tally/count.go
@@ -98,7 +98,7 @@
 		}
 		sum, ok := sums[k]
 		if !ok {
-			sum = newCount(k)
+			sum = newCount(k, true)
 			sums[k] = sum
 		}
 		sum.merge(c)
@@ -134,7 +134,7 @@
 }
 
 func encode(h *hdrhistogram.Histogram) []byte {
-	if h.TotalCount() == 0 {
+	if h == nil || h.TotalCount() == 0 {
 		return nil
 	}
 	b, err := h.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
--- a/internal/root/view/book.go
+++ b/internal/root/view/book.go
@@ -18,6 +18,8 @@
 	forgetAfter = 5 * time.Minute
 	// leavingFor is how long a word that an upstream is leaving counts without being repeated.
 	leavingFor = 60 * time.Second
+	// countEvery is how long a count of the live hosts is used.
+	countEvery = 200 * time.Millisecond
 )
 
 // Book is what this host knows of the others and of the upstreams.
@@ -31,6 +33,8 @@
 	upstreams map[uint64]string
 	leaving   map[string]Leave
 	stamp     int64
+	count     int
+	countAt   time.Time
 }
 
 // NewBook returns a book that knows only the host itself.
@@ -301,16 +305,21 @@
 	return beats, met
 }
 
-// Count returns the number of live hosts.
+// Count returns the number of live hosts that are not leaving; it is counted anew only now and then, as each request asks for it.
 func (b *Book) Count(now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.countAt.IsZero() && now.Sub(b.countAt).Abs() < countEvery {
+		return b.count
+	}
 	n := 1
 	for _, h := range b.peers {
 		if now.Sub(h.at) < liveFor && !h.peer.Leaving {
 			n++
 		}
 	}
+	b.count = n
+	b.countAt = now
 	return n
 }
 
--- a/internal/root/watch/holder.go
+++ b/internal/root/watch/holder.go
@@ -11,10 +11,27 @@
 // Holder holds the revision in force on this host.
 type Holder struct {
 	mu      sync.Mutex
-	current atomic.Pointer[config.Revision]
+	current atomic.Pointer[held]
 	changed chan struct{}
 }
 
+// held is a revision with its accounts by the hashes of their tokens.
+type held struct {
+	config.Revision
+	accounts map[string]config.Account
+}
+
+func hold(r config.Revision) *held {
+	h := &held{
+		Revision: r,
+		accounts: make(map[string]config.Account, len(r.Document.Accounts)),
+	}
+	for _, a := range r.Document.Accounts {
+		h.accounts[a.KeySHA256] = a
+	}
+	return h
+}
+
 // NewHolder returns a holder without a revision.
 func NewHolder() *Holder {
 	return &Holder{
@@ -28,7 +45,17 @@
 	if r == nil {
 		return config.Revision{}, false
 	}
-	return *r, true
+	return r.Revision, true
+}
+
+// Account returns the account whose token has the hexadecimal SHA-256, with the document that names it.
+func (h *Holder) Account(sha string) (config.Account, config.Document, bool) {
+	r := h.current.Load()
+	if r == nil {
+		return config.Account{}, config.Document{}, false
+	}
+	a, ok := r.accounts[sha]
+	return a, r.Document, ok
 }
 
 // Number returns the number of the revision in force, or 0.
@@ -42,10 +69,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	old := h.current.Load()
-	if old != nil && !r.Newer(*old) {
+	if old != nil && !r.Newer(old.Revision) {
 		return false
 	}
-	h.current.Store(&r)
+	h.current.Store(hold(r))
 	if now := h.current.Load(); old != nil && now.Number <= old.Number {
 		panic(fmt.Sprintf("invariant broken: revision %d replaced %d", now.Number, old.Number))
 	}
--- a/internal/root/watch/ledger_test.go
+++ b/internal/root/watch/ledger_test.go
@@ -174,3 +174,16 @@
 		So(h.Offer(config.Revision{Number: 1}), ShouldBeFalse)
 	})
 }
+
+func BenchmarkAccount(b *testing.B) {
+	h := NewHolder()
+	r := config.Revision{Number: 1}
+	for i := range 9800 {
+		r.Document.Accounts = append(r.Document.Accounts, config.Account{Name: fmt.Sprint(i), KeySHA256: config.HashKey(fmt.Sprint(i))})
+	}
+	h.Offer(r)
+	key := config.HashKey("9000")
+	for b.Loop() {
+		h.Account(key)
+	}
+}
--- a/internal/stand/runner/server.go
+++ b/internal/stand/runner/server.go
@@ -191,6 +191,7 @@
 	roll, hit := s.Faults.Roll(3)
 	if hit && roll == 0 {
 		result.AttemptID = "other-" + result.AttemptID
+		result.Output = "other-" + result.Output
 	}
 	if hit && roll == 1 {
 		panic(http.ErrAbortHandler)
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -164,15 +164,6 @@
 	return append(out, x)
 }
 
-// AccountByKey returns the account whose token has the hexadecimal SHA-256.
-func (d Document) AccountByKey(sha string) (Account, bool) {
-	i := slices.IndexFunc(d.Accounts, func(a Account) bool { return a.KeySHA256 == sha })
-	if i < 0 {
-		return Account{}, false
-	}
-	return d.Accounts[i], true
-}
-
 // HashKey returns the hexadecimal SHA-256 of a token.
 func HashKey(token string) string {
 	sum := sha256.Sum256([]byte(token))
--- a/pkg/config/document_test.go
+++ b/pkg/config/document_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -127,3 +129,35 @@
 		So(len(c.Accounts), ShouldEqual, 1)
 	})
 }
+
+// BenchmarkRevision gives the size and the decoding time of a revision with the letter's number of accounts.
+func BenchmarkRevision(b *testing.B) {
+	for _, accounts := range []int{100, 1000, 9800} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			d, err := Parse("doc", []byte(good))
+			if err != nil {
+				b.Fatal(err)
+			}
+			for i := range accounts {
+				d = d.WithAccount(Account{
+					Name:          fmt.Sprintf("account-%04d", i),
+					KeySHA256:     HashKey(fmt.Sprint(i)),
+					Weight:        1,
+					RatePerSecond: 10,
+				})
+			}
+			data, err := json.Marshal(Revision{Number: 1, ChangeID: "c", Document: d})
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				var r Revision
+				if err := json.Unmarshal(data, &r); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
+	}
+}
