--- /dev/null
+++ b/internal/root/admin/forms/console_test.go
@@ -0,0 +1,266 @@
+package forms
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/cookiejar"
+	"net/http/httptest"
+	"net/url"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/watch"
+	"github.com/cornelwing/cornelwing/internal/setup"
+	"github.com/cornelwing/cornelwing/internal/stand/table"
+	"github.com/cornelwing/cornelwing/pkg/config"
+)
+
+const document = `pipelines:
+  - {name: chat, deadline: 8s, idempotent: true, stages: [{name: s, pool: w, idempotent: true, expected: 1ms}]}
+pools:
+  - {name: w, kind: worker, slots: 4, cost_per_second: 1, silence: 1s}
+accounts:
+  - {name: ring, key_sha256: a94a8fe5ccb19ba61c4c0873d391e987982fbbd3a94a8fe5ccb19ba61c4c0873, weight: 1, rate_per_second: 10}
+objective: {attainment: 0.99}
+`
+
+// browser is an operator's browser that is signed in.
+type browser struct {
+	t    *testing.T
+	base string
+	http *http.Client
+}
+
+func consoleOf(t *testing.T) (*watch.Ledger, string) {
+	t.Helper()
+	deps := common.Quiet("h", "d")
+	ledger := watch.NewLedger(deps, table.NewFlaky(table.NewRows(), table.Odds{}, 1))
+	doc, err := config.Parse("doc", []byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ledger.Apply(context.Background(), watch.Change{ID: "1", Author: "first", Document: doc}); err != nil {
+		t.Fatal(err)
+	}
+	var operators []setup.Operator
+	for _, r := range []setup.Role{setup.Viewer, setup.Editor, setup.Approver} {
+		operators = append(operators, setup.Operator{Name: "the-" + string(r), Role: r, KeySHA256: config.HashKey(string(r))})
+	}
+	c := New(deps, operators, ledger, rand.Text, WithStatus(func() any { return nil }), WithReport(func() any { return nil }))
+	s := httptest.NewServer(c.Handler())
+	t.Cleanup(s.Close)
+	return ledger, s.URL
+}
+
+func signIn(t *testing.T, base string, role setup.Role) *browser {
+	t.Helper()
+	jar, err := cookiejar.New(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &browser{t: t, base: base, http: &http.Client{Jar: jar}}
+	b.post("/console/login", url.Values{"token": {string(role)}}, http.StatusOK)
+	return b
+}
+
+func (b *browser) do(req *http.Request, want int) string {
+	b.t.Helper()
+	resp, err := b.http.Do(req)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if resp.StatusCode != want {
+		b.t.Fatalf("%s %s: status %d, want %d: %s", req.Method, req.URL.Path, resp.StatusCode, want, body)
+	}
+	return string(body)
+}
+
+func (b *browser) get(path string, want int) string {
+	b.t.Helper()
+	req, err := http.NewRequest(http.MethodGet, b.base+path, nil)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return b.do(req, want)
+}
+
+func (b *browser) post(path string, form url.Values, want int) string {
+	b.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, b.base+path, strings.NewReader(form.Encode()))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	req.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	req.Header.Set("Sec-Fetch-Site", "same-origin")
+	return b.do(req, want)
+}
+
+func accountForm(weight string) url.Values {
+	return url.Values{
+		"name":            {"ring"},
+		"key_sha256":      {strings.Repeat("ab", 32)},
+		"weight":          {weight},
+		"rate_per_second": {"10"},
+	}
+}
+
+var hidden = regexp.MustCompile(`(?s)<input type="hidden" name="([a-z]+)" value="([^"]*)">`)
+
+// hiddenOf returns the hidden fields of a page, as the browser would send them.
+func hiddenOf(page string) url.Values {
+	form := url.Values{}
+	unescape := strings.NewReplacer("&#34;", `"`, "&#39;", "'", "&#43;", "+", "&amp;", "&", "&lt;", "<", "&gt;", ">")
+	for _, m := range hidden.FindAllStringSubmatch(page, -1) {
+		form.Set(m[1], unescape.Replace(m[2]))
+	}
+	return form
+}
+
+func TestEveryFaultStandsNextToItsField(t *testing.T) {
+	_, base := consoleOf(t)
+	b := signIn(t, base, setup.Editor)
+	scenarios := []struct {
+		name string
+		kind string
+		form url.Values
+		want []string
+	}{
+		{
+			name: "account",
+			kind: "accounts",
+			form: url.Values{"name": {"Ring"}, "key_sha256": {"x"}, "weight": {"0"}, "rate_per_second": {"many"}},
+			want: []string{"is not 1 to 63 of a-z", "64 hexadecimal digits", "0 is not from 1 to 1000", "&#34;many&#34; is not a number"},
+		},
+		{
+			name: "pipeline",
+			kind: "pipelines",
+			form: url.Values{"name": {"chat"}, "deadline": {"1ms"}, "idempotent": {"on"}, "max_tokens": {"0"}, "stages": {"s w true 5ms\nbroken"}},
+			want: []string{"1ms is less than the 5ms", "line 2: four words are needed"},
+		},
+		{
+			name: "pool that a pipeline needs, with an unknown kind",
+			kind: "pools",
+			form: url.Values{"name": {"w"}, "kind": {"wheel"}, "slots": {"4"}, "cost_per_second": {"1"}, "silence": {"1"}},
+			want: []string{"is not one of engine, worker, service", "is not a duration with a unit"},
+		},
+		{
+			name: "objective",
+			kind: "objective",
+			form: url.Values{"attainment": {"2"}},
+			want: []string{"2 is not above 0 and below 1"},
+		},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			page := b.post("/console/edit/"+sc.kind, sc.form, http.StatusUnprocessableEntity)
+			for _, w := range sc.want {
+				if !strings.Contains(page, w) {
+					t.Errorf("page does not say %q:\n%s", w, page)
+				}
+			}
+		})
+	}
+}
+
+func TestASaveIsShownBeforeItIsCommitted(t *testing.T) {
+	ledger, base := consoleOf(t)
+	b := signIn(t, base, setup.Approver)
+	page := b.post("/console/edit/accounts", accountForm("7"), http.StatusOK)
+	if !strings.Contains(page, "-      weight: 1") || !strings.Contains(page, "&#43;      weight: 7") {
+		t.Errorf("the difference is not shown:\n%s", page)
+	}
+	if n, _, _ := ledger.Head(context.Background()); n != 1 {
+		t.Fatalf("revision %d before the commit", n)
+	}
+	form := hiddenOf(page)
+	b.post("/console/commit", form, http.StatusOK)
+	b.post("/console/commit", form, http.StatusOK)
+	rev, err := ledger.Newest(context.Background())
+	if err != nil || rev.Number != 2 || rev.Document.Accounts[0].Weight != 7 || rev.Author != "the-approver" {
+		t.Errorf("revision %d by %s, weight %d, %v", rev.Number, rev.Author, rev.Document.Accounts[0].Weight, err)
+	}
+	back := b.post("/console/back", url.Values{"revision": {"1"}}, http.StatusOK)
+	b.post("/console/commit", hiddenOf(back), http.StatusOK)
+	rev, err = ledger.Newest(context.Background())
+	if err != nil || rev.Number != 3 || rev.Document.Accounts[0].Weight != 1 {
+		t.Errorf("going back gave revision %d with weight %d, %v", rev.Number, rev.Document.Accounts[0].Weight, err)
+	}
+}
+
+func TestARacingOperatorSeesTheWinnerAndMergesByField(t *testing.T) {
+	ledger, base := consoleOf(t)
+	one, two := signIn(t, base, setup.Approver), signIn(t, base, setup.Approver)
+	first := one.post("/console/edit/accounts", accountForm("7"), http.StatusOK)
+	second := two.post("/console/edit/objective", url.Values{"attainment": {"0.5"}}, http.StatusOK)
+	one.post("/console/commit", hiddenOf(first), http.StatusOK)
+	page := two.post("/console/commit", hiddenOf(second), http.StatusConflict)
+	if !strings.Contains(page, "the-approver has since made revision 2") {
+		t.Errorf("the winner is not named:\n%s", page)
+	}
+	two.post("/console/commit", hiddenOf(page), http.StatusOK)
+	rev, err := ledger.Newest(context.Background())
+	if err != nil || rev.Number != 3 || rev.Document.Accounts[0].Weight != 7 || rev.Document.Objective.Attainment != 0.5 {
+		t.Errorf("merged to revision %d: %+v, %v", rev.Number, rev.Document, err)
+	}
+}
+
+func TestRolesAndSessions(t *testing.T) {
+	_, base := consoleOf(t)
+	viewer, editor := signIn(t, base, setup.Viewer), signIn(t, base, setup.Editor)
+	viewer.get("/console/document", http.StatusOK)
+	viewer.get("/console/edit/accounts?name=ring", http.StatusForbidden)
+	page := editor.post("/console/edit/accounts", accountForm("7"), http.StatusOK)
+	if strings.Contains(page, "Put in force") {
+		t.Error("an editor is offered the commit")
+	}
+	editor.post("/console/commit", url.Values{}, http.StatusForbidden)
+	editor.get("/console/edit/accounts?name=nobody", http.StatusOK)
+
+	req, err := http.NewRequest(http.MethodPost, base+"/console/logout", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Sec-Fetch-Site", "cross-site")
+	editor.do(req, http.StatusForbidden)
+
+	u, err := url.Parse(base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range viewer.http.Jar.Cookies(u) {
+		forged := strings.Replace(c.Value, "dGhlLXZpZXdlcg", "dGhlLWFwcHJvdmVy", 1)
+		if forged == c.Value {
+			t.Fatalf("the cookie %s does not hold the name", c.Value)
+		}
+		viewer.http.Jar.SetCookies(u, []*http.Cookie{{Name: c.Name, Value: forged, Path: "/"}})
+	}
+	if page := viewer.get("/console/document", http.StatusOK); !strings.Contains(page, "Sign in") {
+		t.Error("a forged cookie is taken")
+	}
+}
+
+func TestALabelStandsForEachInput(t *testing.T) {
+	_, base := consoleOf(t)
+	b := signIn(t, base, setup.Editor)
+	for _, kind := range []string{"pipelines", "pools", "accounts", "objective"} {
+		page := b.get("/console/edit/"+kind, http.StatusOK)
+		for _, f := range fieldsOf(config.Document{}, kind, "") {
+			if !strings.Contains(page, fmt.Sprintf(`<label for="%s">`, f.Name)) || !strings.Contains(page, fmt.Sprintf(`id="%s"`, f.Name)) {
+				t.Errorf("%s: input %s has no label", kind, f.Name)
+			}
+		}
+		if strings.Contains(page, "<script") {
+			t.Errorf("%s needs a script", kind)
+		}
+	}
+}
--- /dev/null
+++ b/internal/root/admin/forms/entity.go
@@ -0,0 +1,263 @@
+package forms
+
+import (
+	"fmt"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/strict"
+	"github.com/cornelwing/cornelwing/pkg/config"
+)
+
+// Kinds of entities that have a form.
+const (
+	kindPipeline  = "pipelines"
+	kindPool      = "pools"
+	kindAccount   = "accounts"
+	kindObjective = "objective"
+)
+
+// Field is one input of a form, with what is wrong with it.
+type Field struct {
+	Name  string
+	Label string
+	Value string
+	Hint  string
+	// Type is text, area or check.
+	Type   string
+	Faults []string
+}
+
+// text, area and check make fields.
+func text(name, label, value, hint string) Field {
+	return Field{
+		Name:  name,
+		Label: label,
+		Value: value,
+		Hint:  hint,
+		Type:  "text",
+	}
+}
+
+func area(name, label, value, hint string) Field {
+	f := text(name, label, value, hint)
+	f.Type = "area"
+	return f
+}
+
+func check(name, label string, on bool, hint string) Field {
+	f := text(name, label, "", hint)
+	f.Type = "check"
+	if on {
+		f.Value = "on"
+	}
+	return f
+}
+
+// fieldsOf returns the form of an entity of the document, empty where there is none of the name.
+func fieldsOf(d config.Document, kind, name string) []Field {
+	switch kind {
+	case kindPipeline:
+		p, _ := d.Pipeline(name)
+		return pipelineFields(p)
+	case kindPool:
+		p, _ := d.Pool(name)
+		return poolFields(p)
+	case kindAccount:
+		i := slices.IndexFunc(d.Accounts, func(a config.Account) bool { return a.Name == name })
+		if i < 0 {
+			return accountFields(config.Account{Weight: 1})
+		}
+		return accountFields(d.Accounts[i])
+	default:
+		return []Field{
+			text("attainment", "Attainment", fmt.Sprint(d.Objective.Attainment), "share of requests answered whole in time, above 0 and below 1"),
+		}
+	}
+}
+
+func pipelineFields(p config.Pipeline) []Field {
+	lines := make([]string, 0, len(p.Stages))
+	for _, s := range p.Stages {
+		lines = append(lines, fmt.Sprintf("%s %s %t %s", s.Name, s.Pool, s.Idempotent, s.Expected))
+	}
+	return []Field{
+		text("name", "Name", p.Name, "a-z, 0-9, '.', '_', '-'"),
+		text("deadline", "Deadline", p.Deadline.String(), "with its unit, for instance 8s"),
+		check("idempotent", "Idempotent", p.Idempotent, "a request may run more than once"),
+		text("max_tokens", "Longest answer", strconv.Itoa(p.MaxTokens), "tokens; 0 leaves it to the engine"),
+		area("stages", "Stages", strings.Join(lines, "\n"), "one a line: name, pool, true if it may repeat, expected time"),
+	}
+}
+
+func poolFields(p config.Pool) []Field {
+	w := config.Wanted{}
+	if p.Wanted != nil {
+		w = *p.Wanted
+	}
+	return []Field{
+		text("name", "Name", p.Name, "a-z, 0-9, '.', '_', '-'"),
+		text("kind", "Kind", string(p.Kind), "engine, worker or service"),
+		text("slots", "Slots", strconv.Itoa(p.Slots), "requests that one upstream works on at a time"),
+		text("cost_per_second", "Cost", fmt.Sprint(p.CostPerSecond), "of one busy slot, a second"),
+		text("silence", "Silence", p.Silence.String(), "longest time without progress, for instance 1s"),
+		check("checks_fencing", "Checks fencing", p.ChecksFencing, "its engines refuse orders with an old fencing number"),
+		text("model", "Wanted model", w.Model, "empty leaves the engines as they are"),
+		text("version", "Wanted version", w.Version, ""),
+		text("adapters", "Wanted adapters", strings.Join(w.Adapters, " "), "names with spaces between"),
+		text("role", "Wanted role", w.Role, ""),
+		text("roll_share", "Share that may load at once", fmt.Sprint(w.RollShare), "of the live engines, above 0 and at most 1"),
+		text("max_loads", "Most loads at once", strconv.Itoa(w.MaxLoads), "bounded by the weight store"),
+	}
+}
+
+func accountFields(a config.Account) []Field {
+	return []Field{
+		text("name", "Name", a.Name, "a-z, 0-9, '.', '_', '-'"),
+		text("key_sha256", "Key", a.KeySHA256, "from: cornelwing token TOKEN"),
+		text("weight", "Weight", strconv.Itoa(a.Weight), "share against the other accounts, 1 to 1000"),
+		text("rate_per_second", "Rate", fmt.Sprint(a.RatePerSecond), "requests a second over all hosts"),
+	}
+}
+
+// reader takes typed values out of a posted form and notes what cannot be read.
+type reader struct {
+	form   url.Values
+	faults map[string][]string
+}
+
+func (r *reader) fail(name, format string, args ...any) {
+	r.faults[name] = append(r.faults[name], fmt.Sprintf(format, args...))
+}
+
+func (r *reader) text(name string) string {
+	return strings.TrimSpace(r.form.Get(name))
+}
+
+func (r *reader) whole(name string) int {
+	n, err := strconv.Atoi(r.text(name))
+	if err != nil {
+		r.fail(name, "%q is not a whole number", r.text(name))
+	}
+	return n
+}
+
+func (r *reader) number(name string) float64 {
+	x, err := strconv.ParseFloat(r.text(name), 64)
+	if err != nil {
+		r.fail(name, "%q is not a number", r.text(name))
+	}
+	return x
+}
+
+func (r *reader) span(name, value string) config.Span {
+	d, err := time.ParseDuration(value)
+	if err != nil {
+		r.fail(name, "%q is not a duration with a unit", value)
+	}
+	return config.Span(d)
+}
+
+// applied returns the document with the posted entity in it, and the path under which its faults stand.
+func (r *reader) applied(d config.Document, kind string) (config.Document, string) {
+	name := r.text("name")
+	switch kind {
+	case kindPipeline:
+		d = d.WithPipeline(r.pipeline())
+		return d, fmt.Sprintf("pipelines[%d]", slices.IndexFunc(d.Pipelines, func(p config.Pipeline) bool { return p.Name == name }))
+	case kindPool:
+		d = d.WithPool(r.pool())
+		return d, fmt.Sprintf("pools[%d]", slices.IndexFunc(d.Pools, func(p config.Pool) bool { return p.Name == name }))
+	case kindAccount:
+		d = d.WithAccount(config.Account{
+			Name:          name,
+			KeySHA256:     r.text("key_sha256"),
+			Weight:        r.whole("weight"),
+			RatePerSecond: r.number("rate_per_second"),
+		})
+		return d, fmt.Sprintf("accounts[%d]", slices.IndexFunc(d.Accounts, func(a config.Account) bool { return a.Name == name }))
+	default:
+		d.Objective = config.Objective{
+			Attainment: r.number("attainment"),
+		}
+		return d, "objective"
+	}
+}
+
+func (r *reader) pipeline() config.Pipeline {
+	p := config.Pipeline{
+		Name:       r.text("name"),
+		Deadline:   r.span("deadline", r.text("deadline")),
+		Idempotent: r.text("idempotent") != "",
+		MaxTokens:  r.whole("max_tokens"),
+	}
+	for i, line := range strings.Split(strings.ReplaceAll(r.text("stages"), "\r", ""), "\n") {
+		parts := strings.Fields(line)
+		if len(parts) != 4 {
+			r.fail("stages", "line %d: four words are needed, not %d", i+1, len(parts))
+			continue
+		}
+		p.Stages = append(p.Stages, config.Stage{
+			Name:       parts[0],
+			Pool:       parts[1],
+			Idempotent: parts[2] == "true",
+			Expected:   r.span("stages", parts[3]),
+		})
+	}
+	return p
+}
+
+func (r *reader) pool() config.Pool {
+	p := config.Pool{
+		Name:          r.text("name"),
+		Kind:          config.Kind(r.text("kind")),
+		Slots:         r.whole("slots"),
+		CostPerSecond: r.number("cost_per_second"),
+		Silence:       r.span("silence", r.text("silence")),
+		ChecksFencing: r.text("checks_fencing") != "",
+	}
+	if r.text("model") == "" {
+		return p
+	}
+	return p.WithWanted(config.Wanted{
+		Model:     r.text("model"),
+		Version:   r.text("version"),
+		Adapters:  strings.Fields(r.text("adapters")),
+		Role:      r.text("role"),
+		RollShare: r.number("roll_share"),
+		MaxLoads:  r.whole("max_loads"),
+	})
+}
+
+// place puts the document's faults next to the fields that break them; what belongs to no field is returned.
+func (r *reader) place(faults []strict.Fault, at string) []string {
+	var rest []string
+	for _, f := range faults {
+		path, ok := strings.CutPrefix(f.Path, at+".")
+		if !ok {
+			rest = append(rest, f.String())
+			continue
+		}
+		path = strings.TrimPrefix(path, "wanted.")
+		name, detail, _ := strings.Cut(path, "[")
+		reason := f.Reason
+		if detail != "" {
+			reason = "[" + detail + ": " + reason
+		}
+		r.faults[name] = append(r.faults[name], reason)
+	}
+	return rest
+}
+
+// fields returns the form as it was posted, with the faults.
+func (r *reader) fields(kind string) []Field {
+	out := fieldsOf(config.Document{}, kind, "")
+	for i, f := range out {
+		out[i].Value = r.form.Get(f.Name)
+		out[i].Faults = r.faults[f.Name]
+	}
+	return out
+}
--- a/internal/root/admin/server.go
+++ b/internal/root/admin/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"expvar"
 	"fmt"
@@ -15,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cornelwing/cornelwing/internal/root/admin/forms"
 	"github.com/cornelwing/cornelwing/internal/root/watch"
 	"github.com/cornelwing/cornelwing/internal/setup"
 	"github.com/cornelwing/cornelwing/internal/strict"
@@ -98,6 +100,8 @@
 	mux.Handle("GET "+PathUpstreams, s.allow(setup.Viewer, s.getUpstreams))
 	mux.Handle("GET "+PathReport, s.allow(setup.Viewer, s.getReport))
 	mux.Handle("GET "+PathOrders, s.allow(setup.Viewer, s.getOrders))
+	mux.Handle("/console/", s.console().Handler())
+	mux.Handle("GET /{$}", http.RedirectHandler("/console/", http.StatusSeeOther))
 	mux.Handle("GET /debug/vars", s.allow(setup.Viewer, func(w http.ResponseWriter, r *http.Request, _ setup.Operator) {
 		expvar.Handler().ServeHTTP(w, r)
 	}))
@@ -110,6 +114,14 @@
 	return mux
 }
 
+// console returns the forms over the same desk.
+func (s *Server) console() *forms.Console {
+	return forms.New(s.Deps, s.operators, s.Ledger, rand.Text,
+		forms.WithStatus(func() any { return s.Status() }),
+		forms.WithReport(func() any { return s.Report() }),
+		forms.WithOffer(func(r config.Revision) { s.Holder.Offer(r) }))
+}
+
 type handler func(w http.ResponseWriter, r *http.Request, who setup.Operator)
 
 // allow lets only operators of the role or a higher one through.
@@ -120,7 +132,7 @@
 			refuse(w, http.StatusUnauthorized, Refusal{Reason: "Authorization must be Bearer and the token of an operator"})
 			return
 		}
-		if rank(who.Role) < rank(role) {
+		if !who.Role.Has(role) {
 			refuse(w, http.StatusForbidden, Refusal{Reason: fmt.Sprintf("%s is %s, and this takes %s", who.Name, who.Role, role)})
 			return
 		}
@@ -142,19 +154,6 @@
 	return setup.Operator{}, false
 }
 
-func rank(r setup.Role) int {
-	switch r {
-	case setup.Approver:
-		return 3
-	case setup.Editor:
-		return 2
-	case setup.Viewer:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // getConfig reads the newest revision from the table service, or the one in force here while that is out.
 func (s *Server) getConfig(w http.ResponseWriter, r *http.Request, _ setup.Operator) {
 	rev, err := s.Ledger.Newest(r.Context())
--- a/internal/root/orders/orderer_test.go
+++ b/internal/root/orders/orderer_test.go
@@ -276,3 +276,17 @@
 		}
 	})
 }
+
+// The share is of those that are live now; a number fixed while 12 were live would take 3 of 4 away at once.
+func TestTheShareFollowsTheLiveEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngines(4, true)
+		h := newHost(0, table.NewRows(), e, calm)
+		h.holder.Offer(revision(1, "v1"))
+		time.Sleep(time.Minute)
+		if n := e.matching("v1"); n != 4 || e.most != 1 {
+			t.Errorf("%d of 4 engines have the version, %d loaded at once", n, e.most)
+		}
+		h.stop()
+	})
+}
--- a/internal/setup/settings.go
+++ b/internal/setup/settings.go
@@ -65,6 +65,24 @@
 	Approver Role = "approver"
 )
 
+// Has reports whether the role has the rights of another.
+func (r Role) Has(other Role) bool {
+	return r.rank() >= other.rank()
+}
+
+func (r Role) rank() int {
+	switch r {
+	case Approver:
+		return 3
+	case Editor:
+		return 2
+	case Viewer:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // Operator is a person who may use the operators' address.
 type Operator struct {
 	Name      string `yaml:"name" help:"operator's name, as the history shows it"`
