--- a/internal/opapi/api.go
+++ b/internal/opapi/api.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/root/admin"
+	"github.com/cornelwing/cornelwing/internal/root/report"
 	"github.com/cornelwing/cornelwing/pkg/config"
 )
 
@@ -94,6 +96,17 @@
 	return r, err
 }
 
+// Summary returns the reports of all hosts over the time that ends now; an account of "" means all.
+func (a *API) Summary(ctx context.Context, length time.Duration, account string) (report.Summary, error) {
+	var s report.Summary
+	q := url.Values{
+		"for":     []string{length.String()},
+		"account": []string{account},
+	}
+	err := a.call(ctx, http.MethodGet, admin.PathSummary+"?"+q.Encode(), nil, &s)
+	return s, err
+}
+
 // Orders returns how far the pools have come, as the daemon sees it.
 func (a *API) Orders(ctx context.Context) (admin.Orders, error) {
 	var o admin.Orders
--- a/internal/opcli/commands.go
+++ b/internal/opcli/commands.go
@@ -21,8 +21,11 @@
 	dryRun bool
 	wait   time.Duration
 	dir    string
-	demo   demo.Options
-	bench  benchOptions
+	// length and account bound a report.
+	length  time.Duration
+	account string
+	demo    demo.Options
+	bench   benchOptions
 }
 
 // Commands returns the client's commands in the order of the help text.
@@ -77,9 +80,10 @@
 		},
 		{
 			Name:  "report",
-			Short: "show what one daemon has counted",
-			Long:  "Shows outcomes and costs for each client account and pipeline since the daemon started.",
+			Short: "show attainment, latency and cost by stage",
+			Long:  "Shows outcomes and costs for each client account and pipeline: with -for over all hosts from what they stored each minute, without it what the daemon that is asked has counted since it started, with its burn.",
 			run:   runReport,
+			flags: reportFlags,
 		},
 		{
 			Name:  "orders",
@@ -133,6 +137,11 @@
 	return nil
 }
 
+func reportFlags(c *call) {
+	c.DurationVar(&c.opts.length, "for", 0, "sum up all hosts over this `duration` until now")
+	c.StringVar(&c.opts.account, "account", "", "only this `account`, with -for")
+}
+
 func applyFlags(c *call) {
 	c.Int64Var(&c.opts.base, "base", -1, "`revision` that the change was made from; -1 takes the newest")
 	c.BoolVar(&c.opts.dryRun, "dry-run", false, "check the document and change nothing")
--- a/internal/opcli/views.go
+++ b/internal/opcli/views.go
@@ -13,6 +13,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/cornelwing/cornelwing/internal/root/admin"
+	"github.com/cornelwing/cornelwing/internal/root/front/tally"
 	"github.com/cornelwing/cornelwing/internal/root/front/tally/burn"
 	"github.com/cornelwing/cornelwing/internal/root/view"
 	"github.com/cornelwing/cornelwing/pkg/config"
@@ -223,21 +224,50 @@
 }
 
 func runReport(ctx context.Context, c *call) error {
+	if c.opts.length > 0 {
+		return runSummary(ctx, c)
+	}
 	r, err := c.api().Report(ctx)
 	if err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
 	return c.show(r, func(t *tabwriter.Writer) {
 		printBurn(t, r.Burn)
-		fmt.Fprintln(t, "ACCOUNT\tPIPELINE\tSENT\tATTAINMENT\tNOT RUN\tFAILED\tUNKNOWN\tP50 MS\tP95 MS\tCOST\tWASTED")
-		for _, x := range r.Counts {
-			cost, wasted := x.Total()
-			fmt.Fprintf(t, "%s\t%s\t%d\t%.2f %%\t%d\t%d\t%d\t%.1f\t%.1f\t%.3f\t%.3f\n", x.Account, x.Pipeline, x.Sent, 100*x.Attainment(),
-				x.NotRun, x.Failed, x.Unknown, msOf(x.Quantile(50)), msOf(x.Quantile(95)), cost, wasted)
+		printCounts(t, r.Counts)
+	})
+}
+
+// runSummary prints the sum over all hosts, and says which of them left a gap.
+func runSummary(ctx context.Context, c *call) error {
+	sum, err := c.api().Summary(ctx, c.opts.length, c.opts.account)
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return c.show(sum, func(t *tabwriter.Writer) {
+		fmt.Fprintf(t, "From %s to %s, by %d hosts. Minutes missing: %d.\n\n", sum.From.Format(time.RFC3339), sum.Until.Format(time.RFC3339), len(sum.Hosts), len(sum.Missing))
+		for _, g := range sum.Missing {
+			fmt.Fprintf(t, "missing: %s at %s\n", g.Host, g.Interval.Format(time.RFC3339))
 		}
+		printCounts(t, sum.Counts)
 	})
 }
 
+func printCounts(w io.Writer, counts []tally.Count) {
+	fmt.Fprintln(w, "ACCOUNT\tPIPELINE\tSENT\tATTAINMENT\tNOT RUN\tFAILED\tUNKNOWN\tP50 MS\tP95 MS\tCOST BY STAGE (WASTED)")
+	for _, x := range counts {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.2f %%\t%d\t%d\t%d\t%.1f\t%.1f\t%s\n", x.Account, x.Pipeline, x.Sent, 100*x.Attainment(),
+			x.NotRun, x.Failed, x.Unknown, msOf(x.Quantile(50)), msOf(x.Quantile(95)), costsOf(x.Stages))
+	}
+}
+
+func costsOf(stages []tally.Cost) string {
+	parts := make([]string, 0, len(stages))
+	for _, s := range stages {
+		parts = append(parts, fmt.Sprintf("%s %.3f (%.3f)", s.Stage, s.Cost, s.Wasted))
+	}
+	return strings.Join(parts, ", ")
+}
+
 func printBurn(w io.Writer, b burn.Report) {
 	fmt.Fprintf(w, "Objective %.3f %%. Alert: %s.\n\nWINDOW\tIN TIME\tMISSED\tBURN RATE\n", 100*b.Objective, b.Severity)
 	for _, x := range b.Windows {
--- a/internal/root/admin/desk.go
+++ b/internal/root/admin/desk.go
@@ -8,6 +8,7 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/front/tally"
 	"github.com/cornelwing/cornelwing/internal/root/orders"
+	"github.com/cornelwing/cornelwing/internal/root/report"
 	"github.com/cornelwing/cornelwing/internal/root/view"
 	"github.com/cornelwing/cornelwing/internal/root/watch"
 	"github.com/cornelwing/cornelwing/pkg/config"
@@ -25,6 +26,7 @@
 	Tally  *tally.Book
 	Out    func() (time.Duration, bool)
 	Orders *orders.Orderer
+	Store  report.Store
 }
 
 // Apply checks the document and puts it in force, unless it is a dry run.
@@ -107,3 +109,13 @@
 		Counts: d.Tally.Counts(),
 	}
 }
+
+// Summary sums up the reports of all hosts over the time that ends now; an account of "" means all.
+func (d *Desk) Summary(ctx context.Context, length time.Duration, account string) (report.Summary, error) {
+	now := d.Now()
+	sum, err := report.Sum(ctx, d.Store, now.Add(-length), now, account)
+	if err != nil {
+		return report.Summary{}, fmt.Errorf("sum up reports: %w", err)
+	}
+	return sum, nil
+}
--- a/internal/root/admin/server.go
+++ b/internal/root/admin/server.go
@@ -27,6 +27,8 @@
 	maxChangeBytes  = 16 << 20
 	headerTimeout   = 5 * time.Second
 	shutdownTimeout = 5 * time.Second
+	// maxSummary bounds the time that one summary covers.
+	maxSummary = 24 * time.Hour
 )
 
 // Server listens to operators.
@@ -99,6 +101,7 @@
 	mux.Handle("GET "+PathStatus, s.allow(setup.Viewer, s.getStatus))
 	mux.Handle("GET "+PathUpstreams, s.allow(setup.Viewer, s.getUpstreams))
 	mux.Handle("GET "+PathReport, s.allow(setup.Viewer, s.getReport))
+	mux.Handle("GET "+PathSummary, s.allow(setup.Viewer, s.getSummary))
 	mux.Handle("GET "+PathOrders, s.allow(setup.Viewer, s.getOrders))
 	mux.Handle("/console/", s.console().Handler())
 	mux.Handle("GET /{$}", http.RedirectHandler("/console/", http.StatusSeeOther))
@@ -203,6 +206,21 @@
 	reply(w, http.StatusOK, s.Report())
 }
 
+// getSummary takes the length of the time and the account from the query.
+func (s *Server) getSummary(w http.ResponseWriter, r *http.Request, _ setup.Operator) {
+	length, err := time.ParseDuration(r.URL.Query().Get("for"))
+	if err != nil || length <= 0 || length > maxSummary {
+		refuse(w, http.StatusBadRequest, Refusal{Reason: fmt.Sprintf("for must be a duration above 0 and at most %s", maxSummary)})
+		return
+	}
+	sum, err := s.Summary(r.Context(), length, r.URL.Query().Get("account"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, http.StatusOK, sum)
+}
+
 func (s *Server) getOrders(w http.ResponseWriter, _ *http.Request, _ setup.Operator) {
 	reply(w, http.StatusOK, Orders{
 		Host:  s.Host,
--- a/internal/root/admin/wire.go
+++ b/internal/root/admin/wire.go
@@ -23,6 +23,7 @@
 	PathUpstreams = "/v1/upstreams"
 	PathReport    = "/v1/report"
 	PathOrders    = "/v1/orders"
+	PathSummary   = "/v1/summary"
 )
 
 // ErrChange reports a change without an identity.
--- a/internal/root/front/claim/batch.go
+++ b/internal/root/front/claim/batch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/cornelwing/cornelwing/internal/plat"
 	"github.com/cornelwing/cornelwing/internal/root/store"
@@ -18,6 +19,8 @@
 	queued = 4096
 	// writeBudget is what all hosts together spend on claims, in transactions a second.
 	writeBudget = 300
+	// writeBurst is how many transactions a host may commit at once, enough for the three of one request.
+	writeBurst = 6
 	// busyPause is the wait after the platform refused a write for its rate.
 	busyPause = 20 * time.Millisecond
 )
@@ -38,6 +41,7 @@
 	table store.Table
 	hosts func() int
 	in    chan write
+	pace  *rate.Limiter
 	// twins are writes to a row that the last batch wrote as well; they go into the next one.
 	twins []write
 }
@@ -47,6 +51,7 @@
 		table: table,
 		hosts: hosts,
 		in:    make(chan write, queued),
+		pace:  rate.NewLimiter(writeBudget, writeBurst),
 	}
 }
 
@@ -73,13 +78,12 @@
 
 func (b *batcher) run(ctx context.Context) {
 	for {
-		batch, ok := b.next(ctx)
+		first, ok := b.next(ctx)
 		if !ok {
 			return
 		}
-		began := time.Now()
-		b.commit(b.splitTwins(batch))
-		b.space(ctx, began)
+		b.space(ctx)
+		b.commit(b.splitTwins(b.gather(first)))
 	}
 }
 
@@ -88,13 +92,13 @@
 	if len(b.twins) > 0 {
 		twins := b.twins
 		b.twins = nil
-		return b.gather(twins), true
+		return twins, true
 	}
 	select {
 	case <-ctx.Done():
 		return nil, false
 	case first := <-b.in:
-		return b.gather([]write{first}), true
+		return []write{first}, true
 	}
 }
 
@@ -120,19 +124,11 @@
 	return batch
 }
 
-// space keeps this host to its share of the budget; under light load it does not wait at all.
-func (b *batcher) space(ctx context.Context, began time.Time) {
-	gap := time.Second * time.Duration(max(1, b.hosts())) / writeBudget
-	rest := gap - time.Since(began)
-	if rest <= 0 {
-		return
-	}
-	timer := time.NewTimer(rest)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+// space keeps this host to its share of the budget; a few transactions may follow each other at once.
+func (b *batcher) space(ctx context.Context) {
+	b.pace.SetLimit(rate.Limit(float64(writeBudget) / float64(max(1, b.hosts()))))
+	// It fails only where ctx ends, which the loop sees next.
+	_ = b.pace.Wait(ctx)
 }
 
 // commit writes the batch, setting aside the writes whose condition fails until the rest goes through.
--- a/internal/root/front/tally/book.go
+++ b/internal/root/front/tally/book.go
@@ -34,8 +34,10 @@
 
 // Book counts entries.
 type Book struct {
-	mu     sync.Mutex
+	mu sync.Mutex
+	// counts is since the start, and fresh since the last call of Take.
 	counts map[key]*count
+	fresh  map[key]*count
 	meter  burn.Meter
 }
 
@@ -55,6 +57,7 @@
 func NewBook() *Book {
 	return &Book{
 		counts: map[key]*count{},
+		fresh:  map[key]*count{},
 	}
 }
 
@@ -67,12 +70,14 @@
 		account:  e.Account,
 		pipeline: e.Pipeline,
 	}
-	c, ok := b.counts[k]
-	if !ok {
-		c = newCount(k, len(b.counts) < maxHistograms)
-		b.counts[k] = c
+	for _, counts := range []map[key]*count{b.counts, b.fresh} {
+		c, ok := counts[k]
+		if !ok {
+			c = newCount(k, len(counts) < maxHistograms)
+			counts[k] = c
+		}
+		c.add(e)
 	}
-	c.add(e)
 }
 
 func newCount(k key, latencies bool) *count {
@@ -124,12 +129,25 @@
 	return s
 }
 
-// Counts returns what was counted, in order of accounts and pipelines.
+// Counts returns what was counted since the start, in order of accounts and pipelines.
 func (b *Book) Counts() []Count {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make([]Count, 0, len(b.counts))
-	for _, c := range b.counts {
+	return export(b.counts)
+}
+
+// Take returns what was counted since it was called last.
+func (b *Book) Take() []Count {
+	b.mu.Lock()
+	fresh := b.fresh
+	b.fresh = map[key]*count{}
+	b.mu.Unlock()
+	return export(fresh)
+}
+
+func export(counts map[key]*count) []Count {
+	out := make([]Count, 0, len(counts))
+	for _, c := range counts {
 		out = append(out, c.export())
 	}
 	sortCounts(out)
--- a/internal/root/front/tally/count.go
+++ b/internal/root/front/tally/count.go
@@ -103,12 +103,7 @@
 		}
 		sum.merge(c)
 	}
-	out := make([]Count, 0, len(sums))
-	for _, c := range sums {
-		out = append(out, c.export())
-	}
-	sortCounts(out)
-	return out
+	return export(sums)
 }
 
 func (c *count) merge(o Count) {
--- a/internal/root/links.go
+++ b/internal/root/links.go
@@ -126,12 +126,16 @@
 
 // mine reports whether suspects are tried on the upstream by this host alone: those of a pool go round the live hosts.
 func (r *Root) mine(upstream string) bool {
-	now := r.Now()
-	names := make([]string, 0, len(r.book.Live(now)))
-	for _, p := range r.book.Live(now) {
+	return loads.Turn(upstream, r.book.Upstreams(r.Now()), r.liveNames()) == r.Host
+}
+
+// liveNames returns the names of the live hosts.
+func (r *Root) liveNames() []string {
+	var names []string
+	for _, p := range r.book.Live(r.Now()) {
 		names = append(names, p.Name)
 	}
-	return loads.Turn(upstream, r.book.Upstreams(now), names) == r.Host
+	return names
 }
 
 // nonce returns a new mark for a write of the lease.
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -20,6 +20,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/orders"
 	"github.com/cornelwing/cornelwing/internal/root/orders/lease"
 	"github.com/cornelwing/cornelwing/internal/root/peers"
+	"github.com/cornelwing/cornelwing/internal/root/report"
 	"github.com/cornelwing/cornelwing/internal/root/store"
 	"github.com/cornelwing/cornelwing/internal/root/view"
 	"github.com/cornelwing/cornelwing/internal/root/watch"
@@ -49,6 +50,7 @@
 	certs    peers.Certs
 	lease    *lease.Keeper
 	orders   *orders.Orderer
+	report   *report.Keeper
 	restarts restarts
 	// synced is the revision that the routing table was last made from, once it holds upstreams.
 	synced atomic.Int64
@@ -113,6 +115,7 @@
 	r.lease = lease.NewKeeper(r.Deps, r.platform, "orders", lease.New(s.Host.Name, lease.DefaultTerms(), nonce))
 	members := func() []route.Upstream { return r.book.Upstreams(r.Now()) }
 	r.orders = orders.New(r.Deps, r.lease, r.reach, r.holder, members, r.burning)
+	r.report = report.New(r.Deps, r.platform, r.front.Tally().Take, r.liveNames)
 	r.admin = admin.New(&admin.Desk{
 		Deps:   r.Deps,
 		Ledger: r.ledger,
@@ -121,6 +124,7 @@
 		Tally:  r.front.Tally(),
 		Out:    r.platform.Out,
 		Orders: r.orders,
+		Store:  r.platform,
 	}, s.Listen.Operators, s.Operators)
 }
 
@@ -145,6 +149,7 @@
 func (r *Root) Run(ctx context.Context, ready func()) error {
 	parts := []super.Part{
 		r.keeper,
+		r.report,
 	}
 	if r.mesh == nil {
 		r.Log.Warn("Peers have no certificates in the settings. This host works alone.")
--- a/internal/stand/table/flaky.go
+++ b/internal/stand/table/flaky.go
@@ -26,9 +26,10 @@
 type Flaky struct {
 	Rows *Rows
 
-	mu   sync.Mutex
-	odds Odds
-	rng  *rand.Rand
+	mu      sync.Mutex
+	odds    Odds
+	rng     *rand.Rand
+	objects map[string][]byte
 }
 
 // NewFlaky returns a store over the rows whose chances follow from the seed.
@@ -113,3 +114,35 @@
 	}
 	return nil
 }
+
+// PutObject writes an object, or fails by chance.
+func (f *Flaky) PutObject(_ context.Context, key string, data []byte) error {
+	odds, roll, slow := f.draw()
+	time.Sleep(slow)
+	if roll < odds.Out {
+		return store.ErrOut
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.objects == nil {
+		f.objects = map[string][]byte{}
+	}
+	f.objects[key] = data
+	return nil
+}
+
+// Object returns an object, or fails by chance.
+func (f *Flaky) Object(_ context.Context, key string) ([]byte, error) {
+	odds, roll, slow := f.draw()
+	time.Sleep(slow)
+	if roll < odds.Out {
+		return nil, store.ErrOut
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	data, ok := f.objects[key]
+	if !ok {
+		return nil, store.ErrAbsent
+	}
+	return data, nil
+}
