--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -311,6 +311,20 @@
 	})
 }
 
+func TestABookingIsAnsweredThoughEveryWritesAnswerIsLost(t *testing.T) {
+	f := raised(t, 2, Document())
+	faults(t, f, stand.PlatformName, fault.Faults{LoseAnswers: true})
+	for i := range 5 {
+		input := fmt.Sprintf("lost-answers-%d", i)
+		if _, err := sendOnce(f.Daemons()[i%2], pipeBooking, input, input); err != nil {
+			t.Errorf("booking %d: %v", i, err)
+		}
+		if n := f.World.Ledger.Count(stageBook, after(input, stageRetrieve)); n != 1 {
+			t.Errorf("booking %d ran %d times", i, n)
+		}
+	}
+}
+
 func TestTwoHostsWithTheSameKey(t *testing.T) {
 	f := raised(t, 3, Document())
 	const keys = 40
--- a/internal/root/front/claim/keeper.go
+++ b/internal/root/front/claim/keeper.go
@@ -97,15 +97,14 @@
 			next.version = r.version + 1
 			return next, nil
 		}
-		if errors.Is(err, errTaken) {
+		if tellsByReading(err) {
 			old, readErr := k.Lookup(ctx, r.Account, r.Key)
 			switch {
 			case readErr == nil && old.State == Sending && old.Token == r.Token:
 				return old, nil
-			case readErr == nil:
+			case readErr == nil && old.State == Closed:
 				return r, fmt.Errorf("mark key: %w", ErrClosed)
 			}
-			err = readErr
 		}
 		if !pause(ctx, resolvePause) {
 			return r, fmt.Errorf("mark key: %w", err)
@@ -113,6 +112,11 @@
 	}
 }
 
+// tellsByReading reports whether reading the row may tell what became of a write.
+func tellsByReading(err error) bool {
+	return errors.Is(err, errTaken) || errors.Is(err, store.ErrLost)
+}
+
 // Expire closes a claim whose holder let its deadline pass without sending what must run once.
 func (k *Keeper) Expire(ctx context.Context, r Record, p wire.Problem) (Record, error) {
 	closed := r.WithProblem(p)
@@ -144,14 +148,14 @@
 		case err == nil:
 			r.version = fresh
 			return Mine{Record: r}, nil
-		case errors.Is(err, errTaken):
+		case tellsByReading(err):
+			lost = lost || errors.Is(err, store.ErrLost)
 			v, readErr := k.judge(ctx, r)
 			if readErr == nil {
 				return v, nil
 			}
 			err = readErr
 		}
-		lost = lost || errors.Is(err, store.ErrLost)
 		if !lost || !pause(ctx, resolvePause) {
 			k.abandon(r, lost)
 			return nil, fmt.Errorf("write claim: %w", err)
@@ -225,7 +229,7 @@
 	if err == nil {
 		return true
 	}
-	if !errors.Is(err, errTaken) {
+	if !tellsByReading(err) {
 		return false
 	}
 	old, err := k.Lookup(ctx, r.Account, r.Key)
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -27,6 +28,9 @@
 	breakPause = 50 * time.Millisecond
 )
 
+// ErrUnreached says that no entry host took the connection, so that nothing was sent.
+var ErrUnreached = errors.New("no entry host can be reached")
+
 // ErrBroken says that the connection to an entry host broke before the whole answer came.
 var ErrBroken = errors.New("connection broke before the whole answer came")
 
@@ -90,7 +94,7 @@
 	return c
 }
 
-// Do sends the call until it has an outcome; the error is a wire.Problem, ErrBroken or that of ctx.
+// Do sends the call until it has an outcome; the error is a wire.Problem, ErrUnreached or ErrBroken.
 func (c *Client) Do(ctx context.Context, call Call) (wire.Answer, error) {
 	if call.Key == "" {
 		call.Key = newKey()
@@ -101,7 +105,7 @@
 	key, closed := call.Key, 0
 	var last error
 	for i := range c.tries {
-		a, err := c.Send(ctx, call, i)
+		a, err := c.sendAny(ctx, call, i)
 		if err == nil {
 			return a, nil
 		}
@@ -120,8 +124,22 @@
 	return wire.Answer{}, last
 }
 
+// sendAny sends the call to the next entry host that takes the connection.
+func (c *Client) sendAny(ctx context.Context, call Call, before int) (wire.Answer, error) {
+	for range len(c.hosts) - 1 {
+		a, err := c.Send(ctx, call, before)
+		if !errors.Is(err, ErrUnreached) {
+			return a, err
+		}
+	}
+	return c.Send(ctx, call, before)
+}
+
 // worse keeps what an earlier try is known to have run from being forgotten by a later one that ran nothing.
 func worse(before, now error) error {
+	if before != nil && errors.Is(now, ErrUnreached) {
+		return before
+	}
 	var p wire.Problem
 	if before == nil || !errors.As(now, &p) || p.Outcome != wire.NotRun {
 		return now
@@ -180,6 +198,9 @@
 	if err != nil {
 		// What lost one connection may have lost them all, so the next try begins with a new one.
 		c.http.CloseIdleConnections()
+		if unreached(err) {
+			return wire.Answer{}, fmt.Errorf("send request: %v: %w", err, ErrUnreached)
+		}
 		return wire.Answer{}, fmt.Errorf("send request: %v: %w", err, ErrBroken)
 	}
 	defer resp.Body.Close()
@@ -189,6 +210,12 @@
 	return readWhole(resp)
 }
 
+// unreached reports whether a connection was refused, before anything was sent.
+func unreached(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 func (c *Client) setHeaders(h http.Header, call Call, before int) {
 	h.Set("Authorization", "Bearer "+c.token)
 	h.Set("Content-Type", wire.TypeJSON)
