--- a/cmd/cornelwingd/main.go
+++ b/cmd/cornelwingd/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"os/signal"
@@ -27,33 +26,18 @@
 }
 
 func run(args []string) int {
-	flags := flag.NewFlagSet("cornelwingd", flag.ContinueOnError)
-	path := flags.String("settings", "cornelwingd.yaml", "`file` with the settings, in YAML")
-	check := flags.Bool("check", false, "check the settings and exit: 0 if they are good, 2 if not")
-	reference := flags.Bool("reference", false, "print the page that documents every setting, and exit")
-	flags.Usage = func() {
-		fmt.Fprintf(flags.Output(), "usage: cornelwingd [-settings FILE] [-check]\n       cornelwingd version\n\n")
-		flags.PrintDefaults()
-	}
-	if len(args) == 1 && args[0] == "version" {
-		fmt.Println(common.Version())
-		return common.ExitOK
-	}
-	if err := flags.Parse(args); err != nil {
-		return common.ExitFlags(err)
+	program := common.NewProgram("cornelwingd", "cornelwingd.yaml")
+	reference := program.Bool("reference", "print the page that documents every setting, and exit")
+	if code, done := program.Parse(args); done {
+		return code
 	}
 	if *reference {
 		fmt.Print(setup.Reference())
 		return common.ExitOK
 	}
-	s, err := setup.Read(*path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return common.ExitUsage
-	}
-	if *check {
-		fmt.Printf("%s: good\n", *path)
-		return common.ExitOK
+	s, err := setup.Read(program.Settings)
+	if code, done := program.Checked(err); done {
+		return code
 	}
 	deps := common.NewDeps(s.Host.Name, s.Host.Domain, os.Stderr, s.Log.Threshold())
 	daemon, err := root.New(deps, s)
--- /dev/null
+++ b/internal/common/wait.go
@@ -0,0 +1,23 @@
+package common
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d, and reports false if ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Millis returns d in milliseconds.
+func Millis(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -411,6 +411,14 @@
 				f.World.AddHost(h)
 			},
 		},
+		{
+			name: "by an operator's drain",
+			leave: func(t *testing.T, f *Fleet, h plat.Host) {
+				if err := f.Apply(context.Background(), 1, Document().WithDrained(h.Name, true)); err != nil {
+					t.Fatal(err)
+				}
+			},
+		},
 		{
 			name: "by its own word while the list cannot be read",
 			leave: func(t *testing.T, f *Fleet, h plat.Host) {
--- a/internal/opcli/commands.go
+++ b/internal/opcli/commands.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/certs"
@@ -78,6 +80,28 @@
 			Long:  "Lists the upstreams as the daemon that is asked sees them.",
 			run:   runUpstreams,
 		},
+		{
+			Name:  "hosts",
+			Short: "the same as status",
+			Long:  "Shows the hosts as the daemon that is asked sees them.",
+			run:   runStatus,
+		},
+		{
+			Name:  "drain",
+			Args:  "UPSTREAM",
+			Short: "give an upstream no new work",
+			Long:  "Puts a revision in force in which the upstream is given no new work. What it has in flight ends.",
+			run:   runDrain(true),
+			flags: applyFlags,
+		},
+		{
+			Name:  "undrain",
+			Args:  "UPSTREAM",
+			Short: "give an upstream work again",
+			Long:  "Puts a revision in force in which the upstream is given work again.",
+			run:   runDrain(false),
+			flags: applyFlags,
+		},
 		{
 			Name:  "report",
 			Short: "show attainment, latency and cost by stage",
@@ -106,6 +130,12 @@
 			run:   runCerts,
 			flags: func(c *call) { c.StringVar(&c.opts.dir, "dir", "certs", "`directory` to write to") },
 		},
+		{
+			Name:  "completion",
+			Short: "print a completion script for bash",
+			Long:  "Prints a script to be read by bash: source <(cornelwing completion).",
+			run:   runCompletion,
+		},
 		{
 			Name:  "token",
 			Args:  "TOKEN",
@@ -159,6 +189,53 @@
 			return fmt.Errorf("find base: %w", err)
 		}
 	}
+	return applyText(ctx, c, base, text)
+}
+
+// runDrain changes one name in the newest document.
+func runDrain(on bool) func(ctx context.Context, c *call) error {
+	return func(ctx context.Context, c *call) error {
+		if len(c.words) != 1 {
+			return &UsageError{Reason: "one UPSTREAM is needed"}
+		}
+		if err := checkUpstream(ctx, c, on); err != nil {
+			return err
+		}
+		rev, err := c.api().Config(ctx)
+		if err != nil {
+			return fmt.Errorf("read newest revision: %w", err)
+		}
+		text, err := rev.Document.WithDrained(c.words[0], on).Encode()
+		if err != nil {
+			return fmt.Errorf("change document: %w", err)
+		}
+		return applyText(ctx, c, rev.Number, text)
+	}
+}
+
+// checkUpstream refuses a name that no upstream has; one that is gone may still be taken off the list.
+func checkUpstream(ctx context.Context, c *call, on bool) error {
+	ups, err := c.api().Upstreams(ctx)
+	if err != nil {
+		return fmt.Errorf("read upstreams: %w", err)
+	}
+	known := slices.ContainsFunc(ups.Upstreams, func(u admin.Upstream) bool { return u.Name == c.words[0] })
+	if on && !known {
+		return &UsageError{Reason: fmt.Sprintf("there is no upstream %q; see cornelwing upstreams", c.words[0])}
+	}
+	return nil
+}
+
+func runCompletion(_ context.Context, c *call) error {
+	names := []string{"help", "version"}
+	for _, cmd := range Commands() {
+		names = append(names, cmd.Name)
+	}
+	fmt.Fprintf(c.out, "complete -o default -W %q cornelwing\n", strings.Join(names, " "))
+	return nil
+}
+
+func applyText(ctx context.Context, c *call, base int64, text []byte) error {
 	done, err := c.api().Apply(ctx, admin.Change{
 		ChangeID: newID(),
 		Base:     base,
--- a/internal/opcli/views.go
+++ b/internal/opcli/views.go
@@ -12,6 +12,7 @@
 
 	"go.yaml.in/yaml/v3"
 
+	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/admin"
 	"github.com/cornelwing/cornelwing/internal/root/front/tally"
 	"github.com/cornelwing/cornelwing/internal/root/front/tally/burn"
@@ -215,7 +216,10 @@
 		fmt.Fprintln(t, "UPSTREAM\tPOOL\tDOMAIN\tADDRESS\tSTATE")
 		for _, x := range u.Upstreams {
 			state := "live"
-			if x.Leaving {
+			switch {
+			case x.Drained:
+				state = "drained"
+			case x.Leaving:
 				state = "leaving"
 			}
 			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", x.Name, x.Pool, x.Domain, x.Addr, state)
@@ -256,7 +260,7 @@
 	fmt.Fprintln(w, "ACCOUNT\tPIPELINE\tSENT\tATTAINMENT\tNOT RUN\tFAILED\tUNKNOWN\tP50 MS\tP95 MS\tCOST BY STAGE (WASTED)")
 	for _, x := range counts {
 		fmt.Fprintf(w, "%s\t%s\t%d\t%.2f %%\t%d\t%d\t%d\t%.1f\t%.1f\t%s\n", x.Account, x.Pipeline, x.Sent, 100*x.Attainment(),
-			x.NotRun, x.Failed, x.Unknown, msOf(x.Quantile(50)), msOf(x.Quantile(95)), costsOf(x.Stages))
+			x.NotRun, x.Failed, x.Unknown, common.Millis(x.Quantile(50)), common.Millis(x.Quantile(95)), costsOf(x.Stages))
 	}
 }
 
@@ -276,10 +280,6 @@
 	fmt.Fprintln(w)
 }
 
-func msOf(d time.Duration) float64 {
-	return float64(d) / float64(time.Millisecond)
-}
-
 func runOrders(ctx context.Context, c *call) error {
 	o, err := c.api().Orders(ctx)
 	if err != nil {
--- a/internal/root/admin/desk.go
+++ b/internal/root/admin/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
@@ -87,6 +88,7 @@
 
 // Upstreams returns the upstreams that this host knows.
 func (d *Desk) Upstreams() Upstreams {
+	rev, _ := d.Holder.Current()
 	var out Upstreams
 	for _, u := range d.Book.Upstreams(d.Now()) {
 		out.Upstreams = append(out.Upstreams, Upstream{
@@ -95,6 +97,7 @@
 			Domain:  u.Domain,
 			Pool:    u.Pool,
 			Leaving: u.Leaving,
+			Drained: slices.Contains(rev.Document.Drained, u.Name),
 		})
 	}
 	return out
--- a/internal/root/admin/wire.go
+++ b/internal/root/admin/wire.go
@@ -96,6 +96,8 @@
 	Domain  string `json:"domain"`
 	Pool    string `json:"pool"`
 	Leaving bool   `json:"leaving"`
+	// Drained says that the document gives the upstream no new work.
+	Drained bool `json:"drained"`
 }
 
 // Upstreams is a list of upstreams.
--- a/internal/root/front/chain/job.go
+++ b/internal/root/front/chain/job.go
@@ -30,11 +30,14 @@
 	OnStage func()
 }
 
-// expected returns what the stages from i on are expected to take.
-func (j Job) expected(i int) []time.Duration {
+// leastPart is the part of what a stage is expected to take below which it is not worth a try.
+const leastPart = 2
+
+// needed returns the least time that the stages from i on take.
+func (j Job) needed(i int) []time.Duration {
 	out := make([]time.Duration, 0, len(j.Pipeline.Stages)-i)
 	for _, s := range j.Pipeline.Stages[i:] {
-		out = append(out, s.Expected.D())
+		out = append(out, s.Expected.D()/leastPart)
 	}
 	return out
 }
--- a/internal/root/front/chain/share/share.go
+++ b/internal/root/front/chain/share/share.go
@@ -11,15 +11,6 @@
 	return sum
 }
 
-// First returns the share of the first stage: its part of what is left, in proportion to what each stage is expected to take.
-func First(left time.Duration, expected []time.Duration) time.Duration {
-	sum := Least(expected)
-	if sum <= 0 || left <= 0 {
-		return max(left, 0)
-	}
-	return time.Duration(float64(left) * float64(expected[0]) / float64(sum))
-}
-
 // Latest returns the time by which the first stage has to end so that the others still have what they are expected to take.
 func Latest(left time.Duration, expected []time.Duration) time.Duration {
 	if len(expected) == 0 {
--- a/internal/root/front/claim/keeper.go
+++ b/internal/root/front/claim/keeper.go
@@ -106,7 +106,7 @@
 				return r, fmt.Errorf("mark key: %w", ErrClosed)
 			}
 		}
-		if !pause(ctx, resolvePause) {
+		if !common.Sleep(ctx, resolvePause) {
 			return r, fmt.Errorf("mark key: %w", err)
 		}
 	}
@@ -156,7 +156,7 @@
 			}
 			err = readErr
 		}
-		if !lost || !pause(ctx, resolvePause) {
+		if !lost || !common.Sleep(ctx, resolvePause) {
 			k.abandon(r, lost)
 			return nil, fmt.Errorf("write claim: %w", err)
 		}
@@ -272,7 +272,7 @@
 				close(done)
 				return
 			}
-			if !pause(k.stop, wait) {
+			if !common.Sleep(k.stop, wait) {
 				return
 			}
 			wait = min(wait*2, maxSettle)
@@ -296,14 +296,3 @@
 		Value: value,
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/root/front/server.go
+++ b/internal/root/front/server.go
@@ -18,6 +18,9 @@
 	"github.com/cornelwing/cornelwing/internal/setup"
 )
 
+// idleTimeout is how long a caller's connection may stay without a request.
+const idleTimeout = 2 * time.Minute
+
 // Server listens to callers.
 type Server struct {
 	common.Deps
@@ -109,6 +112,7 @@
 	srv := &http.Server{
 		Handler:           s.closing(s.Handler()),
 		ReadHeaderTimeout: s.limits.HeaderTimeout.D(),
+		IdleTimeout:       idleTimeout,
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(ln) }()
--- a/internal/root/links.go
+++ b/internal/root/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -68,6 +69,9 @@
 		})
 	}
 	ups := r.book.Upstreams(now)
+	for i := range ups {
+		ups[i].Leaving = ups[i].Leaving || slices.Contains(rev.Document.Drained, ups[i].Name)
+	}
 	r.table.Sync(specs, ups, r.hosts())
 	members := make(map[string]bool, len(ups))
 	for _, u := range ups {
--- a/internal/root/orders/lease/keeper.go
+++ b/internal/root/orders/lease/keeper.go
@@ -65,14 +65,14 @@
 	case Write:
 		k.take(k.write(ctx, a))
 	case Rest:
-		rest(ctx, a.For)
+		common.Sleep(ctx, a.For)
 		return
 	}
 	k.mu.Lock()
 	unsure := !k.lease.known
 	k.mu.Unlock()
 	if unsure {
-		rest(ctx, lostPause)
+		common.Sleep(ctx, lostPause)
 	}
 }
 
@@ -146,12 +146,3 @@
 		return Lost{}
 	}
 }
-
-func rest(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/root/watch/ledger.go
+++ b/internal/root/watch/ledger.go
@@ -137,7 +137,7 @@
 			return config.Revision{}, err
 		}
 		last = err
-		if !pause(ctx, applyPause) {
+		if !common.Sleep(ctx, applyPause) {
 			break
 		}
 	}
@@ -235,14 +235,3 @@
 func revKey(n int64) string {
 	return fmt.Sprintf("%s%012d", revPrefix, n)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/stand/runner/engine.go
+++ b/internal/stand/runner/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/tmaxmax/go-sse"
 
+	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/stage"
 )
 
@@ -33,7 +34,7 @@
 	if s.cache.touch(call.Input[:min(prefixBytes, len(call.Input))]) {
 		prefill /= cacheSpeedup
 	}
-	if !pause(ctx, prefill) {
+	if !common.Sleep(ctx, prefill) {
 		panic(http.ErrAbortHandler)
 	}
 	total := call.MaxTokens
@@ -42,7 +43,7 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := call.ResumeFrom; i < total; i++ {
-		if !pause(ctx, s.tokenTime()) {
+		if !common.Sleep(ctx, s.tokenTime()) {
 			panic(http.ErrAbortHandler)
 		}
 		s.sendToken(w, call, i)
@@ -50,7 +51,7 @@
 	send(w, stage.EventDone, stage.Result{
 		AttemptID: call.AttemptID,
 		Tokens:    total,
-		BusyMS:    millis(time.Since(began)),
+		BusyMS:    common.Millis(time.Since(began)),
 	})
 }
 
--- a/internal/stand/runner/server.go
+++ b/internal/stand/runner/server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/stage"
 	"github.com/cornelwing/cornelwing/internal/stand/fault"
 	"github.com/cornelwing/cornelwing/internal/stand/queue"
@@ -111,7 +112,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if f.SlowMS > 0 {
-		pause(ctx, f.Slow())
+		common.Sleep(ctx, f.Slow())
 	}
 }
 
@@ -175,13 +176,13 @@
 	}
 	defer done()
 	began := time.Now()
-	if !pause(ctx, s.Service) {
+	if !common.Sleep(ctx, s.Service) {
 		panic(http.ErrAbortHandler)
 	}
 	result := stage.Result{
 		AttemptID: call.AttemptID,
 		Output:    Output(call.Stage, call.Input),
-		BusyMS:    millis(time.Since(began)),
+		BusyMS:    common.Millis(time.Since(began)),
 	}
 	s.replyUnary(w, result)
 }
@@ -256,18 +257,3 @@
 	old.load.AgeMS = now.Sub(old.at).Milliseconds()
 	return old.load
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func millis(d time.Duration) float64 {
-	return float64(d) / float64(time.Millisecond)
-}
--- a/internal/super/part.go
+++ b/internal/super/part.go
@@ -1,6 +1,10 @@
 package super
 
-import "context"
+import (
+	"context"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+)
 
 // Part is one supervised component of a daemon.
 type Part interface {
@@ -34,7 +38,7 @@
 			up()
 			for {
 				tick(ctx)
-				if !sleep(ctx, pause()) {
+				if !common.Sleep(ctx, pause()) {
 					return nil
 				}
 			}
--- a/internal/super/tree.go
+++ b/internal/super/tree.go
@@ -122,7 +122,7 @@
 		}
 		t.restarts(p.Name())
 		t.Log.WithError(err).Errorf("Part %s failed. Restarting in %s.", p.Name(), backoff)
-		if !sleep(ctx, backoff) {
+		if !common.Sleep(ctx, backoff) {
 			return
 		}
 		backoff = min(backoff*2, maxBackoff)
@@ -140,14 +140,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -18,6 +18,8 @@
 	Pools     []Pool     `json:"pools" yaml:"pools"`
 	Accounts  []Account  `json:"accounts" yaml:"accounts"`
 	Objective Objective  `json:"objective" yaml:"objective"`
+	// Drained names upstreams that are given no new work.
+	Drained []string `json:"drained,omitempty" yaml:"drained,omitempty"`
 }
 
 // Pipeline is a named chain of stages that serves a request under one deadline.
@@ -154,6 +156,16 @@
 	return d
 }
 
+// WithDrained returns a copy in which the upstream is given no new work, or is given work again.
+func (d Document) WithDrained(upstream string, on bool) Document {
+	d.Drained = slices.DeleteFunc(slices.Clone(d.Drained), func(u string) bool { return u == upstream })
+	if on {
+		d.Drained = append(d.Drained, upstream)
+		slices.Sort(d.Drained)
+	}
+	return d
+}
+
 // replaced returns a copy in which x stands in the place of the one that matches, or at the end.
 func replaced[T any](list []T, x T, match func(T) bool) []T {
 	out := slices.Clone(list)
--- a/pkg/config/faults.go
+++ b/pkg/config/faults.go
@@ -29,6 +29,9 @@
 	d.checkAccounts(&c)
 	c.That(d.Objective.Attainment > 0 && d.Objective.Attainment < 1,
 		"objective.attainment", "%v is not above 0 and below 1", d.Objective.Attainment)
+	for i, u := range d.Drained {
+		c.That(u != "", fmt.Sprintf("drained[%d]", i), "a name is needed")
+	}
 	return c.Faults()
 }
 
