--- a/internal/root/front/claim/batch.go
+++ b/internal/root/front/claim/batch.go
@@ -28,40 +28,51 @@
 // errTaken says that the row is not at the version that the write needs.
 var errTaken = errors.New("row has changed")
 
+// place says where a write may be committed.
+type place int
+
+// A write of this host may be handed over; one that was handed over is committed here.
+const (
+	anywhere place = iota
+	here
+)
+
 // write is one conditional write that shares a transaction with others.
 type write struct {
-	ctx  context.Context
-	cond plat.Cond
-	put  plat.Put
-	done chan error
+	ctx   context.Context
+	cond  plat.Cond
+	put   plat.Put
+	place place
+	done  chan error
 }
 
 // batcher commits many writes in one transaction, one transaction at a time.
 type batcher struct {
-	table store.Table
-	hosts func() int
-	in    chan write
-	pace  *rate.Limiter
+	table   store.Table
+	forward Forwarder
+	in      chan write
+	pace    *rate.Limiter
 	// twins are writes to a row that the last batch wrote as well; they go into the next one.
 	twins []write
 }
 
-func newBatcher(table store.Table, hosts func() int) *batcher {
+func newBatcher(table store.Table, forward Forwarder) *batcher {
 	return &batcher{
-		table: table,
-		hosts: hosts,
-		in:    make(chan write, queued),
-		pace:  rate.NewLimiter(writeBudget, writeBurst),
+		table:   table,
+		forward: forward,
+		in:      make(chan write, queued),
+		pace:    rate.NewLimiter(writeBudget, writeBurst),
 	}
 }
 
 // put queues a write and waits for its end: nil, errTaken, store.ErrOut or store.ErrLost.
-func (b *batcher) put(ctx context.Context, cond plat.Cond, p plat.Put) error {
+func (b *batcher) put(ctx context.Context, cond plat.Cond, p plat.Put, at place) error {
 	w := write{
-		ctx:  ctx,
-		cond: cond,
-		put:  p,
-		done: make(chan error, 1),
+		ctx:   ctx,
+		cond:  cond,
+		put:   p,
+		place: at,
+		done:  make(chan error, 1),
 	}
 	select {
 	case b.in <- w:
@@ -82,8 +93,12 @@
 		if !ok {
 			return
 		}
+		batch := b.handOver(ctx, b.gather(first))
+		if len(batch) == 0 {
+			continue
+		}
 		b.space(ctx)
-		b.commit(b.splitTwins(b.gather(first)))
+		b.commit(b.splitTwins(b.gather(batch)))
 	}
 }
 
@@ -124,9 +139,47 @@
 	return batch
 }
 
+// handOver hands this host's own writes to the claim writer, and returns those that are to be committed here.
+func (b *batcher) handOver(ctx context.Context, batch []write) []write {
+	var own, rest []write
+	for _, w := range batch {
+		if w.place == anywhere {
+			own = append(own, w)
+			continue
+		}
+		rest = append(rest, w)
+	}
+	if len(own) == 0 {
+		return rest
+	}
+	writes := make([]Write, 0, len(own))
+	for _, w := range own {
+		writes = append(writes, Write{
+			Cond: w.cond,
+			Put:  w.put,
+		})
+	}
+	results, ok := b.forward.Forward(ctx, writes)
+	if !ok {
+		return batch
+	}
+	for i, w := range own {
+		w.done <- resultAt(results, i).err()
+	}
+	return rest
+}
+
+// resultAt returns Lost for a write that the answer leaves out.
+func resultAt(results []Result, i int) Result {
+	if i >= len(results) {
+		return Lost
+	}
+	return results[i]
+}
+
 // space keeps this host to its share of the budget; a few transactions may follow each other at once.
 func (b *batcher) space(ctx context.Context) {
-	b.pace.SetLimit(rate.Limit(float64(writeBudget) / float64(max(1, b.hosts()))))
+	b.pace.SetLimit(rate.Limit(float64(writeBudget) / float64(max(1, b.forward.Writers()))))
 	// It fails only where ctx ends, which the loop sees next.
 	_ = b.pace.Wait(ctx)
 }
--- a/internal/root/front/claim/keeper.go
+++ b/internal/root/front/claim/keeper.go
@@ -40,16 +40,30 @@
 	halt    context.CancelFunc
 }
 
+// Option changes a Keeper under construction.
+type Option func(*Keeper)
+
+// WithForwarder lets the keeper hand its writes to another host.
+func WithForwarder(f Forwarder) Option {
+	return func(k *Keeper) {
+		k.batch.forward = f
+	}
+}
+
 // New returns a keeper that writes to the table; hosts gives the number of live hosts that share its budget.
-func New(deps common.Deps, table store.Table, hosts func() int) *Keeper {
+func New(deps common.Deps, table store.Table, hosts func() int, opts ...Option) *Keeper {
 	stop, halt := context.WithCancel(context.Background())
-	return &Keeper{
+	k := &Keeper{
 		Deps:  deps.WithPart("claim"),
 		table: table,
-		batch: newBatcher(table, hosts),
+		batch: newBatcher(table, alone{hosts: hosts}),
 		stop:  stop,
 		halt:  halt,
 	}
+	for _, o := range opts {
+		o(k)
+	}
+	return k
 }
 
 // Name is the part's name in the supervision tree.
@@ -143,7 +157,7 @@
 	}
 	lost := false
 	for {
-		err := k.batch.put(ctx, condOf(r, 0), putOf(r, value))
+		err := k.batch.put(ctx, condOf(r, 0), putOf(r, value), anywhere)
 		switch {
 		case err == nil:
 			r.version = fresh
@@ -251,7 +265,7 @@
 	if err != nil {
 		return fmt.Errorf("encode claim: %w", err)
 	}
-	if err := k.batch.put(ctx, condOf(r, version), putOf(r, value)); err != nil {
+	if err := k.batch.put(ctx, condOf(r, version), putOf(r, value), anywhere); err != nil {
 		return fmt.Errorf("write claim: %w", err)
 	}
 	return nil
--- a/internal/root/peers/desk.go
+++ b/internal/root/peers/desk.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/plat"
 	"github.com/cornelwing/cornelwing/internal/root/crash"
+	"github.com/cornelwing/cornelwing/internal/root/front/claim"
 	"github.com/cornelwing/cornelwing/internal/root/loads"
 	"github.com/cornelwing/cornelwing/internal/root/view"
 	"github.com/cornelwing/cornelwing/internal/root/watch"
@@ -23,6 +25,8 @@
 	Marks  *crash.Tracker
 	// OnLoad is given each load report that is news.
 	OnLoad func(loads.Report)
+	// Serve commits claims that a peer handed over.
+	Serve func(ctx context.Context, writes []claim.Write) []claim.Result
 }
 
 // Digest returns what this host knows, without whole documents.
--- a/internal/root/peers/mesh.go
+++ b/internal/root/peers/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/front/claim"
 )
 
 // ALPN names the protocol between entry hosts.
@@ -133,7 +134,7 @@
 			return
 		}
 		go func() {
-			if err := m.answer(s); err != nil {
+			if err := m.answer(ctx, s); err != nil {
 				m.Log.WithError(err).Debug("Exchange failed.")
 			}
 		}()
@@ -141,7 +142,7 @@
 }
 
 // answer takes a peer's digest, returns the own one, and takes the documents that the peer may add.
-func (m *Mesh) answer(s *quic.Stream) error {
+func (m *Mesh) answer(ctx context.Context, s *quic.Stream) error {
 	defer s.Close()
 	if err := s.SetDeadline(time.Now().Add(exchangeTimeout)); err != nil {
 		return fmt.Errorf("bound exchange: %w", err)
@@ -151,6 +152,9 @@
 	if err != nil {
 		return fmt.Errorf("receive digest: %w", err)
 	}
+	if theirs.Writes != nil {
+		return m.serveWrites(ctx, s, theirs.Writes)
+	}
 	ours, _, err := m.desk.Attach(m.desk.Digest(), theirs)
 	if err != nil {
 		return fmt.Errorf("attach documents: %w", err)
@@ -167,6 +171,59 @@
 	return nil
 }
 
+func (m *Mesh) serveWrites(ctx context.Context, s *quic.Stream, writes []claim.Write) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply := Message{
+		From:    m.desk.Book.Self(),
+		Results: m.desk.Serve(ctx, writes),
+	}
+	if err := m.send(s, reply); err != nil {
+		return fmt.Errorf("send results: %w", err)
+	}
+	return nil
+}
+
+// Write hands claims to the peer at the address; sent says whether they may have arrived.
+func (m *Mesh) Write(ctx context.Context, addr string, writes []claim.Write) (results []claim.Result, sent bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	conn, err := m.dial(ctx, addr)
+	if err != nil {
+		return nil, false, fmt.Errorf("reach claim writer %s: %w", addr, err)
+	}
+	results, err = m.write(ctx, conn, writes)
+	if err != nil {
+		m.forget(addr, conn)
+		return nil, true, fmt.Errorf("hand claims to %s: %w", addr, err)
+	}
+	return results, true, nil
+}
+
+func (m *Mesh) write(ctx context.Context, conn *quic.Conn, writes []claim.Write) ([]claim.Result, error) {
+	s, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("open stream: %w", err)
+	}
+	defer s.Close()
+	defer s.CancelRead(0)
+	deadline, _ := ctx.Deadline()
+	if err := s.SetDeadline(deadline); err != nil {
+		return nil, fmt.Errorf("bound exchange: %w", err)
+	}
+	if err := m.send(s, Message{
+		From:   m.desk.Book.Self(),
+		Writes: writes,
+	}); err != nil {
+		return nil, fmt.Errorf("send claims: %w", err)
+	}
+	reply, err := m.receive(m.decoder(s))
+	if err != nil {
+		return nil, fmt.Errorf("receive results: %w", err)
+	}
+	return reply.Results, nil
+}
+
 // Exchange tells the peer at the address what this host knows, and takes in what the peer knows.
 func (m *Mesh) Exchange(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
--- /dev/null
+++ b/internal/root/peers/mesh_test.go
@@ -0,0 +1,128 @@
+package peers
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/certs"
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/plat"
+	"github.com/cornelwing/cornelwing/internal/root/crash"
+	"github.com/cornelwing/cornelwing/internal/root/front/claim"
+	"github.com/cornelwing/cornelwing/internal/root/loads"
+	"github.com/cornelwing/cornelwing/internal/root/view"
+	"github.com/cornelwing/cornelwing/internal/root/watch"
+)
+
+// meshOf starts a mesh on loopback with a certificate of the authority.
+func meshOf(t *testing.T, name string, a *certs.Authority) (*Mesh, context.CancelFunc) {
+	t.Helper()
+	pair, err := a.Issue(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	source, err := certs.NewStatic(a.PEM(), pair, ALPN)
+	if err != nil {
+		t.Fatal(err)
+	}
+	deps := common.Quiet(name, "d")
+	desk := &Desk{
+		Deps:   deps,
+		Book:   view.NewBook(view.Peer{Name: name, Addr: "127.0.0.1:0", Domain: "d"}),
+		Holder: watch.NewHolder(),
+		Board:  loads.NewBoard(),
+		Marks:  crash.NewTracker(),
+		OnLoad: func(loads.Report) {},
+		Serve: func(_ context.Context, writes []claim.Write) []claim.Result {
+			out := make([]claim.Result, len(writes))
+			for i, w := range writes {
+				out[i] = claim.Written
+				if w.Cond.Version > 0 {
+					out[i] = claim.Taken
+				}
+			}
+			return out
+		},
+	}
+	m := NewMesh(deps, desk, source, "127.0.0.1:0")
+	ctx, cancel := context.WithCancel(context.Background())
+	up := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := m.Run(ctx, func() { close(up) }); err != nil {
+			t.Error(err)
+		}
+	}()
+	<-up
+	stop := func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	return m, stop
+}
+
+func authority(t *testing.T) *certs.Authority {
+	t.Helper()
+	a, err := certs.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func TestDocumentsGoBothWays(t *testing.T) {
+	a := authority(t)
+	one, _ := meshOf(t, "one", a)
+	two, _ := meshOf(t, "two", a)
+	one.desk.Holder.Offer(revision())
+	two.desk.Book.TakeList(plat.HostList{
+		Version: 3,
+		Hosts: []plat.Host{
+			{Name: "u", Addr: "127.0.0.1:1", Domain: "d", Role: plat.RoleUpstream, Pool: "engines"},
+		},
+	})
+	if err := one.Exchange(context.Background(), two.Addr()); err != nil {
+		t.Fatal(err)
+	}
+	if one.desk.Book.List().Version != 3 || len(one.desk.Book.Live(time.Now())) != 2 {
+		t.Error("the one that asked did not learn the list and the other host")
+	}
+	for end := time.Now().Add(5 * time.Second); two.desk.Holder.Number() != 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the one that was asked did not learn the revision")
+		}
+	}
+}
+
+func TestClaimsAreHandedOver(t *testing.T) {
+	a := authority(t)
+	one, _ := meshOf(t, "one", a)
+	two, stop := meshOf(t, "two", a)
+	writes := []claim.Write{
+		{Cond: plat.Cond{Table: "claims", Key: "a"}, Put: plat.Put{Table: "claims", Key: "a", Value: []byte(`{}`)}},
+		{Cond: plat.Cond{Table: "claims", Key: "b", Version: 1}, Put: plat.Put{Table: "claims", Key: "b", Value: []byte(`{}`)}},
+	}
+	results, sent, err := one.Write(context.Background(), two.Addr(), writes)
+	if err != nil || !sent || len(results) != 2 || results[0] != claim.Written || results[1] != claim.Taken {
+		t.Errorf("results %v, sent %v, %v", results, sent, err)
+	}
+	addr := two.Addr()
+	stop()
+	if _, sent, err := one.Write(context.Background(), addr, writes); err == nil {
+		t.Errorf("a stopped writer answered, sent %v", sent)
+	}
+}
+
+func TestAStrangerIsNotHeard(t *testing.T) {
+	one, _ := meshOf(t, "one", authority(t))
+	stranger, _ := meshOf(t, "stranger", authority(t))
+	if err := stranger.Exchange(context.Background(), one.Addr()); err == nil {
+		t.Error("a host with a certificate of another authority was answered")
+	}
+	if len(one.desk.Book.Live(time.Now())) != 1 {
+		t.Error("it was heard")
+	}
+}
--- a/internal/root/peers/message.go
+++ b/internal/root/peers/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/root/crash"
+	"github.com/cornelwing/cornelwing/internal/root/front/claim"
 	"github.com/cornelwing/cornelwing/internal/root/loads"
 	"github.com/cornelwing/cornelwing/internal/root/view"
 )
@@ -31,4 +32,7 @@
 	// Revision is a config.Revision and List a plat.HostList, as JSON.
 	Revision []byte `cbor:"7,keyasint,omitempty"`
 	List     []byte `cbor:"8,keyasint,omitempty"`
+	// Writes are claims that the other is to commit, and Results what became of them.
+	Writes  []claim.Write  `cbor:"10,keyasint,omitempty"`
+	Results []claim.Result `cbor:"11,keyasint,omitempty"`
 }
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -41,6 +41,7 @@
 	reach    *reach.Client
 	tracker  *crash.Tracker
 	keeper   *claim.Keeper
+	writer   *writer
 	runner   *chain.Runner
 	lobby    *front.Lobby
 	front    *front.Server
@@ -105,7 +106,8 @@
 		Addr:   s.Listen.Peers,
 		Domain: s.Host.Domain,
 	})
-	r.keeper = claim.New(r.Deps, r.platform, r.hosts)
+	r.writer = newWriter(r.Deps, r.book)
+	r.keeper = claim.New(r.Deps, r.platform, r.hosts, claim.WithForwarder(r.writer))
 	r.lobby = front.NewLobby(r.Deps, r.table, r.hosts, r.members, s.Limits.WaitingRoom)
 	r.buildPeers()
 	r.runner = chain.New(r.Deps, r.table, r.reach,
@@ -139,8 +141,10 @@
 		Board:  r.board,
 		Marks:  r.tracker,
 		OnLoad: r.onLoad,
+		Serve:  r.keeper.Serve,
 	}
 	r.mesh = peers.NewMesh(r.Deps, desk, r.certs, r.settings.Listen.Peers)
+	r.writer.mesh = r.mesh
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.rounds = peers.NewRounds(r.Deps, r.book, r.mesh, r.settings.Peers.Seeds, r.settings.Peers.Every.D(), rng)
 }
