--- a/internal/root/front/claim/batch.go
+++ b/internal/root/front/claim/batch.go
@@ -39,9 +39,11 @@
 
 // write is one conditional write that shares a transaction with others.
 type write struct {
-	ctx   context.Context
-	cond  plat.Cond
-	put   plat.Put
+	ctx  context.Context
+	cond plat.Cond
+	put  plat.Put
+	// also is written along with put, without a condition of its own.
+	also  []plat.Put
 	place place
 	done  chan error
 }
@@ -66,11 +68,12 @@
 }
 
 // put queues a write and waits for its end: nil, errTaken, store.ErrOut or store.ErrLost.
-func (b *batcher) put(ctx context.Context, cond plat.Cond, p plat.Put, at place) error {
+func (b *batcher) put(ctx context.Context, x Write, at place) error {
 	w := write{
 		ctx:   ctx,
-		cond:  cond,
-		put:   p,
+		cond:  x.Cond,
+		put:   x.Put,
+		also:  x.Also,
 		place: at,
 		done:  make(chan error, 1),
 	}
@@ -157,6 +160,7 @@
 		writes = append(writes, Write{
 			Cond: w.cond,
 			Put:  w.put,
+			Also: w.also,
 		})
 	}
 	results, ok := b.forward.Forward(ctx, writes)
@@ -254,6 +258,7 @@
 	for _, w := range batch {
 		txn.Conds = append(txn.Conds, w.cond)
 		txn.Puts = append(txn.Puts, w.put)
+		txn.Puts = append(txn.Puts, w.also...)
 	}
 	return txn
 }
--- a/internal/root/front/claim/forward.go
+++ b/internal/root/front/claim/forward.go
@@ -16,6 +16,8 @@
 type Write struct {
 	Cond plat.Cond `json:"cond" cbor:"1,keyasint"`
 	Put  plat.Put  `json:"put" cbor:"2,keyasint"`
+	// Also is written along with Put, without a condition of its own.
+	Also []plat.Put `json:"also,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // Result is what became of a write.
@@ -96,7 +98,7 @@
 	var wg sync.WaitGroup
 	for i, w := range writes {
 		wg.Go(func() {
-			results[i] = resultOf(k.batch.put(ctx, w.Cond, w.Put, here))
+			results[i] = resultOf(k.batch.put(ctx, w, here))
 		})
 	}
 	wg.Wait()
--- a/internal/root/front/claim/keeper.go
+++ b/internal/root/front/claim/keeper.go
@@ -157,7 +157,7 @@
 	}
 	lost := false
 	for {
-		err := k.batch.put(ctx, condOf(r, 0), putOf(r, value), anywhere)
+		err := k.batch.put(ctx, writeOf(r, 0, value), anywhere)
 		switch {
 		case err == nil:
 			r.version = fresh
@@ -265,7 +265,7 @@
 	if err != nil {
 		return fmt.Errorf("encode claim: %w", err)
 	}
-	if err := k.batch.put(ctx, condOf(r, version), putOf(r, value), anywhere); err != nil {
+	if err := k.batch.put(ctx, writeOf(r, version, value), anywhere); err != nil {
 		return fmt.Errorf("write claim: %w", err)
 	}
 	return nil
@@ -295,18 +295,22 @@
 	return done
 }
 
-func condOf(r Record, version int64) plat.Cond {
-	return plat.Cond{
-		Table:   TableName,
-		Key:     r.RowKey(),
-		Version: version,
+// writeOf returns the write of a record's row at a version; the first one also names it for its deletion.
+func writeOf(r Record, version int64, value []byte) Write {
+	w := Write{
+		Cond: plat.Cond{
+			Table:   TableName,
+			Key:     r.RowKey(),
+			Version: version,
+		},
+		Put: plat.Put{
+			Table: TableName,
+			Key:   r.RowKey(),
+			Value: value,
+		},
 	}
-}
-
-func putOf(r Record, value []byte) plat.Put {
-	return plat.Put{
-		Table: TableName,
-		Key:   r.RowKey(),
-		Value: value,
+	if version == 0 {
+		w.Also = []plat.Put{expiryPut(r)}
 	}
+	return w
 }
--- a/internal/root/links.go
+++ b/internal/root/links.go
@@ -155,3 +155,9 @@
 	rev, ok := r.holder.Current()
 	return ok && r.front.Tally().Burning(r.Now(), rev.Document.Objective.Attainment)
 }
+
+// leads reports whether this host holds the lease.
+func (r *Root) leads() bool {
+	_, ok := r.lease.MayOrder()
+	return ok
+}
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -22,6 +22,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/peers"
 	"github.com/cornelwing/cornelwing/internal/root/report"
 	"github.com/cornelwing/cornelwing/internal/root/store"
+	"github.com/cornelwing/cornelwing/internal/root/sweep"
 	"github.com/cornelwing/cornelwing/internal/root/view"
 	"github.com/cornelwing/cornelwing/internal/root/watch"
 	"github.com/cornelwing/cornelwing/internal/setup"
@@ -167,6 +168,7 @@
 		loads.NewPoller(r.Deps, r.board, r.book, r.reach, r.onLoad).Part(),
 		r.lease,
 		r.orders.Part(),
+		sweep.New(r.Deps, r.platform, r.leads).Part(),
 		r.admin,
 		r.front,
 	)
