--- a/internal/root/peers/mesh_test.go
+++ b/internal/root/peers/mesh_test.go
@@ -97,6 +97,31 @@
 	}
 }
 
+func TestASmallChangeGoesAsADelta(t *testing.T) {
+	a := authority(t)
+	one, _ := meshOf(t, "one", a)
+	two, _ := meshOf(t, "two", a)
+	first := revision()
+	second := first
+	second.Number = 2
+	second.Document = first.Document.WithDrained("u", true)
+	for _, m := range []*Mesh{one, two} {
+		m.desk.Holder.Offer(first)
+	}
+	one.desk.Holder.Offer(second)
+	m, needed, err := one.desk.Attach(one.desk.Digest(), two.desk.Digest())
+	if err != nil || !needed || len(m.Deltas) != 1 || m.Revision != nil {
+		t.Fatalf("needed %v, %d deltas, a document of %d bytes, %v", needed, len(m.Deltas), len(m.Revision), err)
+	}
+	if err := two.Exchange(context.Background(), one.Addr()); err != nil {
+		t.Fatal(err)
+	}
+	got, _ := two.desk.Holder.Current()
+	if got.Number != 2 || len(got.Document.Drained) != 1 {
+		t.Errorf("revision %d, drained %v", got.Number, got.Document.Drained)
+	}
+}
+
 func TestClaimsAreHandedOver(t *testing.T) {
 	a := authority(t)
 	one, _ := meshOf(t, "one", a)
--- a/internal/root/peers/message.go
+++ b/internal/root/peers/message.go
@@ -32,6 +32,8 @@
 	// Revision is a config.Revision and List a plat.HostList, as JSON.
 	Revision []byte `cbor:"7,keyasint,omitempty"`
 	List     []byte `cbor:"8,keyasint,omitempty"`
+	// Deltas are of config.Delta, as JSON, in place of Revision where the other lags by little.
+	Deltas [][]byte `cbor:"12,keyasint,omitempty"`
 	// Writes are claims that the other is to commit, and Results what became of them.
 	Writes  []claim.Write  `cbor:"10,keyasint,omitempty"`
 	Results []claim.Result `cbor:"11,keyasint,omitempty"`
--- a/internal/root/watch/ledger.go
+++ b/internal/root/watch/ledger.go
@@ -18,6 +18,8 @@
 	tableName = "config"
 	headKey   = "head"
 	revPrefix = "rev-"
+	// deltaPrefix is that of the rows that hold the difference to the revision before.
+	deltaPrefix = "delta-"
 	// applyTries bounds how often a lost answer is settled by trying again.
 	applyTries = 8
 	applyPause = 100 * time.Millisecond
@@ -163,12 +165,57 @@
 	if err != nil {
 		return config.Revision{}, fmt.Errorf("make transaction: %w", err)
 	}
+	if err := l.addDelta(ctx, &txn, r); err != nil {
+		return config.Revision{}, fmt.Errorf("make delta: %w", err)
+	}
 	if err := l.table.Commit(ctx, txn); err != nil {
 		return config.Revision{}, fmt.Errorf("commit change: %w", err)
 	}
 	return r, nil
 }
 
+// addDelta writes the difference to the revision before along with the whole one.
+func (l *Ledger) addDelta(ctx context.Context, txn *plat.Txn, r config.Revision) error {
+	if r.Number == 1 {
+		return nil
+	}
+	old, err := l.Revision(ctx, r.Number-1)
+	if err != nil {
+		return fmt.Errorf("read base: %w", err)
+	}
+	d, ok := config.NewDelta(old, r)
+	if !ok {
+		return nil
+	}
+	value, err := json.Marshal(d)
+	if err != nil {
+		return fmt.Errorf("encode delta: %w", err)
+	}
+	txn.Puts = append(txn.Puts, plat.Put{
+		Table: tableName,
+		Key:   deltaKey(r.Number),
+		Value: value,
+	})
+	return nil
+}
+
+// Deltas returns what leads from a revision to a later one, or an error where a step is missing.
+func (l *Ledger) Deltas(ctx context.Context, from, to int64) ([]config.Delta, error) {
+	var out []config.Delta
+	for n := from + 1; n <= to; n++ {
+		row, err := l.table.Get(ctx, tableName, deltaKey(n))
+		if err != nil {
+			return nil, fmt.Errorf("read delta to %d: %w", n, err)
+		}
+		var d config.Delta
+		if err := json.Unmarshal(row.Value, &d); err != nil {
+			return nil, fmt.Errorf("read delta to %d: %w", n, err)
+		}
+		out = append(out, d)
+	}
+	return out, nil
+}
+
 // settle tells a change that was accepted, its answer lost, from one that lost a race.
 func (l *Ledger) settle(ctx context.Context, c Change, newest int64) (config.Revision, error) {
 	if newest > c.Base {
@@ -232,6 +279,10 @@
 	}, nil
 }
 
+func deltaKey(n int64) string {
+	return fmt.Sprintf("%s%012d", deltaPrefix, n)
+}
+
 func revKey(n int64) string {
 	return fmt.Sprintf("%s%012d", revPrefix, n)
 }
--- a/internal/root/watch/watcher.go
+++ b/internal/root/watch/watcher.go
@@ -53,6 +53,9 @@
 	if number <= w.holder.Number() {
 		return
 	}
+	if w.followDeltas(ctx, number) {
+		return
+	}
 	r, err := w.Revision(ctx, number)
 	if err != nil {
 		w.Log.WithError(err).Warnf("Revision %d cannot be read.", number)
@@ -62,3 +65,17 @@
 		w.Log.Infof("Revision %d by %s is in force.", r.Number, r.Author)
 	}
 }
+
+// followDeltas reaches the revision by small steps from the one in force, if these are few and there.
+func (w *Watcher) followDeltas(ctx context.Context, number int64) bool {
+	mine := w.holder.Number()
+	if mine == 0 || number-mine > maxDeltas {
+		return false
+	}
+	deltas, err := w.Deltas(ctx, mine, number)
+	if err != nil || !w.holder.OfferDeltas(deltas) {
+		return false
+	}
+	w.Log.Infof("Revision %d is in force, by %d deltas.", number, len(deltas))
+	return true
+}
--- /dev/null
+++ b/pkg/config/delta_test.go
@@ -0,0 +1,127 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+)
+
+// edited returns the document after a random change of one entity or two.
+func edited(rng *rand.Rand, d Document, n int) Document {
+	switch rng.IntN(6) {
+	case 0:
+		d = d.WithAccount(Account{Name: fmt.Sprintf("new-%d", n), KeySHA256: HashKey(fmt.Sprint(n)), Weight: 1, RatePerSecond: 1})
+	case 1:
+		a := d.Accounts[rng.IntN(len(d.Accounts))]
+		a.Weight = 1 + rng.IntN(1000)
+		d = d.WithAccount(a)
+	case 2:
+		if len(d.Accounts) > 1 {
+			i := rng.IntN(len(d.Accounts))
+			d.Accounts = append(append([]Account(nil), d.Accounts[:i]...), d.Accounts[i+1:]...)
+		}
+	case 3:
+		p := d.Pools[0]
+		p.Slots = 1 + rng.IntN(100)
+		d = d.WithPool(p)
+	case 4:
+		d = d.WithDrained(fmt.Sprintf("u%d", rng.IntN(5)), rng.IntN(2) == 0)
+	default:
+		d.Objective.Attainment = 0.5 + rng.Float64()/4
+		p := d.Pipelines[0]
+		p.MaxTokens = rng.IntN(100)
+		d = d.WithPipeline(p)
+	}
+	return d
+}
+
+func TestDeltasGiveTheSameDocumentAsTheWholeRevision(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	doc, err := Parse("doc", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := Revision{Number: 1, ChangeID: "1", Document: doc}
+	stepped := whole
+	for n := 2; n < 2000; n++ {
+		next := Revision{Number: int64(n), ChangeID: fmt.Sprint(n), Document: edited(rng, whole.Document, n)}
+		d, ok := NewDelta(whole, next)
+		if !ok {
+			t.Fatalf("no delta to revision %d", n)
+		}
+		data, err := json.Marshal(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back Delta
+		if err := json.Unmarshal(data, &back); err != nil {
+			t.Fatal(err)
+		}
+		if stepped, err = stepped.WithDelta(back); err != nil {
+			t.Fatal(err)
+		}
+		whole = next
+		a, _ := json.Marshal(stepped)
+		b, _ := json.Marshal(whole)
+		if string(a) != string(b) {
+			t.Fatalf("revision %d differs:\n%s\n%s", n, a, b)
+		}
+	}
+}
+
+func TestADeltaThatDoesNotFitIsRefused(t *testing.T) {
+	doc, err := Parse("doc", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	one := Revision{Number: 1, ChangeID: "1", Document: doc}
+	two := Revision{Number: 2, ChangeID: "2", Document: doc.WithDrained("u", true)}
+	d, _ := NewDelta(one, two)
+	if _, err := two.WithDelta(d); !errors.Is(err, ErrBase) {
+		t.Errorf("on another base: %v", err)
+	}
+	other := one
+	other.Document = doc.WithDrained("v", true).WithPool(Pool{Name: "more"})
+	if _, err := other.WithDelta(d); !errors.Is(err, ErrBase) {
+		t.Errorf("on another text of the base: %v", err)
+	}
+	turned := two
+	turned.Document.Pools = []Pool{doc.Pools[1], doc.Pools[0]}
+	if _, ok := NewDelta(one, turned); ok {
+		t.Error("a new order has a delta")
+	}
+	if !reflect.DeepEqual(one.Document, doc) {
+		t.Error("the base was changed")
+	}
+}
+
+// BenchmarkDelta gives the size of the change of one account at the letter's number of accounts.
+func BenchmarkDelta(b *testing.B) {
+	d, err := Parse("doc", []byte(good))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := range 9800 {
+		d.Accounts = append(d.Accounts, Account{Name: fmt.Sprintf("account-%04d", i), KeySHA256: HashKey(fmt.Sprint(i)), Weight: 1, RatePerSecond: 10})
+	}
+	a := d.Accounts[5000]
+	a.Weight = 2
+	old := Revision{Number: 1, ChangeID: "1", Document: d}
+	delta, ok := NewDelta(old, Revision{Number: 2, ChangeID: "2", Document: d.WithAccount(a)})
+	if !ok {
+		b.Fatal("no delta")
+	}
+	data, err := json.Marshal(delta)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := old.WithDelta(delta); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(data)), "bytes")
+}
