--- a/internal/root/orders/orderer.go
+++ b/internal/root/orders/orderer.go
@@ -22,6 +22,9 @@
 	every = time.Second
 	// atOnce bounds the engines that are read or ordered together.
 	atOnce = 32
+	// restFor is how long a pool in which nothing is to do is not read again, if its engines check fencing numbers.
+	// Others may carry out a late order at any time, which is put right in the next round.
+	restFor = 10 * time.Second
 )
 
 // Engines reaches engines.
@@ -57,6 +60,15 @@
 	mu       sync.Mutex
 	ordered  map[string]time.Time
 	progress []Progress
+	// resting are the pools in which nothing was to do.
+	resting map[string]rest
+}
+
+// rest is until when a pool is not read, under one revision.
+type rest struct {
+	until    time.Time
+	revision int64
+	progress Progress
 }
 
 // New returns an orderer; members gives the known upstreams, and burning says whether the objective is missed now.
@@ -69,6 +81,7 @@
 		members: members,
 		burning: burning,
 		ordered: map[string]time.Time{},
+		resting: map[string]rest{},
 	}
 }
 
@@ -96,7 +109,19 @@
 		if p.Wanted == nil {
 			continue
 		}
-		all = append(all, o.work(ctx, p))
+		if r := o.resting[p.Name]; r.revision == rev.Number && o.Now().Before(r.until) {
+			all = append(all, r.progress)
+			continue
+		}
+		progress, done := o.work(ctx, p)
+		if done && p.ChecksFencing {
+			o.resting[p.Name] = rest{
+				until:    o.Now().Add(restFor),
+				revision: rev.Number,
+				progress: progress,
+			}
+		}
+		all = append(all, progress)
 	}
 	o.setProgress(all)
 }
@@ -107,9 +132,10 @@
 	o.progress = p
 }
 
-func (o *Orderer) work(ctx context.Context, p config.Pool) Progress {
+// work gives the orders of one pool that are due, and reports whether nothing was to do.
+func (o *Orderer) work(ctx context.Context, p config.Pool) (progress Progress, done bool) {
 	members := o.read(ctx, p.Name)
-	progress := Progress{
+	progress = Progress{
 		Pool:   p.Name,
 		Wanted: p.Wanted.Model + " " + p.Wanted.Version,
 	}
@@ -124,13 +150,14 @@
 	switch s := plan.Next(o.Now(), *p.Wanted, members, o.burning()).(type) {
 	case plan.Done:
 		progress.Note = "done"
+		done = true
 	case plan.Held:
 		progress.Note = "waits: " + s.Reason
 	case plan.Order:
 		progress.Note = fmt.Sprintf("orders %d engines", len(s.Members))
 		o.give(ctx, *p.Wanted, s.Members)
 	}
-	return progress
+	return progress, done
 }
 
 func (o *Orderer) read(ctx context.Context, pool string) []plan.Member {
