--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -29,7 +29,7 @@
 
 // Fleet is a set of daemons and the stand-ins that they serve.
 type Fleet struct {
-	World *stand.World
+	Environment *stand.Environment
 
 	authority *certs.Authority
 	log       io.Writer
@@ -54,21 +54,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("make certificates: %w", err)
 	}
-	world := stand.NewWorld(s)
-	if err := world.Start(); err != nil {
+	env := stand.NewEnvironment(s)
+	if err := env.Start(); err != nil {
 		return nil, fmt.Errorf("start stand-ins: %w", err)
 	}
 	return &Fleet{
-		World:     world,
-		authority: authority,
-		log:       w,
-		level:     level,
+		Environment: env,
+		authority:   authority,
+		log:         w,
+		level:       level,
 	}, nil
 }
 
 // Platform returns the base URL of the platform.
 func (f *Fleet) Platform() string {
-	return "http://" + f.World.Endpoint(stand.PlatformName).Addr()
+	return "http://" + f.Environment.Endpoint(stand.PlatformName).Addr()
 }
 
 // Start starts a daemon and lists it.
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("start daemon: %w", err)
 	}
-	f.World.AddHost(plat.Host{
+	f.Environment.AddHost(plat.Host{
 		Name:   name,
 		Addr:   d.Peers(),
 		Domain: domain,
@@ -205,5 +205,5 @@
 		}()
 	}
 	wg.Wait()
-	f.World.Close()
+	f.Environment.Close()
 }
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -19,11 +19,11 @@
 
 // Load sends a bounded workload at a steady pace.
 type Load struct {
-	Hosts func() []string
-	Rate  int
-	For   time.Duration
-	Seed  uint64
-	Book  *Book
+	Hosts    func() []string
+	Rate     int
+	For      time.Duration
+	Seed     uint64
+	Recorder *Recorder
 }
 
 // Run sends the workload and returns once every request has an outcome.
@@ -68,7 +68,7 @@
 	if call.OnToken != nil {
 		text = got.text.String()
 	}
-	l.Book.Add(o, a, text, got.gaps, time.Since(began), err)
+	l.Recorder.Add(o, a, text, got.gaps, time.Since(began), err)
 }
 
 func shuffled(hosts []string) []string {
--- a/internal/demo/result.go
+++ b/internal/demo/result.go
@@ -62,8 +62,8 @@
 	Wasted float64 `json:"wasted"`
 }
 
-// Book collects outcomes while a workload runs.
-type Book struct {
+// Recorder collects outcomes while a workload runs.
+type Recorder struct {
 	mu     sync.Mutex
 	result Result
 	all    *hdrhistogram.Histogram
@@ -74,9 +74,9 @@
 	once   []Order
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book {
-	return &Book{
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{
 		all:    newHistogram(),
 		first:  newHistogram(),
 		kinds:  map[string]*Kind{},
@@ -89,7 +89,7 @@
 }
 
 // Add takes the outcome of an order; text is what was streamed, or the answer's output.
-func (b *Book) Add(o Order, a wire.Answer, text string, gaps int, took time.Duration, err error) {
+func (b *Recorder) Add(o Order, a wire.Answer, text string, gaps int, took time.Duration, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.result.Sent++
@@ -117,7 +117,7 @@
 	b.addStages(a.Stages)
 }
 
-func (b *Book) addError(o Order, err error) {
+func (b *Recorder) addError(o Order, err error) {
 	var p wire.Problem
 	if !errors.As(err, &p) {
 		b.result.Lost++
@@ -134,7 +134,7 @@
 	}
 }
 
-func (b *Book) addStages(reports []wire.StageReport) {
+func (b *Recorder) addStages(reports []wire.StageReport) {
 	for _, r := range reports {
 		s, ok := b.stages[r.Stage]
 		if !ok {
@@ -149,7 +149,7 @@
 	}
 }
 
-func (b *Book) kind(name string) *Kind {
+func (b *Recorder) kind(name string) *Kind {
 	k, ok := b.kinds[name]
 	if !ok {
 		k = &Kind{
@@ -162,17 +162,17 @@
 }
 
 // Close checks the outcomes against what the upstreams ran, and sums up.
-func (b *Book) Close(ledger *runner.Ledger) Result {
+func (b *Recorder) Close(log *runner.RunLog) Result {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.result
 	for _, o := range b.once {
-		if n := ledger.Count(o.Once, o.OnceInput); n > 1 {
+		if n := log.Count(o.Once, o.OnceInput); n > 1 {
 			r.DoubleRuns += n - 1
 		}
 	}
 	for _, o := range b.notRun {
-		if ledger.Count(o.First, o.Call.Request.Input) > 0 {
+		if log.Count(o.First, o.Call.Request.Input) > 0 {
 			r.FalseNo++
 		}
 	}
--- a/internal/root/admin/forms/console.go
+++ b/internal/root/admin/forms/console.go
@@ -26,8 +26,8 @@
 	maxHistory = 50
 )
 
-// Ledger keeps the revisions.
-type Ledger interface {
+// Revisions keeps the revisions.
+type Revisions interface {
 	Newest(ctx context.Context) (config.Revision, error)
 	Revision(ctx context.Context, number int64) (config.Revision, error)
 	History(ctx context.Context, limit int) ([]config.Revision, error)
@@ -37,13 +37,13 @@
 // Console serves the forms.
 type Console struct {
 	common.Deps
-	sessions Sessions
-	ledger   Ledger
-	status   func() any
-	report   func() any
-	offer    func(config.Revision)
-	newID    func() string
-	pages    *template.Template
+	sessions  Sessions
+	revisions Revisions
+	status    func() any
+	report    func() any
+	offer     func(config.Revision)
+	newID     func() string
+	pages     *template.Template
 }
 
 // Option changes a Console under construction.
@@ -70,18 +70,18 @@
 	}
 }
 
-// New returns a console for the operators over the ledger; newID gives each change its identity.
-func New(deps common.Deps, operators []setup.Operator, ledger Ledger, newID func() string, opts ...Option) *Console {
+// New returns a console for the operators over the revisions; newID gives each change its identity.
+func New(deps common.Deps, operators []setup.Operator, revisions Revisions, newID func() string, opts ...Option) *Console {
 	c := &Console{
 		Deps: deps.WithPart("forms"),
 		sessions: Sessions{
 			operators: operators,
 			now:       deps.Now,
 		},
-		ledger: ledger,
-		newID:  newID,
-		offer:  func(config.Revision) {},
-		pages:  template.Must(template.ParseFS(pageFiles, "pages/*.html")),
+		revisions: revisions,
+		newID:     newID,
+		offer:     func(config.Revision) {},
+		pages:     template.Must(template.ParseFS(pageFiles, "pages/*.html")),
 	}
 	for _, o := range opts {
 		o(c)
@@ -214,7 +214,7 @@
 
 // newest returns the newest revision, or an empty one before the first.
 func (c *Console) newest(ctx context.Context) (config.Revision, error) {
-	rev, err := c.ledger.Newest(ctx)
+	rev, err := c.revisions.Newest(ctx)
 	if errors.Is(err, watch.ErrNone) {
 		return config.Revision{}, nil
 	}
@@ -225,7 +225,7 @@
 }
 
 func (c *Console) showHistory(w http.ResponseWriter, r *http.Request, o setup.Operator) {
-	revs, err := c.ledger.History(r.Context(), maxHistory)
+	revs, err := c.revisions.History(r.Context(), maxHistory)
 	if err != nil {
 		c.fault(w, o, err)
 		return
@@ -306,7 +306,7 @@
 		c.fault(w, o, fmt.Errorf("read revision: %w", err))
 		return
 	}
-	old, err := c.ledger.Revision(r.Context(), number)
+	old, err := c.revisions.Revision(r.Context(), number)
 	if err != nil {
 		c.fault(w, o, err)
 		return
@@ -369,7 +369,7 @@
 		c.fault(w, o, err)
 		return
 	}
-	rev, err := c.ledger.Apply(r.Context(), watch.Change{
+	rev, err := c.revisions.Apply(r.Context(), watch.Change{
 		ID:       r.FormValue("change"),
 		Author:   o.Name,
 		Base:     base,
--- a/internal/root/admin/server.go
+++ b/internal/root/admin/server.go
@@ -33,17 +33,17 @@
 
 // Server listens to operators.
 type Server struct {
-	*Desk
+	*Service
 	addr      string
 	operators []setup.Operator
 	bound     atomic.Pointer[string]
 }
 
 // New returns a server for operators on the address.
-func New(desk *Desk, addr string, operators []setup.Operator) *Server {
-	desk.Deps = desk.WithPart("admin")
+func New(service *Service, addr string, operators []setup.Operator) *Server {
+	service.Deps = service.WithPart("admin")
 	return &Server{
-		Desk:      desk,
+		Service:   service,
 		addr:      addr,
 		operators: operators,
 	}
@@ -117,9 +117,9 @@
 	return mux
 }
 
-// console returns the forms over the same desk.
+// console returns the forms over the same service.
 func (s *Server) console() *forms.Console {
-	return forms.New(s.Deps, s.operators, s.Ledger, rand.Text,
+	return forms.New(s.Deps, s.operators, s.Revisions, rand.Text,
 		forms.WithStatus(func() any { return s.Status() }),
 		forms.WithReport(func() any { return s.Report() }),
 		forms.WithOffer(func(r config.Revision) { s.Holder.Offer(r) }))
@@ -159,7 +159,7 @@
 
 // getConfig reads the newest revision from the table service, or the one in force here while that is out.
 func (s *Server) getConfig(w http.ResponseWriter, r *http.Request, _ setup.Operator) {
-	rev, err := s.Ledger.Newest(r.Context())
+	rev, err := s.Revisions.Newest(r.Context())
 	if err == nil {
 		reply(w, http.StatusOK, rev)
 		return
@@ -186,7 +186,7 @@
 }
 
 func (s *Server) getHistory(w http.ResponseWriter, r *http.Request, _ setup.Operator) {
-	revs, err := s.Ledger.History(r.Context(), maxHistory)
+	revs, err := s.Revisions.History(r.Context(), maxHistory)
 	if err != nil {
 		fail(w, err)
 		return
--- a/internal/root/admin/desk.go
+++ b/internal/root/admin/service.go
@@ -18,20 +18,20 @@
 // maxHistory bounds one listing of revisions.
 const maxHistory = 50
 
-// Desk holds what operators may do.
-type Desk struct {
+// Service holds what operators may do.
+type Service struct {
 	common.Deps
-	Ledger *watch.Ledger
-	Holder *watch.Holder
-	Book   *view.Book
-	Tally  *tally.Book
-	Out    func() (time.Duration, bool)
-	Orders *orders.Orderer
-	Store  report.Store
+	Revisions *watch.Revisions
+	Holder    *watch.Holder
+	Registry  *view.Registry
+	Tally     *tally.Counter
+	Out       func() (time.Duration, bool)
+	Orders    *orders.Orderer
+	Store     report.Store
 }
 
 // Apply checks the document and puts it in force, unless it is a dry run.
-func (d *Desk) Apply(ctx context.Context, author string, c Change) (Accepted, error) {
+func (d *Service) Apply(ctx context.Context, author string, c Change) (Accepted, error) {
 	doc, err := config.Parse("document", []byte(c.Document))
 	if err != nil {
 		return Accepted{}, fmt.Errorf("check document: %w", err)
@@ -47,7 +47,7 @@
 			DryRun: true,
 		}, nil
 	}
-	rev, err := d.Ledger.Apply(ctx, watch.Change{
+	rev, err := d.Revisions.Apply(ctx, watch.Change{
 		ID:       c.ChangeID,
 		Author:   author,
 		Base:     c.Base,
@@ -63,7 +63,7 @@
 }
 
 // Status returns the state of the hosts.
-func (d *Desk) Status() Status {
+func (d *Service) Status() Status {
 	now := d.Now()
 	rev, _ := d.Holder.Current()
 	_, out := d.Out()
@@ -75,8 +75,8 @@
 		At:       rev.At,
 		StoreOut: out,
 		InForce:  true,
-		Live:     d.Book.Live(now),
-		Lost:     d.Book.Lost(now),
+		Live:     d.Registry.Live(now),
+		Lost:     d.Registry.Lost(now),
 	}
 	for _, p := range s.Live {
 		if p.Revision < rev.Number && p.Name != d.Host {
@@ -87,10 +87,10 @@
 }
 
 // Upstreams returns the upstreams that this host knows.
-func (d *Desk) Upstreams() Upstreams {
+func (d *Service) Upstreams() Upstreams {
 	rev, _ := d.Holder.Current()
 	var out Upstreams
-	for _, u := range d.Book.Upstreams(d.Now()) {
+	for _, u := range d.Registry.Upstreams(d.Now()) {
 		out.Upstreams = append(out.Upstreams, Upstream{
 			Name:    u.Name,
 			Addr:    u.Addr,
@@ -104,7 +104,7 @@
 }
 
 // Report returns what this host has counted since it started.
-func (d *Desk) Report() Report {
+func (d *Service) Report() Report {
 	rev, _ := d.Holder.Current()
 	return Report{
 		Host:   d.Host,
@@ -114,7 +114,7 @@
 }
 
 // Summary sums up the reports of all hosts over the time that ends now; an account of "" means all.
-func (d *Desk) Summary(ctx context.Context, length time.Duration, account string) (report.Summary, error) {
+func (d *Service) Summary(ctx context.Context, length time.Duration, account string) (report.Summary, error) {
 	now := d.Now()
 	sum, err := report.Sum(ctx, d.Store, now.Add(-length), now, account)
 	if err != nil {
--- a/internal/root/crash/guard.go
+++ b/internal/root/crash/guard.go
@@ -32,7 +32,7 @@
 }
 
 // Crashes returns how many crashes the request was in, and whether that is too many to run it again.
-func (g *Guard) Crashes(p Print) (int, bool) {
+func (g *Guard) Crashes(p Fingerprint) (int, bool) {
 	n := g.tracker.Count(p, g.Now())
 	return n, n >= blockAt
 }
@@ -43,12 +43,12 @@
 }
 
 // Hold puts a suspect on trial on the upstream, unless another one is there.
-func (g *Guard) Hold(p Print, upstream string) bool {
+func (g *Guard) Hold(p Fingerprint, upstream string) bool {
 	return g.tracker.Hold(p, upstream)
 }
 
 // Free ends the trial.
-func (g *Guard) Free(p Print, upstream string) {
+func (g *Guard) Free(p Fingerprint, upstream string) {
 	g.tracker.Free(p, upstream)
 }
 
@@ -59,15 +59,15 @@
 }
 
 // Broke marks the request and reports true if the upstream is really gone, and returns once the other hosts know.
-func (g *Guard) Broke(ctx context.Context, p Print, up route.Upstream) bool {
+func (g *Guard) Broke(ctx context.Context, p Fingerprint, up route.Upstream) bool {
 	if g.answers(ctx, up) {
 		return false
 	}
 	now := g.Now()
 	news := g.tracker.Add(Mark{
-		Print:    p,
-		Upstream: up.Name,
-		At:       now.UnixMilli(),
+		Fingerprint: p,
+		Upstream:    up.Name,
+		At:          now.UnixMilli(),
 	}, now)
 	if news {
 		g.Log.Warnf("Upstream %s was lost while it ran request %x.", up.Name, uint64(p))
--- a/internal/root/crash/tracker.go
+++ b/internal/root/crash/tracker.go
@@ -20,23 +20,23 @@
 	maxMarks = 4096
 )
 
-// Print is the fingerprint of a request: it is the same whenever the request is sent again, over whatever host.
-type Print uint64
+// Fingerprint is the fingerprint of a request: it is the same whenever the request is sent again, over whatever host.
+type Fingerprint uint64
 
-// PrintOf returns the fingerprint of a pipeline's input.
-func PrintOf(pipeline, input string) Print {
+// FingerprintOf returns the fingerprint of a pipeline's input.
+func FingerprintOf(pipeline, input string) Fingerprint {
 	d := xxhash.New()
 	// A hash never fails to take bytes.
 	_, _ = d.WriteString(pipeline)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(input)
-	return Print(d.Sum64())
+	return Fingerprint(d.Sum64())
 }
 
 // Mark says that an upstream crashed while it ran the request.
 type Mark struct {
-	Print    Print  `json:"print" cbor:"1,keyasint"`
-	Upstream string `json:"upstream" cbor:"2,keyasint"`
+	Fingerprint Fingerprint `json:"print" cbor:"1,keyasint"`
+	Upstream    string      `json:"upstream" cbor:"2,keyasint"`
 	// At is when the crash was seen, in milliseconds since 1970.
 	At int64 `json:"at" cbor:"3,keyasint"`
 }
@@ -48,27 +48,27 @@
 // Tracker counts crashes for each request, and keeps suspects apart from each other.
 type Tracker struct {
 	mu    sync.Mutex
-	marks map[Print][]Mark
+	marks map[Fingerprint][]Mark
 	// held is the suspect that is on trial on an upstream.
-	held map[string]Print
+	held map[string]Fingerprint
 }
 
 // NewTracker returns a tracker without marks.
 func NewTracker() *Tracker {
 	return &Tracker{
-		marks: map[Print][]Mark{},
-		held:  map[string]Print{},
+		marks: map[Fingerprint][]Mark{},
+		held:  map[string]Fingerprint{},
 	}
 }
 
 // Count returns how many crashes the request was in at.
-func (t *Tracker) Count(p Print, now time.Time) int {
+func (t *Tracker) Count(p Fingerprint, now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.count(p, now)
 }
 
-func (t *Tracker) count(p Print, now time.Time) int {
+func (t *Tracker) count(p Fingerprint, now time.Time) int {
 	n := 0
 	for _, m := range t.marks[p] {
 		if now.Sub(m.time()) < keepFor {
@@ -79,7 +79,7 @@
 }
 
 // Blocked reports whether the request crashed too many upstreams to be run again.
-func (t *Tracker) Blocked(p Print, now time.Time) bool {
+func (t *Tracker) Blocked(p Fingerprint, now time.Time) bool {
 	return t.Count(p, now) >= blockAt
 }
 
@@ -90,7 +90,7 @@
 	if now.Sub(m.time()) >= keepFor {
 		return false
 	}
-	for _, o := range t.marks[m.Print] {
+	for _, o := range t.marks[m.Fingerprint] {
 		if o.Upstream == m.Upstream && o.time().Sub(m.time()).Abs() < sameCrash {
 			return false
 		}
@@ -98,10 +98,10 @@
 	if len(t.marks) >= maxMarks {
 		t.purge(now)
 	}
-	if len(t.marks) >= maxMarks && len(t.marks[m.Print]) == 0 {
+	if len(t.marks) >= maxMarks && len(t.marks[m.Fingerprint]) == 0 {
 		return false
 	}
-	t.marks[m.Print] = append(t.marks[m.Print], m)
+	t.marks[m.Fingerprint] = append(t.marks[m.Fingerprint], m)
 	return true
 }
 
@@ -115,7 +115,7 @@
 
 // Hold puts a suspect on trial on the upstream, and reports false if another suspect is on trial there.
 // Two suspects on one upstream could not be told apart by its crash.
-func (t *Tracker) Hold(p Print, upstream string) bool {
+func (t *Tracker) Hold(p Fingerprint, upstream string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if other, ok := t.held[upstream]; ok && other != p {
@@ -126,7 +126,7 @@
 }
 
 // Free ends the trial on the upstream.
-func (t *Tracker) Free(p Print, upstream string) {
+func (t *Tracker) Free(p Fingerprint, upstream string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.held[upstream] == p {
@@ -150,7 +150,7 @@
 		if a.At != b.At {
 			return cmp.Compare(b.At, a.At)
 		}
-		return cmp.Compare(a.Print, b.Print)
+		return cmp.Compare(a.Fingerprint, b.Fingerprint)
 	})
 	return out[:min(limit, len(out))]
 }
--- a/internal/root/front/chain/run.go
+++ b/internal/root/front/chain/run.go
@@ -16,7 +16,7 @@
 type run struct {
 	*Runner
 	job     Job
-	print   crash.Print
+	print   crash.Fingerprint
 	stage   int
 	text    string
 	reports []wire.StageReport
@@ -37,7 +37,7 @@
 	u := &run{
 		Runner: r,
 		job:    job,
-		print:  crash.PrintOf(job.Pipeline.Name, job.Input),
+		print:  crash.FingerprintOf(job.Pipeline.Name, job.Input),
 		text:   job.Input,
 	}
 	for i := range job.Pipeline.Stages {
--- a/internal/root/front/handler.go
+++ b/internal/root/front/handler.go
@@ -31,7 +31,7 @@
 		return
 	}
 	if !a.Body.Stream {
-		writeReply(w, s.desk.Serve(r.Context(), a))
+		writeReply(w, s.service.Serve(r.Context(), a))
 		return
 	}
 	st := &stream{
@@ -39,7 +39,7 @@
 		rc: http.NewResponseController(w),
 	}
 	a.OnToken = st.token
-	st.end(s.desk.Serve(r.Context(), a))
+	st.end(s.service.Serve(r.Context(), a))
 }
 
 func (s *Server) outcome(w http.ResponseWriter, r *http.Request) {
@@ -48,7 +48,7 @@
 		writeProblem(w, *p)
 		return
 	}
-	writeReply(w, s.desk.Lookup(r.Context(), account.Name, r.PathValue("key")))
+	writeReply(w, s.service.Lookup(r.Context(), account.Name, r.PathValue("key")))
 }
 
 func (s *Server) healthy(w http.ResponseWriter, _ *http.Request) {
--- a/internal/root/front/server.go
+++ b/internal/root/front/server.go
@@ -24,15 +24,15 @@
 // Server listens to callers.
 type Server struct {
 	common.Deps
-	addr    string
-	limits  setup.Limits
-	intake  Intake
-	desk    *Desk
-	lobby   *Lobby
-	onLeave func()
-	notYet  func() string
-	leaving atomic.Bool
-	bound   atomic.Pointer[string]
+	addr     string
+	limits   setup.Limits
+	intake   Intake
+	service  *Service
+	admitter *Admitter
+	onLeave  func()
+	notYet   func() string
+	leaving  atomic.Bool
+	bound    atomic.Pointer[string]
 }
 
 // Option changes a Server under construction.
@@ -53,7 +53,7 @@
 }
 
 // New returns a server for callers on the address.
-func New(deps common.Deps, addr string, limits setup.Limits, holder *watch.Holder, lobby *Lobby, keeper *claim.Keeper, runner *chain.Runner, opts ...Option) *Server {
+func New(deps common.Deps, addr string, limits setup.Limits, holder *watch.Holder, admitter *Admitter, keeper *claim.Keeper, runner *chain.Runner, opts ...Option) *Server {
 	deps = deps.WithPart("front")
 	s := &Server{
 		Deps:   deps,
@@ -65,16 +65,16 @@
 			maxBody:     limits.MaxBodyBytes,
 			bodyTimeout: limits.BodyTimeout.D(),
 		},
-		desk: &Desk{
-			Deps:   deps,
-			lobby:  lobby,
-			keeper: keeper,
-			runner: runner,
-			tally:  tally.NewBook(),
+		service: &Service{
+			Deps:     deps,
+			admitter: admitter,
+			keeper:   keeper,
+			runner:   runner,
+			tally:    tally.NewCounter(),
 		},
-		lobby:   lobby,
-		onLeave: func() {},
-		notYet:  func() string { return "" },
+		admitter: admitter,
+		onLeave:  func() {},
+		notYet:   func() string { return "" },
 	}
 	for _, o := range opts {
 		o(s)
@@ -96,8 +96,8 @@
 }
 
 // Tally returns the counts of outcomes.
-func (s *Server) Tally() *tally.Book {
-	return s.desk.tally
+func (s *Server) Tally() *tally.Counter {
+	return s.service.tally
 }
 
 // Run listens until ctx ends, then goes on until the balancer has seen that the host is leaving, and lets every request in flight end.
@@ -141,7 +141,7 @@
 	s.onLeave()
 	s.Log.Infof("Leaving. Serving for %s more.", s.limits.DrainWait)
 	time.Sleep(s.limits.DrainWait.D())
-	s.lobby.Drain()
+	s.admitter.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), s.limits.DrainTimeout.D())
 	defer cancel()
 	if err := srv.Shutdown(ctx); err != nil {
--- a/internal/root/front/desk.go
+++ b/internal/root/front/service.go
@@ -66,13 +66,13 @@
 	return a.Urgency >= wire.PatientUrgency
 }
 
-// Desk takes requests through admission, claim and run to their one outcome.
-type Desk struct {
+// Service takes requests through admission, claim and run to their one outcome.
+type Service struct {
 	common.Deps
-	lobby  *Lobby
-	keeper *claim.Keeper
-	runner *chain.Runner
-	tally  *tally.Book
+	admitter *Admitter
+	keeper   *claim.Keeper
+	runner   *chain.Runner
+	tally    *tally.Counter
 }
 
 // Reply is what the caller is told.
@@ -88,7 +88,7 @@
 }
 
 // Serve returns the outcome of a request.
-func (d *Desk) Serve(ctx context.Context, a Ask) Reply {
+func (d *Service) Serve(ctx context.Context, a Ask) Reply {
 	var r Reply
 	if a.Idempotent() {
 		r = d.serveFree(ctx, a)
@@ -130,17 +130,17 @@
 }
 
 // serveFree serves a request that may run more than once.
-func (d *Desk) serveFree(ctx context.Context, a Ask) Reply {
-	pass, p := d.lobby.Enter(ctx, a)
+func (d *Service) serveFree(ctx context.Context, a Ask) Reply {
+	permit, p := d.admitter.Enter(ctx, a)
 	if p != nil {
 		return refusal(d.hedge(a, *p).WithRequestID(a.ID))
 	}
-	defer pass.End()
-	return replyOf(d.runner.Run(ctx, jobOf(a, pass)))
+	defer permit.End()
+	return replyOf(d.runner.Run(ctx, jobOf(a, permit)))
 }
 
 // hedge does not promise "not run" for a request that another host may have run before.
-func (d *Desk) hedge(a Ask, p wire.Problem) wire.Problem {
+func (d *Service) hedge(a Ask, p wire.Problem) wire.Problem {
 	if a.Resend && a.Key != "" && p.Outcome == wire.NotRun {
 		return p.WithOutcome(wire.Unknown)
 	}
@@ -148,13 +148,13 @@
 }
 
 // serveClaimed serves a request that runs at most once over all hosts.
-func (d *Desk) serveClaimed(ctx context.Context, a Ask) Reply {
+func (d *Service) serveClaimed(ctx context.Context, a Ask) Reply {
 	rec := recordOf(a, d.Host)
-	pass, p := d.lobby.Enter(ctx, a)
+	permit, p := d.admitter.Enter(ctx, a)
 	if p != nil {
 		return d.refuse(ctx, rec, p.WithRequestID(a.ID))
 	}
-	defer pass.End()
+	defer permit.End()
 	claimCtx, cancel := context.WithTimeout(ctx, min(claimTimeout, a.Deadline.Sub(d.Now())))
 	defer cancel()
 	v, err := d.keeper.Begin(claimCtx, rec)
@@ -164,7 +164,7 @@
 	}
 	switch v := v.(type) {
 	case claim.Mine:
-		return d.runClaimed(ctx, a, v.Record, pass)
+		return d.runClaimed(ctx, a, v.Record, permit)
 	case claim.Ended:
 		return replay(v.Record)
 	case claim.Running:
@@ -177,8 +177,8 @@
 }
 
 // runClaimed runs to the end even if the caller goes away, who may then ask for the outcome.
-func (d *Desk) runClaimed(ctx context.Context, a Ask, rec claim.Record, pass *Pass) Reply {
-	job := jobOf(a, pass)
+func (d *Service) runClaimed(ctx context.Context, a Ask, rec claim.Record, permit *Permit) Reply {
+	job := jobOf(a, permit)
 	if rec.State == claim.Started {
 		job.OnOnce = func(ctx context.Context) error {
 			marked, err := d.keeper.Mark(ctx, rec)
@@ -207,7 +207,7 @@
 }
 
 // refuse closes the key before it promises "not run", so that no earlier send of it can still start.
-func (d *Desk) refuse(ctx context.Context, rec claim.Record, p wire.Problem) Reply {
+func (d *Service) refuse(ctx context.Context, rec claim.Record, p wire.Problem) Reply {
 	p = p.WithRetry(time.Duration(p.RetryAfterMS)*time.Millisecond, wire.RetryNewKey)
 	closeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
 	defer cancel()
@@ -228,7 +228,7 @@
 }
 
 // Lookup returns the outcome of an account's key.
-func (d *Desk) Lookup(ctx context.Context, account, key string) Reply {
+func (d *Service) Lookup(ctx context.Context, account, key string) Reply {
 	rec, err := d.keeper.Lookup(ctx, account, key)
 	if errors.Is(err, store.ErrAbsent) {
 		return refusal(wire.NewProblem(wire.KindNoRecord, wire.Unknown, "no claim was written for the key; a request under it may still be on its way"))
@@ -243,7 +243,7 @@
 }
 
 // running answers for a key without an outcome, and closes it if its host let the deadline pass before it sent what must run once.
-func (d *Desk) running(ctx context.Context, rec claim.Record) Reply {
+func (d *Service) running(ctx context.Context, rec claim.Record) Reply {
 	if rec.State != claim.Started || !expired(rec, d.Now()) {
 		return refusal(inProgress(rec, d.Now()))
 	}
@@ -309,7 +309,7 @@
 	return claim.Started
 }
 
-func jobOf(a Ask, pass *Pass) chain.Job {
+func jobOf(a Ask, permit *Permit) chain.Job {
 	tokens := a.Body.MaxTokens
 	if tokens == 0 {
 		tokens = a.Pipeline.MaxTokens
@@ -326,7 +326,7 @@
 		Deadline:   a.Deadline,
 		Idempotent: a.stagesRepeat(),
 		OnToken:    a.OnToken,
-		OnStage:    pass.Reach,
+		OnStage:    permit.Reach,
 	}
 }
 
--- a/internal/root/front/tally/book.go
+++ b/internal/root/front/tally/counter.go
@@ -32,8 +32,8 @@
 	Stages []wire.StageReport
 }
 
-// Book counts entries.
-type Book struct {
+// Counter counts entries.
+type Counter struct {
 	mu sync.Mutex
 	// counts is since the start, and fresh since the last call of Take.
 	counts map[key]*count
@@ -53,16 +53,16 @@
 	stages map[string]*Cost
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book {
-	return &Book{
+// NewCounter returns an empty counter.
+func NewCounter() *Counter {
+	return &Counter{
 		counts: map[key]*count{},
 		fresh:  map[key]*count{},
 	}
 }
 
 // Add counts an entry that ended at now.
-func (b *Book) Add(now time.Time, e Entry) {
+func (b *Counter) Add(now time.Time, e Entry) {
 	b.meter.Add(now, e.InTime)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -130,14 +130,14 @@
 }
 
 // Counts returns what was counted since the start, in order of accounts and pipelines.
-func (b *Book) Counts() []Count {
+func (b *Counter) Counts() []Count {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return export(b.counts)
 }
 
 // Take returns what was counted since it was called last.
-func (b *Book) Take() []Count {
+func (b *Counter) Take() []Count {
 	b.mu.Lock()
 	fresh := b.fresh
 	b.fresh = map[key]*count{}
@@ -166,12 +166,12 @@
 }
 
 // Burn returns the burn of the objective at now.
-func (b *Book) Burn(now time.Time, objective float64) burn.Report {
+func (b *Counter) Burn(now time.Time, objective float64) burn.Report {
 	return b.meter.Over(now, objective)
 }
 
 // Burning reports whether the objective is missed so fast at now that a roll-out has to wait.
-func (b *Book) Burning(now time.Time, objective float64) bool {
+func (b *Counter) Burning(now time.Time, objective float64) bool {
 	good, bad := b.meter.Sum(now, haltWindow)
 	return good+bad >= haltLeast && burn.Rate(good, bad, objective) > haltRate
 }
--- a/internal/root/links.go
+++ b/internal/root/links.go
@@ -26,12 +26,12 @@
 
 // hosts returns the number of live hosts.
 func (r *Root) hosts() int {
-	return r.book.Count(r.Now())
+	return r.registry.Count(r.Now())
 }
 
 // members returns the number of hosts that share the limits of accounts.
 func (r *Root) members() int {
-	return r.book.Members(r.Now())
+	return r.registry.Members(r.Now())
 }
 
 func (r *Root) listPause() time.Duration {
@@ -40,7 +40,7 @@
 
 // readList takes the platform's list of hosts.
 func (r *Root) readList(ctx context.Context) {
-	list, err := r.platform.Hosts(ctx, r.book.List().Version)
+	list, err := r.platform.Hosts(ctx, r.registry.List().Version)
 	if errors.Is(err, store.ErrSame) {
 		return
 	}
@@ -48,7 +48,7 @@
 		r.WithPart("list").Log.WithError(err).Debug("Host list cannot be read.")
 		return
 	}
-	if r.book.TakeList(list) {
+	if r.registry.TakeList(list) {
 		r.syncTable(ctx)
 	}
 }
@@ -68,7 +68,7 @@
 			Expected: rev.Document.Expected(p.Name),
 		})
 	}
-	ups := r.book.Upstreams(now)
+	ups := r.registry.Upstreams(now)
 	for i := range ups {
 		ups[i].Leaving = ups[i].Leaving || slices.Contains(rev.Document.Drained, ups[i].Name)
 	}
@@ -101,7 +101,7 @@
 // leaving spreads an upstream's own word that it is leaving.
 func (r *Root) leaving(upstream string) {
 	now := r.Now()
-	r.book.TakeLeave(now, view.Leave{
+	r.registry.TakeLeave(now, view.Leave{
 		Upstream: upstream,
 		At:       now.UnixMilli(),
 		On:       true,
@@ -111,7 +111,7 @@
 
 // leave tells the peers that this host is leaving.
 func (r *Root) leave() {
-	r.book.SetLeaving()
+	r.registry.SetLeaving()
 	r.push(context.Background())
 }
 
@@ -130,13 +130,13 @@
 
 // mine reports whether suspects are tried on the upstream by this host alone: those of a pool go round the live hosts.
 func (r *Root) mine(upstream string) bool {
-	return loads.Turn(upstream, r.book.Upstreams(r.Now()), r.liveNames()) == r.Host
+	return loads.Turn(upstream, r.registry.Upstreams(r.Now()), r.liveNames()) == r.Host
 }
 
 // liveNames returns the names of the live hosts.
 func (r *Root) liveNames() []string {
 	var names []string
-	for _, p := range r.book.Live(r.Now()) {
+	for _, p := range r.registry.Live(r.Now()) {
 		names = append(names, p.Name)
 	}
 	return names
--- a/internal/root/loads/board.go
+++ b/internal/root/loads/cache.go
@@ -46,21 +46,21 @@
 	return time.UnixMilli(r.At)
 }
 
-// Board holds the newest report of each upstream.
-type Board struct {
+// Cache holds the newest report of each upstream.
+type Cache struct {
 	mu      sync.Mutex
 	reports map[string]Report
 }
 
-// NewBoard returns an empty board.
-func NewBoard() *Board {
-	return &Board{
+// NewCache returns an empty cache.
+func NewCache() *Cache {
+	return &Cache{
 		reports: map[string]Report{},
 	}
 }
 
 // Put takes a report if it is newer than the one held, and reports whether it was.
-func (b *Board) Put(r Report) bool {
+func (b *Cache) Put(r Report) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if old, ok := b.reports[r.Upstream]; ok && old.At >= r.At {
@@ -71,7 +71,7 @@
 }
 
 // Newest returns at most limit reports that still count, the newest first.
-func (b *Board) Newest(now time.Time, limit int) []Report {
+func (b *Cache) Newest(now time.Time, limit int) []Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make([]Report, 0, len(b.reports))
--- a/internal/root/loads/poller.go
+++ b/internal/root/loads/poller.go
@@ -28,20 +28,20 @@
 // Poller reads the load reports of the upstreams that fall to this host.
 type Poller struct {
 	common.Deps
-	Board  *Board
-	book   *view.Book
-	reader Reader
-	onNew  func(Report)
+	Cache    *Cache
+	registry *view.Registry
+	reader   Reader
+	onNew    func(Report)
 }
 
 // NewPoller returns a poller; onNew is given each report that is news.
-func NewPoller(deps common.Deps, board *Board, book *view.Book, reader Reader, onNew func(Report)) *Poller {
+func NewPoller(deps common.Deps, cache *Cache, registry *view.Registry, reader Reader, onNew func(Report)) *Poller {
 	return &Poller{
-		Deps:   deps.WithPart("loads"),
-		Board:  board,
-		book:   book,
-		reader: reader,
-		onNew:  onNew,
+		Deps:     deps.WithPart("loads"),
+		Cache:    cache,
+		registry: registry,
+		reader:   reader,
+		onNew:    onNew,
 	}
 }
 
@@ -53,10 +53,10 @@
 // tick reads the loads of this host's upstreams once.
 func (p *Poller) tick(ctx context.Context) {
 	now := p.Now()
-	live := p.book.Live(now)
+	live := p.registry.Live(now)
 	var g errgroup.Group
 	g.SetLimit(atOnce)
-	for _, u := range p.book.Upstreams(now) {
+	for _, u := range p.registry.Upstreams(now) {
 		if !Owns(p.Host, u.Name, near(live, u.Domain)) {
 			continue
 		}
@@ -68,7 +68,7 @@
 			return nil
 		})
 	}
-	// The reads report nothing but to the board.
+	// The reads report nothing but to the cache.
 	_ = g.Wait()
 }
 
@@ -106,7 +106,7 @@
 		return
 	}
 	now := p.Now()
-	p.book.TakeLeave(now, view.Leave{
+	p.registry.TakeLeave(now, view.Leave{
 		Upstream: u.Name,
 		At:       now.UnixMilli(),
 		On:       load.Leaving,
@@ -118,7 +118,7 @@
 		Slots:    load.Slots,
 		At:       now.UnixMilli() - load.AgeMS,
 	}
-	if p.Board.Put(r) {
+	if p.Cache.Put(r) {
 		p.onNew(r)
 	}
 }
--- a/internal/root/metrics.go
+++ b/internal/root/metrics.go
@@ -56,8 +56,8 @@
 	m := Metrics{
 		Revision:   r.holder.Number(),
 		LiveHosts:  r.hosts(),
-		Upstreams:  len(r.book.Upstreams(r.Now())),
-		Waiting:    r.lobby.Waiting(),
+		Upstreams:  len(r.registry.Upstreams(r.Now())),
+		Waiting:    r.admitter.Waiting(),
 		StoreOut:   out,
 		Attempts:   attemptsOf(r.runner.Stats(), r.reach.Strays.Results.Load()+r.reach.Strays.Tokens.Load()),
 		Restarts:   r.restarts.counts(),
--- a/internal/root/peers/rounds.go
+++ b/internal/root/peers/gossip.go
@@ -28,42 +28,42 @@
 	Exchange(ctx context.Context, addr string) error
 }
 
-// Rounds reaches a few peers at a time, chosen at random.
-type Rounds struct {
+// Gossip reaches a few peers in each round, chosen at random.
+type Gossip struct {
 	common.Deps
-	book  *view.Book
-	mesh  Exchanger
-	seeds []string
-	every time.Duration
-	rng   *rand.Rand
-	round int
+	registry *view.Registry
+	mesh     Exchanger
+	seeds    []string
+	every    time.Duration
+	rng      *rand.Rand
+	round    int
 }
 
-// NewRounds returns the rounds through the mesh; seeds are asked besides the known hosts.
-func NewRounds(deps common.Deps, book *view.Book, mesh Exchanger, seeds []string, every time.Duration, rng *rand.Rand) *Rounds {
-	return &Rounds{
-		Deps:  deps.WithPart("peers"),
-		book:  book,
-		mesh:  mesh,
-		seeds: seeds,
-		every: every,
-		rng:   rng,
+// NewGossip returns a gossip through the mesh; seeds are asked besides the known hosts.
+func NewGossip(deps common.Deps, registry *view.Registry, mesh Exchanger, seeds []string, every time.Duration, rng *rand.Rand) *Gossip {
+	return &Gossip{
+		Deps:     deps.WithPart("peers"),
+		registry: registry,
+		mesh:     mesh,
+		seeds:    seeds,
+		every:    every,
+		rng:      rng,
 	}
 }
 
-// Part returns the rounds as a supervised part.
-func (r *Rounds) Part() super.Part {
-	return super.Every("rounds", func() time.Duration { return r.every }, r.tick)
+// Part returns the gossip as a supervised part.
+func (r *Gossip) Part() super.Part {
+	return super.Every("gossip", func() time.Duration { return r.every }, r.tick)
 }
 
-func (r *Rounds) tick(ctx context.Context) {
+func (r *Gossip) tick(ctx context.Context) {
 	r.round++
 	r.reach(ctx, r.choose())
 }
 
 // choose draws the peers of this round.
-func (r *Rounds) choose() []string {
-	near, far := r.book.Targets()
+func (r *Gossip) choose() []string {
+	near, far := r.registry.Targets()
 	if len(near)+len(far) == 0 {
 		far = r.seeds
 	}
@@ -85,7 +85,7 @@
 	return out
 }
 
-func (r *Rounds) reach(ctx context.Context, addrs []string) {
+func (r *Gossip) reach(ctx context.Context, addrs []string) {
 	var g errgroup.Group
 	for _, a := range addrs {
 		g.Go(func() error {
@@ -100,10 +100,10 @@
 }
 
 // Push tells as many peers as it may at once, and returns when they know or the time for that is over.
-func (r *Rounds) Push(ctx context.Context) {
+func (r *Gossip) Push(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
-	near, far := r.book.Targets()
+	near, far := r.registry.Targets()
 	all := append(near, far...)
 	r.reach(ctx, all[:min(pushLimit, len(all))])
 }
--- a/internal/root/peers/mesh.go
+++ b/internal/root/peers/mesh.go
@@ -37,7 +37,7 @@
 // Mesh carries messages between entry hosts.
 type Mesh struct {
 	common.Deps
-	desk  *Desk
+	state *State
 	certs Certs
 	addr  string
 
@@ -52,10 +52,10 @@
 }
 
 // NewMesh returns a mesh that listens on the UDP address once it runs.
-func NewMesh(deps common.Deps, desk *Desk, certs Certs, addr string) *Mesh {
+func NewMesh(deps common.Deps, state *State, certs Certs, addr string) *Mesh {
 	return &Mesh{
 		Deps:  deps.WithPart("peers"),
-		desk:  desk,
+		state: state,
 		certs: certs,
 		addr:  addr,
 		conns: map[string]*quic.Conn{},
@@ -104,7 +104,7 @@
 	}
 	defer ln.Close()
 	m.open(trans, sock.LocalAddr().String())
-	m.desk.Book.SetAddr(sock.LocalAddr().String())
+	m.state.Registry.SetAddr(sock.LocalAddr().String())
 	defer m.open(nil, "")
 	up()
 	for {
@@ -155,7 +155,7 @@
 	if theirs.Writes != nil {
 		return m.serveWrites(ctx, s, theirs.Writes)
 	}
-	ours, _, err := m.desk.Attach(m.desk.Digest(), theirs)
+	ours, _, err := m.state.Attach(m.state.Digest(), theirs)
 	if err != nil {
 		return fmt.Errorf("attach documents: %w", err)
 	}
@@ -175,8 +175,8 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply := Message{
-		From:    m.desk.Book.Self(),
-		Results: m.desk.Serve(ctx, writes),
+		From:    m.state.Registry.Self(),
+		Results: m.state.Serve(ctx, writes),
 	}
 	if err := m.send(s, reply); err != nil {
 		return fmt.Errorf("send results: %w", err)
@@ -212,7 +212,7 @@
 		return nil, fmt.Errorf("bound exchange: %w", err)
 	}
 	if err := m.send(s, Message{
-		From:   m.desk.Book.Self(),
+		From:   m.state.Registry.Self(),
 		Writes: writes,
 	}); err != nil {
 		return nil, fmt.Errorf("send claims: %w", err)
@@ -251,15 +251,15 @@
 	if err := s.SetDeadline(deadline); err != nil {
 		return fmt.Errorf("bound exchange: %w", err)
 	}
-	if err := m.send(s, m.desk.Digest()); err != nil {
+	if err := m.send(s, m.state.Digest()); err != nil {
 		return fmt.Errorf("send digest: %w", err)
 	}
 	theirs, err := m.receive(m.decoder(s))
 	if err != nil {
 		return fmt.Errorf("receive digest: %w", err)
 	}
-	more, needed, err := m.desk.Attach(Message{
-		From: m.desk.Book.Self(),
+	more, needed, err := m.state.Attach(Message{
+		From: m.state.Registry.Self(),
 	}, theirs)
 	if err != nil {
 		return fmt.Errorf("attach documents: %w", err)
@@ -320,7 +320,7 @@
 	if err := dec.Decode(&msg); err != nil {
 		return Message{}, fmt.Errorf("decode message: %w", err)
 	}
-	if err := m.desk.Take(msg); err != nil {
+	if err := m.state.Take(msg); err != nil {
 		return Message{}, fmt.Errorf("take message: %w", err)
 	}
 	return msg, nil
--- a/internal/root/peers/desk.go
+++ b/internal/root/peers/state.go
@@ -16,13 +16,13 @@
 	"github.com/cornelwing/cornelwing/pkg/config"
 )
 
-// Desk decides what to tell a peer and takes in what a peer tells.
-type Desk struct {
+// State decides what to tell a peer and takes in what a peer tells.
+type State struct {
 	common.Deps
-	Book   *view.Book
-	Holder *watch.Holder
-	Board  *loads.Board
-	Marks  *crash.Tracker
+	Registry *view.Registry
+	Holder   *watch.Holder
+	Loads    *loads.Cache
+	Marks    *crash.Tracker
 	// OnLoad is given each load report that is news.
 	OnLoad func(loads.Report)
 	// Serve commits claims that a peer handed over.
@@ -30,24 +30,24 @@
 }
 
 // Digest returns what this host knows, without whole documents.
-func (d *Desk) Digest() Message {
+func (d *State) Digest() Message {
 	now := d.Now()
-	leaves := d.Book.Leaves(now)
-	from := d.Book.Beat(now, d.Holder.Number())
-	beats, met := d.Book.News(now, maxBeats, metWithin)
+	leaves := d.Registry.Leaves(now)
+	from := d.Registry.Beat(now, d.Holder.Number())
+	beats, met := d.Registry.News(now, maxBeats, metWithin)
 	return Message{
 		From:        from,
 		Beats:       beats,
 		Met:         met,
-		ListVersion: d.Book.List().Version,
+		ListVersion: d.Registry.List().Version,
 		Leaves:      leaves[:min(maxLeaves, len(leaves))],
 		Loads:       d.briefs(now),
 		Marks:       d.Marks.Marks(now, maxMarks),
 	}
 }
 
-func (d *Desk) briefs(now time.Time) []loads.Brief {
-	newest := d.Board.Newest(now, maxLoads)
+func (d *State) briefs(now time.Time) []loads.Brief {
+	newest := d.Loads.Newest(now, maxLoads)
 	out := make([]loads.Brief, 0, len(newest))
 	for _, r := range newest {
 		out = append(out, loads.Brief{
@@ -61,9 +61,9 @@
 	return out
 }
 
-func (d *Desk) takeLoads(now time.Time, briefs []loads.Brief) {
+func (d *State) takeLoads(now time.Time, briefs []loads.Brief) {
 	for _, b := range briefs {
-		name, ok := d.Book.UpstreamName(b.Upstream)
+		name, ok := d.Registry.UpstreamName(b.Upstream)
 		if !ok {
 			continue
 		}
@@ -74,19 +74,19 @@
 			Slots:    b.Slots,
 			At:       now.UnixMilli() - b.AgeMS,
 		}
-		if d.Board.Put(r) {
+		if d.Loads.Put(r) {
 			d.OnLoad(r)
 		}
 	}
 }
 
 // Attach adds to m the documents of which the other has an older version, and reports whether there are any.
-func (d *Desk) Attach(m Message, other Message) (Message, bool, error) {
+func (d *State) Attach(m Message, other Message) (Message, bool, error) {
 	m, err := d.attachRevision(m, other.From.Revision)
 	if err != nil {
 		return m, false, fmt.Errorf("attach revision: %w", err)
 	}
-	if list := d.Book.List(); list.Version > other.ListVersion {
+	if list := d.Registry.List(); list.Version > other.ListVersion {
 		data, err := json.Marshal(list)
 		if err != nil {
 			return m, false, fmt.Errorf("encode host list: %w", err)
@@ -97,7 +97,7 @@
 }
 
 // attachRevision adds what the other lacks of the configuration, in small steps where these are known.
-func (d *Desk) attachRevision(m Message, theirs int64) (Message, error) {
+func (d *State) attachRevision(m Message, theirs int64) (Message, error) {
 	rev, ok := d.Holder.Current()
 	if !ok || rev.Number <= theirs {
 		return m, nil
@@ -120,7 +120,7 @@
 	return m, nil
 }
 
-func (d *Desk) takeDeltas(m Message) error {
+func (d *State) takeDeltas(m Message) error {
 	deltas := make([]config.Delta, 0, len(m.Deltas))
 	for _, data := range m.Deltas {
 		var x config.Delta
@@ -136,7 +136,7 @@
 }
 
 // Take takes in what a peer told; what cannot be read is refused whole.
-func (d *Desk) Take(m Message) error {
+func (d *State) Take(m Message) error {
 	if err := m.From.Check(); err != nil {
 		return fmt.Errorf("take message: %w", err)
 	}
@@ -144,15 +144,15 @@
 		return fmt.Errorf("take message of %s: %w", m.From.Name, err)
 	}
 	now := d.Now()
-	d.Book.Hear(now, m.From)
+	d.Registry.Hear(now, m.From)
 	for _, p := range m.Met {
-		d.Book.Hear(now, p)
+		d.Registry.Hear(now, p)
 	}
 	for _, b := range m.Beats {
-		d.Book.HearBrief(now, b)
+		d.Registry.HearBrief(now, b)
 	}
 	for _, l := range m.Leaves {
-		d.Book.TakeLeave(now, l)
+		d.Registry.TakeLeave(now, l)
 	}
 	d.takeLoads(now, m.Loads)
 	for _, mark := range m.Marks {
@@ -161,7 +161,7 @@
 	return nil
 }
 
-func (d *Desk) takeDocuments(m Message) error {
+func (d *State) takeDocuments(m Message) error {
 	if m.Revision != nil {
 		var rev config.Revision
 		if err := json.Unmarshal(m.Revision, &rev); err != nil {
@@ -179,7 +179,7 @@
 		if err := json.Unmarshal(m.List, &list); err != nil {
 			return fmt.Errorf("read host list: %w", err)
 		}
-		d.Book.TakeList(list)
+		d.Registry.TakeList(list)
 	}
 	return nil
 }
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -32,28 +32,28 @@
 // Root holds the parts of one daemon.
 type Root struct {
 	common.Deps
-	settings setup.Settings
-	platform *store.Client
-	holder   *watch.Holder
-	ledger   *watch.Ledger
-	book     *view.Book
-	board    *loads.Board
-	table    *route.Table
-	reach    *reach.Client
-	tracker  *crash.Tracker
-	keeper   *claim.Keeper
-	writer   *writer
-	runner   *chain.Runner
-	lobby    *front.Lobby
-	front    *front.Server
-	admin    *admin.Server
-	mesh     *peers.Mesh
-	rounds   *peers.Rounds
-	certs    peers.Certs
-	lease    *lease.Keeper
-	orders   *orders.Orderer
-	report   *report.Keeper
-	restarts restarts
+	settings  setup.Settings
+	platform  *store.Client
+	holder    *watch.Holder
+	revisions *watch.Revisions
+	registry  *view.Registry
+	loads     *loads.Cache
+	table     *route.Table
+	reach     *reach.Client
+	tracker   *crash.Tracker
+	keeper    *claim.Keeper
+	writer    *writer
+	runner    *chain.Runner
+	admitter  *front.Admitter
+	front     *front.Server
+	admin     *admin.Server
+	mesh      *peers.Mesh
+	rounds    *peers.Gossip
+	certs     peers.Certs
+	lease     *lease.Keeper
+	orders    *orders.Orderer
+	report    *report.Keeper
+	restarts  restarts
 	// synced is the revision that the routing table was last made from, once it holds upstreams.
 	synced atomic.Int64
 }
@@ -74,7 +74,7 @@
 		Deps:     deps,
 		settings: s,
 		holder:   watch.NewHolder(),
-		board:    loads.NewBoard(),
+		loads:    loads.NewCache(),
 		table:    route.New(s.Host.Domain),
 		reach:    reach.New(),
 		tracker:  crash.NewTracker(),
@@ -101,33 +101,33 @@
 func (r *Root) build() {
 	s := r.settings
 	r.platform = store.New(r.Deps, s.Platform.URL, store.WithTimeout(s.Platform.Timeout.D()))
-	r.ledger = watch.NewLedger(r.Deps, r.platform)
-	r.book = view.NewBook(view.Peer{
+	r.revisions = watch.NewRevisions(r.Deps, r.platform)
+	r.registry = view.NewRegistry(view.Peer{
 		Name:   s.Host.Name,
 		Addr:   s.Listen.Peers,
 		Domain: s.Host.Domain,
 	})
-	r.writer = newWriter(r.Deps, r.book)
+	r.writer = newWriter(r.Deps, r.registry)
 	r.keeper = claim.New(r.Deps, r.platform, r.hosts, claim.WithForwarder(r.writer))
-	r.lobby = front.NewLobby(r.Deps, r.table, r.hosts, r.members, s.Limits.WaitingRoom)
+	r.admitter = front.NewAdmitter(r.Deps, r.table, r.hosts, r.members, s.Limits.QueueLimit)
 	r.buildPeers()
 	r.runner = chain.New(r.Deps, r.table, r.reach,
 		chain.WithSuspects(crash.NewGuard(r.Deps, r.tracker, r.alive, r.mine, r.push)),
 		chain.WithLeaving(r.leaving))
-	r.front = front.New(r.Deps, s.Listen.Callers, s.Limits, r.holder, r.lobby, r.keeper, r.runner, front.WithLeave(r.leave), front.WithReady(r.unready))
+	r.front = front.New(r.Deps, s.Listen.Callers, s.Limits, r.holder, r.admitter, r.keeper, r.runner, front.WithLeave(r.leave), front.WithReady(r.unready))
 	r.lease = lease.NewKeeper(r.Deps, r.platform, "orders", lease.New(s.Host.Name, lease.DefaultTerms(), nonce))
-	members := func() []route.Upstream { return r.book.Upstreams(r.Now()) }
+	members := func() []route.Upstream { return r.registry.Upstreams(r.Now()) }
 	r.orders = orders.New(r.Deps, r.lease, r.reach, r.holder, members, r.burning)
 	r.report = report.New(r.Deps, r.platform, r.front.Tally().Take, r.liveNames)
-	r.admin = admin.New(&admin.Desk{
-		Deps:   r.Deps,
-		Ledger: r.ledger,
-		Holder: r.holder,
-		Book:   r.book,
-		Tally:  r.front.Tally(),
-		Out:    r.platform.Out,
-		Orders: r.orders,
-		Store:  r.platform,
+	r.admin = admin.New(&admin.Service{
+		Deps:      r.Deps,
+		Revisions: r.revisions,
+		Holder:    r.holder,
+		Registry:  r.registry,
+		Tally:     r.front.Tally(),
+		Out:       r.platform.Out,
+		Orders:    r.orders,
+		Store:     r.platform,
 	}, s.Listen.Operators, s.Operators)
 }
 
@@ -135,19 +135,19 @@
 	if r.certs == nil {
 		return
 	}
-	desk := &peers.Desk{
-		Deps:   r.WithPart("peers"),
-		Book:   r.book,
-		Holder: r.holder,
-		Board:  r.board,
-		Marks:  r.tracker,
-		OnLoad: r.onLoad,
-		Serve:  r.keeper.Serve,
+	state := &peers.State{
+		Deps:     r.WithPart("peers"),
+		Registry: r.registry,
+		Holder:   r.holder,
+		Loads:    r.loads,
+		Marks:    r.tracker,
+		OnLoad:   r.onLoad,
+		Serve:    r.keeper.Serve,
 	}
-	r.mesh = peers.NewMesh(r.Deps, desk, r.certs, r.settings.Listen.Peers)
+	r.mesh = peers.NewMesh(r.Deps, state, r.certs, r.settings.Listen.Peers)
 	r.writer.mesh = r.mesh
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	r.rounds = peers.NewRounds(r.Deps, r.book, r.mesh, r.settings.Peers.Seeds, r.settings.Peers.Every.D(), rng)
+	r.rounds = peers.NewGossip(r.Deps, r.registry, r.mesh, r.settings.Peers.Seeds, r.settings.Peers.Every.D(), rng)
 }
 
 // Run runs the daemon until ctx ends, and calls ready once every part is up.
@@ -163,9 +163,9 @@
 	}
 	parts = append(parts,
 		super.Every("list", r.listPause, r.readList),
-		watch.NewWatcher(r.ledger, r.holder, r.hosts).Part(),
+		watch.NewWatcher(r.revisions, r.holder, r.hosts).Part(),
 		super.Every("table", func() time.Duration { return syncEvery }, r.syncTable),
-		loads.NewPoller(r.Deps, r.board, r.book, r.reach, r.onLoad).Part(),
+		loads.NewPoller(r.Deps, r.loads, r.registry, r.reach, r.onLoad).Part(),
 		r.lease,
 		r.orders.Part(),
 		sweep.New(r.Deps, r.platform, r.leads).Part(),
--- a/internal/root/view/book.go
+++ b/internal/root/view/registry.go
@@ -22,8 +22,8 @@
 	countEvery = 200 * time.Millisecond
 )
 
-// Book is what this host knows of the others and of the upstreams.
-type Book struct {
+// Registry is what this host knows of the others and of the upstreams.
+type Registry struct {
 	mu    sync.Mutex
 	self  Peer
 	peers map[uint64]heard
@@ -37,9 +37,9 @@
 	countAt   time.Time
 }
 
-// NewBook returns a book that knows only the host itself.
-func NewBook(self Peer) *Book {
-	return &Book{
+// NewRegistry returns a registry that knows only the host itself.
+func NewRegistry(self Peer) *Registry {
+	return &Registry{
 		self:    self,
 		peers:   map[uint64]heard{},
 		leaving: map[string]Leave{},
@@ -47,7 +47,7 @@
 }
 
 // Beat counts the host's own heartbeat and returns it.
-func (b *Book) Beat(now time.Time, revision int64) Peer {
+func (b *Registry) Beat(now time.Time, revision int64) Peer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	// A clock that was set back does not make the host fall silent.
@@ -57,28 +57,28 @@
 }
 
 // Self returns the host's last heartbeat.
-func (b *Book) Self() Peer {
+func (b *Registry) Self() Peer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.self
 }
 
 // SetAddr sets the address at which peers reach this host, once it is known.
-func (b *Book) SetAddr(addr string) {
+func (b *Registry) SetAddr(addr string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.self.Addr = addr
 }
 
 // SetLeaving marks this host as leaving.
-func (b *Book) SetLeaving() {
+func (b *Registry) SetLeaving() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.self.Leaving = true
 }
 
 // Hear takes a heartbeat that came at now, and reports whether it was news.
-func (b *Book) Hear(now time.Time, p Peer) bool {
+func (b *Registry) Hear(now time.Time, p Peer) bool {
 	if p.Check() != nil {
 		return false
 	}
@@ -87,7 +87,7 @@
 	return b.hear(now, p)
 }
 
-func (b *Book) hear(now time.Time, p Peer) bool {
+func (b *Registry) hear(now time.Time, p Peer) bool {
 	if p.Name == b.self.Name {
 		return false
 	}
@@ -109,7 +109,7 @@
 }
 
 // HearBrief takes a heartbeat without an identity, if the host is known.
-func (b *Book) HearBrief(now time.Time, x Beat) bool {
+func (b *Registry) HearBrief(now time.Time, x Beat) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.peers[x.Host].peer
@@ -126,7 +126,7 @@
 }
 
 // listed returns the identity of an entry host that the platform lists.
-func (b *Book) listed(hash uint64) Peer {
+func (b *Registry) listed(hash uint64) Peer {
 	h, ok := b.entries[hash]
 	if !ok {
 		return Peer{}
@@ -139,7 +139,7 @@
 }
 
 // TakeList takes a version of the platform's list if it is newer, and reports whether it was.
-func (b *Book) TakeList(list plat.HostList) bool {
+func (b *Registry) TakeList(list plat.HostList) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if list.Version <= b.list.Version {
@@ -160,7 +160,7 @@
 }
 
 // List returns the newest list known.
-func (b *Book) List() plat.HostList {
+func (b *Registry) List() plat.HostList {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.list
@@ -179,7 +179,7 @@
 }
 
 // TakeLeave takes a word on an upstream if it is the newest, and reports whether it changed anything at now.
-func (b *Book) TakeLeave(now time.Time, l Leave) bool {
+func (b *Registry) TakeLeave(now time.Time, l Leave) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old, known := b.leaving[l.Upstream]
@@ -198,7 +198,7 @@
 }
 
 // Leaves returns the words on upstreams that still count, in order of their names.
-func (b *Book) Leaves(now time.Time) []Leave {
+func (b *Registry) Leaves(now time.Time) []Leave {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []Leave
@@ -214,14 +214,14 @@
 }
 
 // Stamp grows with each change of the upstreams.
-func (b *Book) Stamp() int64 {
+func (b *Registry) Stamp() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.stamp
 }
 
 // Upstreams returns the listed upstreams; one is leaving if any source says so.
-func (b *Book) Upstreams(now time.Time) []route.Upstream {
+func (b *Registry) Upstreams(now time.Time) []route.Upstream {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []route.Upstream
@@ -241,7 +241,7 @@
 }
 
 // UpstreamName returns the name of a listed upstream by its hash.
-func (b *Book) UpstreamName(hash uint64) (string, bool) {
+func (b *Registry) UpstreamName(hash uint64) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	name, ok := b.upstreams[hash]
@@ -249,7 +249,7 @@
 }
 
 // Live returns the hosts with a recent heartbeat, this one included, in order of their names.
-func (b *Book) Live(now time.Time) []Peer {
+func (b *Registry) Live(now time.Time) []Peer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := []Peer{b.self}
@@ -263,7 +263,7 @@
 }
 
 // Lost returns the hosts that are remembered but silent, and forgets those silent for long.
-func (b *Book) Lost(now time.Time) []Peer {
+func (b *Registry) Lost(now time.Time) []Peer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []Peer
@@ -282,7 +282,7 @@
 }
 
 // News returns at most limit heartbeats of live hosts, others each time, and the identities of hosts that were met within the time and are not listed.
-func (b *Book) News(now time.Time, limit int, within time.Duration) (beats []Beat, met []Peer) {
+func (b *Registry) News(now time.Time, limit int, within time.Duration) (beats []Beat, met []Peer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for hash, h := range b.peers {
@@ -306,7 +306,7 @@
 }
 
 // Count returns the number of live hosts that are not leaving; it is counted anew only now and then, as each request asks for it.
-func (b *Book) Count(now time.Time) int {
+func (b *Registry) Count(now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.countAt.IsZero() && now.Sub(b.countAt).Abs() < countEvery {
@@ -325,7 +325,7 @@
 
 // Members returns the number of hosts that limits are shared among: those listed or live, whichever are more.
 // A host that is cut off counts on those it cannot hear, so that the parts together stay within a limit.
-func (b *Book) Members(now time.Time) int {
+func (b *Registry) Members(now time.Time) int {
 	live := b.Count(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -333,7 +333,7 @@
 }
 
 // Targets returns the addresses of other entry hosts, those of the own failure domain first.
-func (b *Book) Targets() (near, far []string) {
+func (b *Registry) Targets() (near, far []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	seen := map[string]bool{b.self.Addr: true}
--- a/internal/root/watch/ledger.go
+++ b/internal/root/watch/revisions.go
@@ -49,15 +49,15 @@
 	Document config.Document
 }
 
-// Ledger keeps the revisions in the table service: immutable rows and a head row.
-type Ledger struct {
+// Revisions keeps the revisions in the table service: immutable rows and a head row.
+type Revisions struct {
 	common.Deps
 	table store.Table
 }
 
-// NewLedger returns a ledger in the table.
-func NewLedger(deps common.Deps, table store.Table) *Ledger {
-	return &Ledger{
+// NewRevisions returns the revisions in the table.
+func NewRevisions(deps common.Deps, table store.Table) *Revisions {
+	return &Revisions{
 		Deps:  deps.WithPart("watch"),
 		table: table,
 	}
@@ -69,7 +69,7 @@
 }
 
 // Head returns the number of the newest revision, 0 where there is none, and the version of the head row.
-func (l *Ledger) Head(ctx context.Context) (number, version int64, err error) {
+func (l *Revisions) Head(ctx context.Context) (number, version int64, err error) {
 	row, err := l.table.Get(ctx, tableName, headKey)
 	if errors.Is(err, store.ErrAbsent) {
 		return 0, 0, nil
@@ -85,7 +85,7 @@
 }
 
 // Revision returns one revision.
-func (l *Ledger) Revision(ctx context.Context, number int64) (config.Revision, error) {
+func (l *Revisions) Revision(ctx context.Context, number int64) (config.Revision, error) {
 	row, err := l.table.Get(ctx, tableName, revKey(number))
 	if err != nil {
 		return config.Revision{}, fmt.Errorf("read revision %d: %w", number, err)
@@ -98,7 +98,7 @@
 }
 
 // Newest returns the newest revision, or ErrNone.
-func (l *Ledger) Newest(ctx context.Context) (config.Revision, error) {
+func (l *Revisions) Newest(ctx context.Context) (config.Revision, error) {
 	number, _, err := l.Head(ctx)
 	if err != nil {
 		return config.Revision{}, fmt.Errorf("read newest: %w", err)
@@ -110,7 +110,7 @@
 }
 
 // History returns at most limit revisions, the newest first.
-func (l *Ledger) History(ctx context.Context, limit int) ([]config.Revision, error) {
+func (l *Revisions) History(ctx context.Context, limit int) ([]config.Revision, error) {
 	newest, _, err := l.Head(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("read history: %w", err)
@@ -127,7 +127,7 @@
 }
 
 // Apply accepts the change by compare-and-set on its base; it returns the new revision, a *RaceError or a store error.
-func (l *Ledger) Apply(ctx context.Context, c Change) (config.Revision, error) {
+func (l *Revisions) Apply(ctx context.Context, c Change) (config.Revision, error) {
 	var last error
 	for range applyTries {
 		r, err := l.tryApply(ctx, c)
@@ -146,7 +146,7 @@
 	return config.Revision{}, fmt.Errorf("apply change: %w", last)
 }
 
-func (l *Ledger) tryApply(ctx context.Context, c Change) (config.Revision, error) {
+func (l *Revisions) tryApply(ctx context.Context, c Change) (config.Revision, error) {
 	number, version, err := l.Head(ctx)
 	if err != nil {
 		return config.Revision{}, fmt.Errorf("read head: %w", err)
@@ -175,7 +175,7 @@
 }
 
 // addDelta writes the difference to the revision before along with the whole one.
-func (l *Ledger) addDelta(ctx context.Context, txn *plat.Txn, r config.Revision) error {
+func (l *Revisions) addDelta(ctx context.Context, txn *plat.Txn, r config.Revision) error {
 	if r.Number == 1 {
 		return nil
 	}
@@ -200,7 +200,7 @@
 }
 
 // Deltas returns what leads from a revision to a later one, or an error where a step is missing.
-func (l *Ledger) Deltas(ctx context.Context, from, to int64) ([]config.Delta, error) {
+func (l *Revisions) Deltas(ctx context.Context, from, to int64) ([]config.Delta, error) {
 	var out []config.Delta
 	for n := from + 1; n <= to; n++ {
 		row, err := l.table.Get(ctx, tableName, deltaKey(n))
@@ -217,7 +217,7 @@
 }
 
 // settle tells a change that was accepted, its answer lost, from one that lost a race.
-func (l *Ledger) settle(ctx context.Context, c Change, newest int64) (config.Revision, error) {
+func (l *Revisions) settle(ctx context.Context, c Change, newest int64) (config.Revision, error) {
 	if newest > c.Base {
 		mine, err := l.Revision(ctx, c.Base+1)
 		if err != nil {
--- a/internal/root/watch/watcher.go
+++ b/internal/root/watch/watcher.go
@@ -19,17 +19,17 @@
 
 // Watcher follows the head row.
 type Watcher struct {
-	*Ledger
+	*Revisions
 	holder *Holder
 	hosts  func() int
 }
 
 // NewWatcher returns a part that keeps the holder at the newest revision; hosts gives the number of live hosts that share the read budget.
-func NewWatcher(l *Ledger, h *Holder, hosts func() int) *Watcher {
+func NewWatcher(l *Revisions, h *Holder, hosts func() int) *Watcher {
 	return &Watcher{
-		Ledger: l,
-		holder: h,
-		hosts:  hosts,
+		Revisions: l,
+		holder:    h,
+		hosts:     hosts,
 	}
 }
 
--- a/internal/root/writer.go
+++ b/internal/root/writer.go
@@ -23,25 +23,25 @@
 // Two that see different ones hand them to different writers, which costs transactions and nothing else.
 type writer struct {
 	common.Deps
-	book *view.Book
-	mesh *peers.Mesh
+	registry *view.Registry
+	mesh     *peers.Mesh
 
 	mu     sync.Mutex
 	passed map[string]time.Time
 }
 
-func newWriter(deps common.Deps, book *view.Book) *writer {
+func newWriter(deps common.Deps, registry *view.Registry) *writer {
 	return &writer{
-		Deps:   deps.WithPart("claim"),
-		book:   book,
-		passed: map[string]time.Time{},
+		Deps:     deps.WithPart("claim"),
+		registry: registry,
+		passed:   map[string]time.Time{},
 	}
 }
 
 // Forward hands the writes to the domain's writer.
 func (w *writer) Forward(ctx context.Context, writes []claim.Write) ([]claim.Result, bool) {
 	now := w.Now()
-	if w.mesh == nil || w.book.Count(now) <= forwardAbove {
+	if w.mesh == nil || w.registry.Count(now) <= forwardAbove {
 		return nil, false
 	}
 	to := w.choose(now)
@@ -61,12 +61,12 @@
 // Writers returns how many hosts share the write budget.
 func (w *writer) Writers() int {
 	now := w.Now()
-	count := w.book.Count(now)
+	count := w.registry.Count(now)
 	if w.mesh == nil || count <= forwardAbove {
 		return count
 	}
 	domains := map[string]bool{}
-	for _, p := range w.book.Live(now) {
+	for _, p := range w.registry.Live(now) {
 		domains[p.Domain] = true
 	}
 	return len(domains)
@@ -74,8 +74,8 @@
 
 // choose returns the live host of the domain with the highest hash, leaving out those that are leaving or could not be reached.
 func (w *writer) choose(now time.Time) view.Peer {
-	best := w.book.Self()
-	for _, p := range w.book.Live(now) {
+	best := w.registry.Self()
+	for _, p := range w.registry.Live(now) {
 		if p.Domain != w.Domain || p.Leaving || w.isPassed(p.Name, now) {
 			continue
 		}
--- a/internal/setup/settings.go
+++ b/internal/setup/settings.go
@@ -96,8 +96,8 @@
 	// HeaderTimeout and BodyTimeout bound how long a caller may take to send a request.
 	HeaderTimeout config.Span `yaml:"header_timeout" help:"time that a caller has to send the headers"`
 	BodyTimeout   config.Span `yaml:"body_timeout" help:"time that a caller has to send the body"`
-	// WaitingRoom is how many patient requests may wait for admission.
-	WaitingRoom int `yaml:"waiting_room" help:"how many patient requests may wait"`
+	// QueueLimit is how many patient requests may wait for admission.
+	QueueLimit int `yaml:"queue_limit" help:"how many patient requests may wait"`
 	// DrainWait is how long a stopping host goes on taking requests, until the balancer has seen that it is leaving.
 	DrainWait config.Span `yaml:"drain_wait" help:"how long a stopping host goes on taking requests"`
 	// DrainTimeout bounds how long a stopping host waits for the requests in flight.
@@ -127,7 +127,7 @@
 			MaxBodyBytes:  1 << 20,
 			HeaderTimeout: config.Span(5 * time.Second),
 			BodyTimeout:   config.Span(10 * time.Second),
-			WaitingRoom:   256,
+			QueueLimit:    256,
 			DrainWait:     config.Span(2 * time.Second),
 			DrainTimeout:  config.Span(60 * time.Second),
 		},
@@ -231,7 +231,7 @@
 	c.That(l.MaxBodyBytes > 0, "limits.max_body_bytes", "%d is not above 0", l.MaxBodyBytes)
 	c.That(l.HeaderTimeout > 0, "limits.header_timeout", "%s is not above 0", l.HeaderTimeout)
 	c.That(l.BodyTimeout > 0, "limits.body_timeout", "%s is not above 0", l.BodyTimeout)
-	c.That(l.WaitingRoom >= 0, "limits.waiting_room", "%d is below 0", l.WaitingRoom)
+	c.That(l.QueueLimit >= 0, "limits.queue_limit", "%d is below 0", l.QueueLimit)
 	c.That(l.DrainWait >= 0, "limits.drain_wait", "%s is below 0", l.DrainWait)
 	c.That(l.DrainTimeout > 0, "limits.drain_timeout", "%s is not above 0", l.DrainTimeout)
 }
--- a/internal/stand/control.go
+++ b/internal/stand/control.go
@@ -11,24 +11,24 @@
 
 const maxControlBytes = 1 << 20
 
-// LedgerEntry is one line of the ledger as JSON.
-type LedgerEntry struct {
+// RunEntry is one line of the log of runs as JSON.
+type RunEntry struct {
 	Stage string `json:"stage"`
 	Input string `json:"input"`
 	Runs  int    `json:"runs"`
 }
 
-// Control returns the handler that switches faults, lists hosts and shows the ledger.
-func (w *World) Control() http.Handler {
+// Control returns the handler that switches faults, lists hosts and shows the runs.
+func (w *Environment) Control() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /faults", w.listFaults)
 	mux.HandleFunc("PUT /faults/{name}", w.setFaults)
 	mux.HandleFunc("PUT /hosts/{name}", w.setHost)
-	mux.HandleFunc("GET /ledger", w.showLedger)
+	mux.HandleFunc("GET /runs", w.showRuns)
 	return mux
 }
 
-func (w *World) listFaults(rw http.ResponseWriter, _ *http.Request) {
+func (w *Environment) listFaults(rw http.ResponseWriter, _ *http.Request) {
 	all := map[string]fault.Faults{}
 	for _, e := range w.endpoints {
 		all[e.Name] = e.Faults.Get()
@@ -36,7 +36,7 @@
 	writeJSON(rw, all)
 }
 
-func (w *World) setFaults(rw http.ResponseWriter, r *http.Request) {
+func (w *Environment) setFaults(rw http.ResponseWriter, r *http.Request) {
 	e := w.Endpoint(r.PathValue("name"))
 	if e == nil {
 		http.Error(rw, "no such stand-in", http.StatusNotFound)
@@ -54,7 +54,7 @@
 	writeJSON(rw, f)
 }
 
-func (w *World) setHost(rw http.ResponseWriter, r *http.Request) {
+func (w *Environment) setHost(rw http.ResponseWriter, r *http.Request) {
 	var h plat.Host
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxControlBytes)).Decode(&h); err != nil {
 		http.Error(rw, err.Error(), http.StatusBadRequest)
@@ -68,10 +68,10 @@
 	writeJSON(rw, h)
 }
 
-func (w *World) showLedger(rw http.ResponseWriter, _ *http.Request) {
-	entries := []LedgerEntry{}
-	for run, n := range w.Ledger.Runs() {
-		entries = append(entries, LedgerEntry{
+func (w *Environment) showRuns(rw http.ResponseWriter, _ *http.Request) {
+	entries := []RunEntry{}
+	for run, n := range w.RunLog.Runs() {
+		entries = append(entries, RunEntry{
 			Stage: run.Stage,
 			Input: run.Input,
 			Runs:  n,
--- a/internal/stand/world.go
+++ b/internal/stand/environment.go
@@ -16,10 +16,10 @@
 // PlatformName is the name of the platform's endpoint.
 const PlatformName = "platform"
 
-// World is a set of running stand-ins.
-type World struct {
+// Environment is a set of running stand-ins.
+type Environment struct {
 	Platform  *table.Server
-	Ledger    *runner.Ledger
+	RunLog    *runner.RunLog
 	Upstreams []*runner.Server
 
 	endpoints []*Endpoint
@@ -28,10 +28,10 @@
 	hosts []plat.Host
 }
 
-// NewWorld returns the stand-ins of the settings, not yet listening.
-func NewWorld(s Settings) *World {
-	w := &World{
-		Ledger: runner.NewLedger(),
+// NewEnvironment returns the stand-ins of the settings, not yet listening.
+func NewEnvironment(s Settings) *Environment {
+	w := &Environment{
+		RunLog: runner.NewRunLog(),
 		hosts:  s.entryHosts(),
 	}
 	if s.Platform != nil {
@@ -45,7 +45,7 @@
 	return w
 }
 
-func (w *World) addGroup(seed uint64, g Group) {
+func (w *Environment) addGroup(seed uint64, g Group) {
 	for i := range g.Count {
 		port := 0
 		if g.Port > 0 {
@@ -59,7 +59,7 @@
 			Token:   g.Token.D(),
 			Tokens:  g.Tokens,
 			Slots:   g.Slots,
-		}, faults, w.Ledger)
+		}, faults, w.RunLog)
 		addr := net.JoinHostPort(g.Host, strconv.Itoa(port))
 		w.Upstreams = append(w.Upstreams, up)
 		w.endpoints = append(w.endpoints, newEndpoint(name, addr, faults, up.Handler()))
@@ -74,7 +74,7 @@
 }
 
 // Start opens every endpoint and publishes the host list.
-func (w *World) Start() error {
+func (w *Environment) Start() error {
 	for _, e := range w.endpoints {
 		if err := e.open(); err != nil {
 			w.Close()
@@ -91,7 +91,7 @@
 }
 
 // Close takes every endpoint down.
-func (w *World) Close() {
+func (w *Environment) Close() {
 	for _, e := range w.endpoints {
 		// Closing a listener twice is harmless, and nothing depends on it here.
 		_ = e.Close()
@@ -99,7 +99,7 @@
 }
 
 // Endpoint returns the endpoint of that name, or nil.
-func (w *World) Endpoint(name string) *Endpoint {
+func (w *Environment) Endpoint(name string) *Endpoint {
 	i := slices.IndexFunc(w.endpoints, func(e *Endpoint) bool { return e.Name == name })
 	if i < 0 {
 		return nil
@@ -108,7 +108,7 @@
 }
 
 // Upstream returns the upstream of that name, or nil.
-func (w *World) Upstream(name string) *runner.Server {
+func (w *Environment) Upstream(name string) *runner.Server {
 	i := slices.IndexFunc(w.Upstreams, func(u *runner.Server) bool { return u.Spec.Name == name })
 	if i < 0 {
 		return nil
@@ -117,14 +117,14 @@
 }
 
 // Hosts returns the listed hosts.
-func (w *World) Hosts() []plat.Host {
+func (w *Environment) Hosts() []plat.Host {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return slices.Clone(w.hosts)
 }
 
 // AddHost lists another host, or replaces the one of its name.
-func (w *World) AddHost(h plat.Host) {
+func (w *Environment) AddHost(h plat.Host) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	i := slices.IndexFunc(w.hosts, func(o plat.Host) bool { return o.Name == h.Name })
@@ -136,7 +136,7 @@
 	w.publish()
 }
 
-func (w *World) publish() {
+func (w *Environment) publish() {
 	if w.Platform != nil {
 		w.Platform.SetHosts(slices.Clone(w.hosts))
 	}
--- a/internal/stand/run.go
+++ b/internal/stand/run.go
@@ -12,7 +12,7 @@
 
 // Run runs the stand-ins of the settings until ctx ends.
 func Run(ctx context.Context, deps common.Deps, s Settings) error {
-	w := NewWorld(s)
+	w := NewEnvironment(s)
 	if err := w.Start(); err != nil {
 		return fmt.Errorf("run stand-ins: %w", err)
 	}
--- a/internal/stand/runner/server.go
+++ b/internal/stand/runner/server.go
@@ -39,7 +39,7 @@
 type Server struct {
 	Spec
 	Faults *fault.Switch
-	Ledger *Ledger
+	RunLog *RunLog
 
 	queue *queue.Queue
 	cache *prefixCache
@@ -59,11 +59,11 @@
 }
 
 // New returns a healthy upstream.
-func New(spec Spec, faults *fault.Switch, ledger *Ledger) *Server {
+func New(spec Spec, faults *fault.Switch, log *RunLog) *Server {
 	return &Server{
 		Spec:    spec,
 		Faults:  faults,
-		Ledger:  ledger,
+		RunLog:  log,
 		queue:   queue.New(spec.Slots),
 		cache:   newPrefixCache(cachedPrefix),
 		cancels: map[string]context.CancelFunc{},
@@ -145,7 +145,7 @@
 		forget()
 		panic(http.ErrAbortHandler)
 	}
-	s.Ledger.Add(call.Stage, call.Input)
+	s.RunLog.Add(call.Stage, call.Input)
 	if f := s.Faults.Get(); f.CrashOn != "" && strings.Contains(call.Input, f.CrashOn) {
 		s.queue.Release()
 		forget()
--- a/internal/stand/settings.go
+++ b/internal/stand/settings.go
@@ -11,7 +11,7 @@
 
 // Settings says which stand-ins one process runs.
 type Settings struct {
-	// Control is the address on which faults are switched and the ledger is read.
+	// Control is the address on which faults are switched and the runs are read.
 	Control  string     `yaml:"control"`
 	Seed     uint64     `yaml:"seed"`
 	Platform *Platform  `yaml:"platform,omitempty"`
