--- a/internal/root/front/intake.go
+++ b/internal/root/front/intake.go
@@ -127,7 +127,12 @@
 	// A connection that cannot take a deadline is bounded by the server's own limits.
 	_ = rc.SetReadDeadline(time.Now().Add(in.bodyTimeout))
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, in.maxBody))
-	_ = rc.SetReadDeadline(time.Time{})
+	if err != nil {
+		// The deadline stays, as the server would else wait for the rest of the body before it sends the refusal.
+		w.Header().Set("Connection", "close")
+	} else {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		p := wire.NewProblem(wire.KindTooLarge, wire.NotRun, "the body is larger than the host takes")
