--- a/internal/root/front/chain/attempt.go
+++ b/internal/root/front/chain/attempt.go
@@ -32,8 +32,11 @@
 	}
 	began := u.Now()
 	// An attempt that leaves too little for the stages after it is cancelled, so that it frees its slot.
-	ctx, cancel := context.WithTimeout(ctx, u.latest())
-	defer cancel()
+	if u.stage < len(u.job.Pipeline.Stages)-1 {
+		bounded, cancel := context.WithTimeout(ctx, u.latest())
+		defer cancel()
+		ctx = bounded
+	}
 	result := u.caller.Do(ctx, u.makeAttempt(t, up))
 	took := u.Now().Sub(began)
 	switch res := result.(type) {
