--- a/internal/root/peers/gossip.go
+++ b/internal/root/peers/gossip.go
@@ -63,7 +63,7 @@
 
 // choose draws the peers of this round.
 func (r *Gossip) choose() []string {
-	near, far := r.registry.Targets()
+	near, far := r.registry.Targets(r.Now())
 	if len(near)+len(far) == 0 {
 		far = r.seeds
 	}
@@ -103,7 +103,7 @@
 func (r *Gossip) Push(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
-	near, far := r.registry.Targets()
+	near, far := r.registry.Targets(r.Now())
 	all := append(near, far...)
 	r.reach(ctx, all[:min(pushLimit, len(all))])
 }
--- a/internal/root/view/registry.go
+++ b/internal/root/view/registry.go
@@ -32,7 +32,6 @@
 	entries   map[uint64]plat.Host
 	upstreams map[uint64]string
 	leaving   map[string]Leave
-	stamp     int64
 	count     int
 	countAt   time.Time
 }
@@ -155,7 +154,6 @@
 		}
 		b.upstreams[HashName(h.Name)] = h.Name
 	}
-	b.stamp++
 	return true
 }
 
@@ -190,11 +188,7 @@
 		return false
 	}
 	b.leaving[l.Upstream] = l
-	if old.holds(now) == l.holds(now) {
-		return false
-	}
-	b.stamp++
-	return true
+	return old.holds(now) != l.holds(now)
 }
 
 // Leaves returns the words on upstreams that still count, in order of their names.
@@ -213,13 +207,6 @@
 	return out
 }
 
-// Stamp grows with each change of the upstreams.
-func (b *Registry) Stamp() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.stamp
-}
-
 // Upstreams returns the listed upstreams; one is leaving if any source says so.
 func (b *Registry) Upstreams(now time.Time) []route.Upstream {
 	b.mu.Lock()
@@ -267,13 +254,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []Peer
-	for name, h := range b.peers {
-		silent := now.Sub(h.at)
-		if silent >= forgetAfter {
-			delete(b.peers, name)
-			continue
-		}
-		if silent >= liveFor {
+	b.forget(now)
+	for _, h := range b.peers {
+		if now.Sub(h.at) >= liveFor {
 			out = append(out, h.peer)
 		}
 	}
@@ -281,6 +264,15 @@
 	return out
 }
 
+// forget drops the hosts that have been silent for long; the list may still name them.
+func (b *Registry) forget(now time.Time) {
+	for hash, h := range b.peers {
+		if now.Sub(h.at) >= forgetAfter {
+			delete(b.peers, hash)
+		}
+	}
+}
+
 // News returns at most limit heartbeats of live hosts, others each time, and the identities of hosts that were met within the time and are not listed.
 func (b *Registry) News(now time.Time, limit int, within time.Duration) (beats []Beat, met []Peer) {
 	b.mu.Lock()
@@ -332,10 +324,11 @@
 	return max(live, len(b.entries))
 }
 
-// Targets returns the addresses of other entry hosts, those of the own failure domain first.
-func (b *Registry) Targets() (near, far []string) {
+// Targets returns the addresses of the other entry hosts that are listed or were heard not long before now, those of the own failure domain first.
+func (b *Registry) Targets(now time.Time) (near, far []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.forget(now)
 	seen := map[string]bool{b.self.Addr: true}
 	add := func(addr, domain string) {
 		if seen[addr] {
--- a/internal/root/view/registry_test.go
+++ b/internal/root/view/registry_test.go
@@ -85,3 +85,15 @@
 		})
 	})
 }
+
+func TestASilentHostIsNoTargetForEver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	Convey("Given a host that the list does not name and that fell silent", t, func() {
+		b := NewRegistry(peer(0, 0))
+		b.Hear(now, peer(1, 5))
+		near, _ := b.Targets(now.Add(forgetAfter - 1))
+		So(len(near), ShouldEqual, 1)
+		near, _ = b.Targets(now.Add(forgetAfter))
+		So(len(near), ShouldEqual, 0)
+	})
+}
