--- a/internal/stand/endpoint.go
+++ b/internal/stand/endpoint.go
@@ -23,6 +23,9 @@
 	mu     sync.Mutex
 	addr   string
 	server *http.Server
+	ln     net.Listener
+	// held keeps the port while the endpoint is down.
+	held *port
 }
 
 func newEndpoint(name, addr string, faults *fault.Switch, handler http.Handler) *Endpoint {
@@ -45,7 +48,7 @@
 func (e *Endpoint) Apply(f fault.Faults) error {
 	e.Faults.Set(f)
 	if f.Down {
-		return e.Close()
+		return e.down()
 	}
 	return e.open()
 }
@@ -56,12 +59,17 @@
 	if e.server != nil {
 		return nil
 	}
+	if e.held != nil {
+		e.held.release()
+		e.held = nil
+	}
 	var lc net.ListenConfig
 	ln, err := lc.Listen(context.Background(), "tcp", e.addr)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", e.Name, err)
 	}
 	e.addr = ln.Addr().String()
+	e.ln = ln
 	e.server = &http.Server{
 		Handler:           e.handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -73,14 +81,40 @@
 	return nil
 }
 
-// Close takes the endpoint down with all of its connections.
+// down closes the endpoint and keeps its port, so that a request meant for it reaches nobody else.
+func (e *Endpoint) down() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.close(); err != nil || e.held != nil {
+		return err
+	}
+	held, err := holdPort(e.addr)
+	if err != nil {
+		return fmt.Errorf("keep the port of %s: %w", e.Name, err)
+	}
+	e.held = held
+	return nil
+}
+
+// Close ends the endpoint with all of its connections.
 func (e *Endpoint) Close() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.held != nil {
+		e.held.release()
+		e.held = nil
+	}
+	return e.close()
+}
+
+// close ends the server; the lock is held.
+func (e *Endpoint) close() error {
 	if e.server == nil {
 		return nil
 	}
 	err := e.server.Close()
+	// The server may not have begun to serve, and then does not know its listener.
+	_ = e.ln.Close()
 	e.server = nil
 	if err != nil {
 		return fmt.Errorf("close %s: %w", e.Name, err)
