--- a/internal/root/front/chain/retry/decide.go
+++ b/internal/root/front/chain/retry/decide.go
@@ -70,12 +70,35 @@
 	// Ran and Sure count the attempts that may have run and those that did not.
 	Ran  int
 	Sure int
+	// MaxRan, where above 0, bounds the attempts that reached an upstream in place of the usual bound.
+	MaxRan int
+	// Arrivals says that the budget bounds what reaches upstreams, so that an attempt after a refusal costs as well.
+	Arrivals bool
 	// Left is the time until the deadline, and Need the least time that the rest takes.
 	Left time.Duration
 	Need time.Duration
 }
 
-// Decide returns the action; it spends from the budget only for an attempt that may have run.
+func (s State) maxRan() int {
+	if s.MaxRan > 0 {
+		return s.MaxRan
+	}
+	return maxAttempts
+}
+
+// costs reports whether another attempt after the event is taken from the budget.
+func (s State) costs(ev Event) bool {
+	switch ev := ev.(type) {
+	case Broken:
+		return !ev.Free
+	case Refused:
+		return s.Arrivals
+	default:
+		return false
+	}
+}
+
+// Decide returns the action; it spends from the budget only for an attempt that may have run, or reached an upstream where that is what the budget bounds.
 func Decide(s State, ev Event, b *Budget) Action {
 	var pause time.Duration
 	switch ev := ev.(type) {
@@ -83,7 +106,7 @@
 		if !s.Idempotent {
 			return Stop{Reason: NotIdempotent}
 		}
-		if s.Ran >= maxAttempts {
+		if s.Ran >= s.maxRan() {
 			return Stop{Reason: NoAttempts}
 		}
 	case Unsent:
@@ -91,7 +114,7 @@
 			return Stop{Reason: NoAttempts}
 		}
 	case Refused:
-		if s.Sure >= maxUnsent {
+		if s.Sure >= maxUnsent || (s.MaxRan > 0 && s.Ran >= s.MaxRan) {
 			return Stop{Reason: NoAttempts}
 		}
 		pause = min(max(refusedPause<<s.Sure, ev.After), maxPause)
@@ -99,7 +122,7 @@
 	if s.Left < s.Need+pause {
 		return Stop{Reason: NoTime}
 	}
-	if broken, ok := ev.(Broken); ok && !broken.Free && !b.Spend() {
+	if s.costs(ev) && !b.Spend() {
 		return Stop{Reason: NoBudget}
 	}
 	return Again{Pause: pause}
--- a/internal/root/front/chain/route/entry.go
+++ b/internal/root/front/chain/route/entry.go
@@ -15,6 +15,8 @@
 	Domain  string
 	Pool    string
 	Leaving bool
+	// Born is when the upstream started, in milliseconds since 1970, or 0; one that started again knows nothing of before.
+	Born int64
 	// Probe says that the upstream was ejected and has to answer a probe before it is given a request; Pick sets it.
 	Probe bool
 }
--- a/internal/root/front/chain/route/table.go
+++ b/internal/root/front/chain/route/table.go
@@ -151,7 +151,7 @@
 // keep returns the entry of an upstream, a new one if it is new or has moved.
 func (t *Table) keep(u Upstream) *entry {
 	old, ok := t.byName[u.Name]
-	if !ok || old.up.Addr != u.Addr {
+	if !ok || old.up.Addr != u.Addr || old.up.Born != u.Born {
 		return newEntry(u, t.domain)
 	}
 	old.up = u
@@ -191,6 +191,11 @@
 	return up, true
 }
 
+// PickAny is Pick with the process's own source of chance.
+func (t *Table) PickAny(now time.Time, q Query) (Upstream, bool) {
+	return t.Pick(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), q)
+}
+
 // preferred returns the upstream of the own domain that most likely holds the prefix, unless it has too much in hand.
 func (t *Table) preferred(now time.Time, p *pool, q Query) *entry {
 	if q.Affinity == 0 || p.local == 0 {
--- /dev/null
+++ b/internal/root/relay/batch/keeper.go
@@ -0,0 +1,228 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+)
+
+const (
+	// tick is how often the queues are looked at while work waits.
+	tick = 20 * time.Millisecond
+	// callFactor and callSlack bound a call: that many times what is expected, and a bit.
+	callFactor = 3
+	callSlack  = 300 * time.Millisecond
+	// freeTimeout bounds the call that frees results.
+	freeTimeout = time.Second
+)
+
+// Caller reaches workers.
+type Caller interface {
+	// Run returns one result for each item.
+	Run(ctx context.Context, up route.Upstream, items []Item) ([]Result, error)
+	// Free frees results at the worker of the address.
+	Free(ctx context.Context, addr string, handles []string) error
+}
+
+// Keeper runs the queues of all pools of workers.
+type Keeper struct {
+	common.Deps
+	caller Caller
+
+	mu      sync.Mutex
+	queues  map[string]*Queue
+	waiters map[*Job]chan Outcome
+	ticking bool
+	frees   map[string][]string
+	freeing map[string]bool
+}
+
+// NewKeeper returns a keeper without queues.
+func NewKeeper(deps common.Deps, caller Caller) *Keeper {
+	return &Keeper{
+		Deps:    deps.WithPart("batch"),
+		caller:  caller,
+		queues:  map[string]*Queue{},
+		waiters: map[*Job]chan Outcome{},
+		frees:   map[string][]string{},
+		freeing: map[string]bool{},
+	}
+}
+
+// Sync brings the pools of the plan and their workers into the queues.
+func (k *Keeper) Sync(p *plan.Plan, members []route.Upstream) {
+	byPool := map[string][]route.Upstream{}
+	for _, u := range members {
+		byPool[u.Pool] = append(byPool[u.Pool], u)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name, pool := range p.Pools {
+		if pool.Worker == nil {
+			continue
+		}
+		q, ok := k.queues[name]
+		if !ok {
+			q = NewQueue(*pool.Worker)
+			k.queues[name] = q
+		}
+		q.SetSpec(*pool.Worker)
+		q.SetWorkers(byPool[name])
+	}
+	k.dispatch()
+}
+
+// Do runs the work; where ctx ends first, it is given up.
+func (k *Keeper) Do(ctx context.Context, w Work) Outcome {
+	job, done, refused := k.add(w)
+	if refused != nil {
+		return *refused
+	}
+	select {
+	case o := <-done:
+		return o
+	case <-ctx.Done():
+	}
+	k.mu.Lock()
+	spare := k.queues[w.Pool].Drop(job)
+	delete(k.waiters, job)
+	k.free(w.Pool, spare)
+	k.mu.Unlock()
+	select {
+	case o := <-done:
+		return o
+	default:
+		return Failed{
+			Reason: Late,
+		}
+	}
+}
+
+func (k *Keeper) add(w Work) (*Job, chan Outcome, *Refused) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	q, ok := k.queues[w.Pool]
+	if !ok {
+		return nil, nil, &Refused{
+			After: maxAfter / 3,
+		}
+	}
+	job, refused := q.Add(k.Now(), w)
+	if refused != nil {
+		return nil, nil, refused
+	}
+	done := make(chan Outcome, 1)
+	k.waiters[job] = done
+	k.dispatch()
+	return job, done, nil
+}
+
+// dispatch makes the calls that can be made now; the lock is held.
+func (k *Keeper) dispatch() {
+	now := k.Now()
+	waits := false
+	for name, q := range k.queues {
+		k.tell(q.Expire(now))
+		for {
+			c, ok := q.Next(now)
+			if !ok {
+				break
+			}
+			go k.call(name, q, c)
+		}
+		waits = waits || q.Waiting() > 0
+	}
+	if waits && !k.ticking {
+		k.ticking = true
+		time.AfterFunc(tick, k.again)
+	}
+}
+
+func (k *Keeper) again() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ticking = false
+	k.dispatch()
+}
+
+// tell gives outcomes to those that wait for them; the lock is held.
+func (k *Keeper) tell(over []*Job) {
+	for _, j := range over {
+		if done, ok := k.waiters[j]; ok {
+			done <- j.Outcome
+			delete(k.waiters, j)
+		}
+	}
+}
+
+func (k *Keeper) call(pool string, q *Queue, c *Call) {
+	limit := time.Duration(callFactor*float64(c.Expected)) + callSlack
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	results, err := k.caller.Run(ctx, c.Upstream, c.Items)
+	if err == nil && len(results) != len(c.Items) {
+		err = errors.Errorf("%d results for %d items", len(results), len(c.Items))
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.Now()
+	var over []*Job
+	var spare []string
+	if err != nil {
+		k.Log.WithError(err).WithField("upstream", c.Upstream.Name).WithField("items", len(c.Items)).WithField("took_ms", now.Sub(c.began).Milliseconds()).Warn("Call broke.")
+		over, spare = q.Broke(now, c)
+	} else {
+		over, spare = q.Finish(now, c, results)
+	}
+	k.free(pool, spare)
+	k.tell(over)
+	k.dispatch()
+}
+
+// Free gives up results.
+func (k *Keeper) Free(pool string, handles []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.free(pool, handles)
+	k.dispatch()
+}
+
+// free queues the results for the calls that free them, one at a time for each worker; the lock is held.
+func (k *Keeper) free(pool string, handles []string) {
+	q, ok := k.queues[pool]
+	if !ok || len(handles) == 0 {
+		return
+	}
+	for addr, list := range q.Free(handles) {
+		k.frees[addr] = append(k.frees[addr], list...)
+		if !k.freeing[addr] {
+			k.freeing[addr] = true
+			go k.freeAt(addr)
+		}
+	}
+}
+
+func (k *Keeper) freeAt(addr string) {
+	for {
+		k.mu.Lock()
+		list := k.frees[addr]
+		delete(k.frees, addr)
+		if len(list) == 0 {
+			delete(k.freeing, addr)
+			k.mu.Unlock()
+			return
+		}
+		k.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		if err := k.caller.Free(ctx, addr, list); err != nil {
+			k.Log.WithError(err).WithField("upstream", addr).WithField("results", len(list)).Info("Results were not freed. They expire by themselves.")
+		}
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/root/relay/batch/work.go
@@ -0,0 +1,101 @@
+package batch
+
+import (
+	"time"
+)
+
+// Piece is one part of a request's work at a stage.
+type Piece struct {
+	Index int `json:"index"`
+	// Inputs are the handles of the results that the piece is made from.
+	Inputs []string `json:"inputs,omitempty"`
+}
+
+// Work is what one request needs of one stage.
+type Work struct {
+	Pool    string `json:"pool"`
+	Request string `json:"request"`
+	Stage   int    `json:"stage"`
+	// Key is what pieces of a stage without earlier stages are made from.
+	Key    string  `json:"key,omitempty"`
+	Pieces []Piece `json:"pieces"`
+	// Bytes is about the size of one piece's result.
+	Bytes int64 `json:"bytes"`
+	// Rank is 0 for the most urgent.
+	Rank int `json:"rank"`
+	// Domain is the failure domain where the results are wanted.
+	Domain string `json:"domain,omitempty"`
+	// OnTime and Last are how much time the stage has for an answer that is on time, and for one that still counts.
+	OnTime time.Duration `json:"on_time"`
+	Last   time.Duration `json:"last"`
+}
+
+// Outcome is how work ended: Made, Refused or Failed.
+type Outcome interface {
+	outcome()
+}
+
+// Made holds the handles of the results, one for each piece in their order.
+type Made struct {
+	Handles []string
+}
+
+// Refused says that nothing of the work was or will be done, and when to come back.
+type Refused struct {
+	After time.Duration
+}
+
+// Failed says that the work was given up.
+type Failed struct {
+	Reason Reason
+}
+
+func (Made) outcome()    {}
+func (Refused) outcome() {}
+func (Failed) outcome()  {}
+
+// Reason says why a piece has no result.
+type Reason string
+
+// The reasons.
+const (
+	// Late says that the time for the work had run out.
+	Late Reason = "late"
+	// Gone says that an input is no longer there.
+	Gone Reason = "gone"
+	// Full says that the worker has no room for the result.
+	Full Reason = "full"
+	// Fault is a failure of the worker.
+	Fault Reason = "fault"
+	// NoWorker says that no worker could be reached.
+	NoWorker Reason = "no worker"
+)
+
+// Item is one piece as it is put into a call.
+type Item struct {
+	Request string
+	Stage   int
+	Piece   int
+	Key     string
+	Inputs  []string
+	Left    time.Duration
+}
+
+// Result is what a call made of one item: a handle, or the reason why there is none.
+type Result struct {
+	Handle string
+	Reason Reason
+}
+
+// kind names the work that takes about the same time for each piece.
+type kind struct {
+	stage int
+	bytes int64
+}
+
+func (w Work) kind() kind {
+	return kind{
+		stage: w.Stage,
+		bytes: w.Bytes,
+	}
+}
--- /dev/null
+++ b/internal/root/relay/flow/run.go
@@ -0,0 +1,174 @@
+package flow
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+)
+
+const (
+	// leastLeft is the time below which a send is not worth it.
+	leastLeft = 10 * time.Millisecond
+	// overload is when to come back where no upstream takes a request.
+	overload = 200 * time.Millisecond
+	// maxStageRuns bounds how often the stages of one request are run.
+	maxStageRuns = 2
+)
+
+// run is the state of one request on its way.
+type run struct {
+	*Service
+	w http.ResponseWriter
+	r *http.Request
+
+	ask     Ask
+	header  http.Header
+	body    []byte
+	plan    *plan.Plan
+	route   plan.Route
+	account plan.Account
+	keyed   bool
+	pool    string
+	arrived time.Time
+	// deadline is when the caller is told, answered or not.
+	deadline time.Time
+
+	// inputs are the results of the last stages, and frees give up what the stages made.
+	inputs    []string
+	staged    bool
+	stageRuns int
+	frees     []func()
+
+	exclude []string
+	// sends counts the upstreams that the request was sent to; ran says that one of them may have run it.
+	sends int
+	ran   bool
+	// begun says that the caller has got a part of its answer.
+	begun  bool
+	events int
+
+	status   int
+	reason   string
+	upstream string
+	abort    bool
+}
+
+// serve runs the stages and then sends the request to upstreams until it is answered or given up.
+func (u *run) serve() {
+	ctx, cancel := context.WithDeadline(u.r.Context(), u.deadline)
+	defer cancel()
+	u.budget(u.pool).Earn()
+	for {
+		if !u.prepare(ctx) {
+			return
+		}
+		up, ok := u.pick()
+		if !ok {
+			u.giveUp("no upstream of pool "+u.pool, overload)
+			return
+		}
+		ev, done := u.attempt(ctx, up)
+		if done {
+			return
+		}
+		if !u.again(ctx, ev) {
+			return
+		}
+	}
+}
+
+// prepare checks that a send may begin, once the stages have run.
+func (u *run) prepare(ctx context.Context) bool {
+	if !u.runStages(ctx) {
+		return false
+	}
+	switch {
+	case u.r.Context().Err() != nil:
+		u.giveUp("caller went away", 0)
+	case u.left() < leastLeft:
+		u.giveUp("deadline", overload)
+	case !u.allowed():
+		u.giveUp("key is no longer known to be valid", notReadyRetry)
+	default:
+		return true
+	}
+	return false
+}
+
+func (u *run) left() time.Duration {
+	return u.deadline.Sub(u.Now())
+}
+
+// pick chooses an upstream, one that was tried already only where no other is left.
+func (u *run) pick() (route.Upstream, bool) {
+	q := route.Query{
+		Pool:    u.pool,
+		Exclude: u.exclude,
+	}
+	if u.route.Affinity {
+		q.Affinity = u.ask.affinity()
+	}
+	up, ok := u.Table.PickAny(u.Now(), q)
+	if !ok && len(u.exclude) > 0 {
+		q.Exclude = nil
+		up, ok = u.Table.PickAny(u.Now(), q)
+	}
+	return up, ok
+}
+
+// again decides whether another upstream is tried.
+func (u *run) again(ctx context.Context, ev retry.Event) bool {
+	if u.r.Context().Err() != nil {
+		u.giveUp("caller went away", 0)
+		return false
+	}
+	state := retry.State{
+		Idempotent: u.route.Repeatable(),
+		Ran:        u.sends,
+		MaxRan:     u.route.Attempts,
+		Arrivals:   true,
+		Left:       u.left(),
+		Need:       leastLeft,
+	}
+	switch a := retry.Decide(state, ev, u.budget(u.pool)).(type) {
+	case retry.Again:
+		if a.Pause > 0 {
+			common.Sleep(ctx, a.Pause)
+		}
+		return true
+	case retry.Stop:
+		u.giveUp(u.reason+": "+string(a.Reason), overload)
+	}
+	return false
+}
+
+// readBody reads the body whole, so that it can be sent more than once.
+func (u *run) readBody() bool {
+	limit := u.plan.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(u.w, u.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		u.reject(http.StatusRequestEntityTooLarge, "body is too large")
+		return false
+	case err != nil:
+		u.reject(http.StatusBadRequest, "body did not arrive whole")
+		return false
+	}
+	u.body = body
+	return true
+}
+
+// defaultBody bounds a body where the configuration does not, in bytes.
+const defaultBody = 1 << 20
--- /dev/null
+++ b/internal/root/relay/flow/service.go
@@ -0,0 +1,164 @@
+package flow
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
+	"github.com/cornelwing/cornelwing/internal/root/relay/grant"
+	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/relay/send"
+)
+
+// notReadyRetry is when to come back to a host that may serve nothing yet.
+const notReadyRetry = 500 * time.Millisecond
+
+// Sender sends one request to an upstream.
+type Sender interface {
+	Do(ctx context.Context, r send.Request) send.Result
+}
+
+// Workers run the pieces of stages.
+type Workers interface {
+	// Do runs the work; free, where not nil, gives its results up.
+	Do(ctx context.Context, w batch.Work) (o batch.Outcome, free func())
+}
+
+// Budget tells how retries are bounded.
+type Budget struct {
+	// Ratio is how many retries each request adds, and Extra how many are allowed besides in a window.
+	Ratio float64
+	Extra float64
+}
+
+// Service serves requests.
+type Service struct {
+	common.Deps
+	Plans   *plan.Holder
+	Table   *route.Table
+	Sender  Sender
+	Workers Workers
+	Lease   *grant.Lease
+	Headers Headers
+	Budget  Budget
+	// Hosts returns how many hosts share the retry budget.
+	Hosts func() int
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+}
+
+// ServeHTTP answers one request.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	u := &run{
+		Service: s,
+		w:       w,
+		r:       r,
+		arrived: s.Now(),
+	}
+	defer u.end()
+	if u.admit() {
+		u.serve()
+	}
+}
+
+// admit checks the request whole, and answers it where it can't be served.
+func (u *run) admit() bool {
+	var err error
+	u.header = u.r.Header.Clone()
+	if u.ask, err = u.Headers.Ask(u.header); err != nil {
+		u.reject(http.StatusBadRequest, err.Error())
+		return false
+	}
+	u.plan = u.Plans.Current()
+	if u.plan == nil {
+		u.refuse(notReadyRetry, "no configuration yet")
+		return false
+	}
+	if !u.match() || !u.identify() || !u.readBody() {
+		return false
+	}
+	wait := u.route.Timeout
+	if u.ask.Wait > 0 && (wait <= 0 || u.ask.Wait < wait) {
+		wait = u.ask.Wait
+	}
+	u.deadline = u.arrived.Add(wait)
+	u.pool = u.route.Pool(rand.Float64())
+	return true
+}
+
+func (u *run) match() bool {
+	host := u.r.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	path, _, _ := strings.Cut(u.r.RequestURI, "?")
+	var ok bool
+	if u.route, ok = u.plan.Match(host, path); !ok || !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") {
+		u.reject(http.StatusNotFound, "no route")
+		return false
+	}
+	return true
+}
+
+// identify finds the caller's account. A keyed request is served only while the configuration is known to be recent.
+func (u *run) identify() bool {
+	if u.route.Public || !u.plan.Closed() {
+		return true
+	}
+	if !u.Lease.Valid() {
+		age, _ := u.Lease.Age()
+		u.refuse(notReadyRetry, "platform not heard for "+age.Round(time.Millisecond).String())
+		return false
+	}
+	var ok bool
+	if u.account, ok = u.plan.Account(u.ask.Key); !ok {
+		u.reject(http.StatusUnauthorized, "unknown key")
+		return false
+	}
+	u.keyed = true
+	return true
+}
+
+// allowed checks the account again just before a send, as the key may have been taken away since.
+func (u *run) allowed() bool {
+	if !u.keyed {
+		return true
+	}
+	if !u.Lease.Valid() {
+		return false
+	}
+	_, ok := u.Plans.Current().Account(u.ask.Key)
+	return ok
+}
+
+// rank is the urgency of the request; 0 is the most urgent.
+func (u *run) rank() int {
+	if u.account.Ranked {
+		return u.account.Rank
+	}
+	return u.route.Rank
+}
+
+// budget returns the retry budget of a pool, of which this host has its share.
+func (s *Service) budget(pool string) *retry.Budget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.budgets == nil {
+		s.budgets = map[string]*retry.Budget{}
+	}
+	b, ok := s.budgets[pool]
+	if !ok {
+		b = retry.NewBudget(retry.WithRatio(s.Budget.Ratio), retry.WithReserve(s.Budget.Extra/float64(max(1, s.Hosts()))))
+		s.budgets[pool] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/root/relay/flow/stages.go
@@ -0,0 +1,190 @@
+package flow
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
+	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+)
+
+const (
+	// engineTime is what a request is taken to need after its stages to be on time, and leastEngine to count at all.
+	engineTime  = 150 * time.Millisecond
+	leastEngine = 60 * time.Millisecond
+	// fullCall is how many times its fixed part a call takes with the usual number of pieces.
+	fullCall = 1.4
+)
+
+// graph is the state of a request's stages.
+type graph struct {
+	*run
+	mu      sync.Mutex
+	handles [][]string
+	done    []chan struct{}
+	// failed is the first outcome of a stage that has no results.
+	failed batch.Outcome
+	stage  int
+	cancel context.CancelFunc
+}
+
+// runStages runs the stages whose results the request needs, unless these are there; false says that the request was answered.
+func (u *run) runStages(ctx context.Context) bool {
+	if u.staged || !u.needsStages() {
+		return true
+	}
+	if u.stageRuns >= maxStageRuns {
+		u.giveUp("results of stages were lost again", overload)
+		return false
+	}
+	u.stageRuns++
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g := &graph{
+		run:     u,
+		handles: make([][]string, len(u.route.Stages)),
+		done:    make([]chan struct{}, len(u.route.Stages)),
+		cancel:  cancel,
+	}
+	for i := range g.done {
+		g.done[i] = make(chan struct{})
+	}
+	for i := range g.done {
+		go g.runStage(ctx, i)
+	}
+	for i := range g.done {
+		<-g.done[i]
+	}
+	return u.takeInputs(g)
+}
+
+func (u *run) needsStages() bool {
+	for i := range u.route.Stages {
+		if u.ask.pieces(i) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (u *run) takeInputs(g *graph) bool {
+	switch o := g.failed.(type) {
+	case nil:
+	case batch.Refused:
+		u.giveUp(fmt.Sprintf("stage %d would not be done in time", g.stage), o.After)
+		return false
+	case batch.Failed:
+		u.giveUp(fmt.Sprintf("stage %d: %s", g.stage, o.Reason), overload)
+		return false
+	}
+	u.inputs = nil
+	for _, i := range u.route.Last() {
+		u.inputs = append(u.inputs, g.handles[i]...)
+	}
+	u.staged = true
+	return true
+}
+
+// forgetInputs makes the stages run again before the next send.
+func (u *run) forgetInputs() {
+	u.freeAll()
+}
+
+// freeAll gives up what the stages made.
+func (u *run) freeAll() {
+	for _, free := range u.frees {
+		free()
+	}
+	u.frees = nil
+	u.inputs = nil
+	u.staged = false
+}
+
+// runStage runs one stage once those before it are done.
+func (g *graph) runStage(ctx context.Context, i int) {
+	defer close(g.done[i])
+	s := g.route.Stages[i]
+	n := g.ask.pieces(i)
+	if n == 0 {
+		return
+	}
+	for _, a := range s.After {
+		<-g.done[a]
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	o, free := g.Workers.Do(ctx, g.work(i, n))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if free != nil {
+		g.frees = append(g.frees, free)
+	}
+	made, ok := o.(batch.Made)
+	if !ok {
+		if g.failed == nil {
+			g.failed = o
+			g.stage = i
+			g.cancel()
+		}
+		return
+	}
+	g.handles[i] = made.Handles
+}
+
+func (g *graph) work(i, n int) batch.Work {
+	s := g.route.Stages[i]
+	now := g.Now()
+	rest := g.rest(i)
+	w := batch.Work{
+		Pool:    s.Pool,
+		Request: g.ask.ID,
+		Stage:   i,
+		Bytes:   s.Bytes,
+		Rank:    g.rank(),
+		Domain:  g.Domain,
+		OnTime:  g.arrived.Add(g.route.Objective).Sub(now) - rest - engineTime,
+		Last:    g.deadline.Sub(now) - rest - leastEngine,
+	}
+	if len(s.After) == 0 {
+		w.Key = g.ask.PieceKey
+	}
+	inputs := g.inputsOf(s)
+	for p := range n {
+		w.Pieces = append(w.Pieces, batch.Piece{
+			Index:  p,
+			Inputs: inputs,
+		})
+	}
+	return w
+}
+
+func (g *graph) inputsOf(s plan.Stage) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []string
+	for _, a := range s.After {
+		out = append(out, g.handles[a]...)
+	}
+	return out
+}
+
+// rest is about what the stages that follow a stage take.
+func (g *graph) rest(i int) time.Duration {
+	var longest time.Duration
+	for j := i + 1; j < len(g.route.Stages); j++ {
+		s := g.route.Stages[j]
+		if g.ask.pieces(j) == 0 || !slices.Contains(s.After, i) {
+			continue
+		}
+		var call time.Duration
+		if w := g.plan.Pools[s.Pool].Worker; w != nil {
+			call = time.Duration(fullCall * float64(w.Call))
+		}
+		longest = max(longest, call+g.rest(j))
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/root/relay/hosts/roster.go
@@ -0,0 +1,211 @@
+package hosts
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
+)
+
+// ErrHost reports a host without a name or an address.
+var ErrHost = errors.New("host needs a name and an address")
+
+// Host is an entry host as it tells the others of itself.
+type Host struct {
+	Name string `json:"name"`
+	// Addr is where its peers reach it.
+	Addr   string `json:"addr"`
+	Domain string `json:"domain"`
+}
+
+// UnmarshalJSON decodes a host and checks that it can be reached.
+func (h *Host) UnmarshalJSON(b []byte) error {
+	type plain Host
+	var p plain
+	if err := json.Unmarshal(b, &p); err != nil {
+		return fmt.Errorf("decode host: %w", err)
+	}
+	if p.Name == "" || p.Addr == "" {
+		return fmt.Errorf("check host: %w", ErrHost)
+	}
+	*h = Host(p)
+	return nil
+}
+
+const (
+	// probeEvery is how often a host that does not answer is probed.
+	probeEvery = 700 * time.Millisecond
+	// backAfter is how many probes in a row a host has to answer before it is used again.
+	backAfter = 2
+)
+
+// state is what this host knows of another.
+type state struct {
+	host Host
+	hash uint64
+	// down is closed when the host stops to answer, and nil while it is down.
+	down    chan struct{}
+	probeAt time.Time
+	good    int
+}
+
+// Roster is this host's view of the entry hosts, itself among them.
+type Roster struct {
+	common.Deps
+	self Host
+
+	mu     sync.Mutex
+	states map[string]*state
+}
+
+// NewRoster returns a roster that knows only the host itself.
+func NewRoster(deps common.Deps, self Host) *Roster {
+	r := &Roster{
+		Deps:   deps.WithPart("hosts"),
+		self:   self,
+		states: map[string]*state{},
+	}
+	r.put(self)
+	return r
+}
+
+func (r *Roster) put(h Host) {
+	if old, ok := r.states[h.Name]; ok && old.host == h {
+		return
+	}
+	r.states[h.Name] = &state{
+		host: h,
+		hash: xxhash.Sum64String(h.Name),
+		down: make(chan struct{}),
+	}
+}
+
+// Reset takes the whole table of hosts.
+func (r *Roster) Reset(rows []follow.Row) {
+	r.Apply(rows)
+	seen := map[string]bool{r.self.Name: true}
+	for _, row := range rows {
+		seen[row.Key] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range r.states {
+		if !seen[name] {
+			delete(r.states, name)
+		}
+	}
+}
+
+// Apply takes changed rows of the table of hosts.
+func (r *Roster) Apply(rows []follow.Row) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, row := range rows {
+		if row.Key == r.self.Name {
+			continue
+		}
+		if row.Deleted {
+			delete(r.states, row.Key)
+			r.Log.WithField("host", row.Key).Info("Host has left.")
+			continue
+		}
+		var h Host
+		if err := json.Unmarshal(row.Value, &h); err != nil {
+			r.Log.WithError(err).WithField("host", row.Key).Warn("Row names no host. It is not used.")
+			continue
+		}
+		r.put(h)
+		r.Log.WithField("host", h.Name).WithField("domain", h.Domain).Info("Host is known.")
+	}
+}
+
+// Count returns how many hosts are known, down or not.
+func (r *Roster) Count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.states)
+}
+
+// Owner returns the host that batches for the pool, and a channel that closes when it goes down.
+func (r *Roster) Owner(pool string) (Host, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var best *state
+	for _, s := range r.states {
+		if s.down == nil {
+			continue
+		}
+		if best == nil || r.before(pool, s, best) {
+			best = s
+		}
+	}
+	if best == nil {
+		return r.self, nil
+	}
+	return best.host, best.down
+}
+
+// before orders hosts for a pool, the same way on every host.
+func (r *Roster) before(pool string, a, b *state) bool {
+	p := xxhash.Sum64String(pool)
+	return cmp.Or(cmp.Compare(common.Mix(a.hash^p), common.Mix(b.hash^p)), cmp.Compare(a.host.Name, b.host.Name)) > 0
+}
+
+// Down takes a host out of use until it answers probes again.
+func (r *Roster) Down(h Host, why error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.states[h.Name]
+	if !ok || s.host != h || s.down == nil || h.Name == r.self.Name {
+		return
+	}
+	close(s.down)
+	s.down = nil
+	s.good = 0
+	s.probeAt = r.Now().Add(probeEvery)
+	r.Log.WithError(why).WithField("host", h.Name).Warn("Host is down.")
+}
+
+// Probed takes the answer of a probe of a host that is down.
+func (r *Roster) Probed(h Host, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, known := r.states[h.Name]
+	if !known || s.host != h || s.down != nil {
+		return
+	}
+	s.probeAt = r.Now().Add(probeEvery)
+	if !ok {
+		s.good = 0
+		return
+	}
+	s.good++
+	if s.good < backAfter {
+		return
+	}
+	s.down = make(chan struct{})
+	r.Log.WithField("host", h.Name).Info("Host is back.")
+}
+
+// Due returns the hosts that are to be probed now.
+func (r *Roster) Due() []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	var out []Host
+	for _, s := range r.states {
+		if s.down == nil && !now.Before(s.probeAt) {
+			out = append(out, s.host)
+		}
+	}
+	slices.SortFunc(out, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
--- /dev/null
+++ b/internal/root/relay/relay.go
@@ -0,0 +1,221 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
+	"github.com/cornelwing/cornelwing/internal/root/relay/flow"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
+	"github.com/cornelwing/cornelwing/internal/root/relay/grant"
+	"github.com/cornelwing/cornelwing/internal/root/relay/hosts"
+	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/relay/send"
+	"github.com/cornelwing/cornelwing/internal/serve"
+	"github.com/cornelwing/cornelwing/internal/setup"
+	"github.com/cornelwing/cornelwing/internal/super"
+)
+
+const (
+	// feedWait is how long a call for changes waits; it bounds how late a connection that fell silent is noticed.
+	feedWait = 1500 * time.Millisecond
+	// hostsWait is the same for the table of hosts, which may be old.
+	hostsWait = 15 * time.Second
+	// keySlack is how much sooner than allowed a key is no longer trusted.
+	keySlack = 250 * time.Millisecond
+	// drainShare and graceShare are the parts of the grace for which a stopping host goes on taking requests, and after which it ends.
+	drainShare = 0.36
+	graceShare = 0.92
+	// retryShare is the part of the retry budget that is used, as the hosts count by themselves.
+	retryShare = 0.85
+	// hostRetry is how often a host tries to tell the others of itself.
+	hostRetry = 500 * time.Millisecond
+	// usualTime is what a request is expected to take at an upstream that has not served any.
+	usualTime = 100 * time.Millisecond
+	// headerTimeout and idleTimeout bound a caller's connection.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 5 * time.Minute
+)
+
+// Adapter is what the relay needs of a platform.
+type Adapter struct {
+	// Configurations, Upstreams and Hosts are tables of its store, and ConfigKey the row of the newest configuration.
+	Configurations follow.Source
+	ConfigKey      string
+	Upstreams      follow.Source
+	Hosts          HostTable
+	Plan           func(value []byte) (*plan.Plan, error)
+	Upstream       follow.Decode
+	Headers        flow.Headers
+	Workers        batch.Caller
+}
+
+// HostTable is the table in which the hosts tell of themselves.
+type HostTable interface {
+	follow.Source
+	// Put writes a row.
+	Put(ctx context.Context, key string, value []byte) error
+	// Remove deletes a row.
+	Remove(ctx context.Context, key string) error
+}
+
+// Relay holds the parts of the daemon.
+type Relay struct {
+	common.Deps
+	settings setup.Relay
+	adapter  Adapter
+	plans    *plan.Holder
+	members  *follow.Members
+	lease    *grant.Lease
+	table    *route.Table
+	keeper   *batch.Keeper
+	roster   *hosts.Roster
+	peers    *hosts.Peers
+	flow     *flow.Service
+	callers  *serve.Graceful
+	leaving  atomic.Bool
+}
+
+// New returns a daemon on the platform of the adapter.
+func New(deps common.Deps, s setup.Relay, a Adapter) *Relay {
+	r := &Relay{
+		Deps:     deps,
+		settings: s,
+		adapter:  a,
+		plans:    &plan.Holder{},
+		lease:    grant.New(grant.Boot, s.Keys.Revoke.D()-keySlack),
+		table:    route.New(s.Host.Domain),
+		keeper:   batch.NewKeeper(deps, a.Workers),
+	}
+	r.members = follow.NewMembers(deps, a.Upstream, r.sync)
+	r.roster = hosts.NewRoster(deps, r.self())
+	r.peers = hosts.NewPeers(deps, s.Listen.Peers, r.roster, r.keeper)
+	r.flow = &flow.Service{
+		Deps:    deps.WithPart("flow"),
+		Plans:   r.plans,
+		Table:   r.table,
+		Sender:  send.New(),
+		Workers: r.peers,
+		Lease:   r.lease,
+		Headers: a.Headers,
+		Budget: flow.Budget{
+			Ratio: s.Retry.Ratio * retryShare,
+			Extra: s.Retry.Extra * retryShare,
+		},
+		Hosts: r.roster.Count,
+	}
+	grace := s.Stop.Grace.D()
+	drain := time.Duration(drainShare * float64(grace))
+	r.callers = serve.New(deps.WithPart("callers"), s.Listen.Callers, r.flow, serve.Limits{
+		HeaderTimeout: headerTimeout,
+		IdleTimeout:   idleTimeout,
+		DrainWait:     drain,
+		DrainTimeout:  time.Duration(graceShare*float64(grace)) - drain,
+	}, serve.WithLeave(r.leave))
+	return r
+}
+
+func (r *Relay) self() hosts.Host {
+	return hosts.Host{
+		Name:   r.settings.Host.Name,
+		Addr:   r.settings.Listen.Peers,
+		Domain: r.settings.Host.Domain,
+	}
+}
+
+// Run runs the daemon until ctx ends.
+func (r *Relay) Run(ctx context.Context) error {
+	plans := follow.NewPlans(r.Deps, r.adapter.ConfigKey, r.adapter.Plan, r.plans, r.sync)
+	tree := super.New(r.WithPart("root"), super.WithParts(
+		follow.NewFeed(r.Deps, "configurations", r.adapter.Configurations, plans, feedWait, follow.WithConfirm(r.confirm)),
+		follow.NewFeed(r.Deps, "upstreams", r.adapter.Upstreams, r.members, feedWait, follow.WithOutage(r.members.Lost, r.members.Back)),
+		follow.NewFeed(r.Deps, "hosts", r.adapter.Hosts, r.roster, hostsWait),
+		super.Func{
+			Label: "presence",
+			Body:  r.present,
+		},
+		r.peers,
+		super.Func{
+			Label: "ready",
+			Body:  serve.New(r.WithPart("ready"), r.settings.Listen.Ready, r.readyHandler(), serve.Limits{HeaderTimeout: headerTimeout}).Run,
+		},
+		super.Func{
+			Label: "callers",
+			Body:  r.callers.Run,
+		},
+	))
+	if err := tree.Run(ctx, func() { r.Log.Info("Started.") }); err != nil {
+		return fmt.Errorf("run daemon: %w", err)
+	}
+	return nil
+}
+
+// confirm extends the lease on keys from before the call that the returned function follows.
+func (r *Relay) confirm() func() {
+	asked := r.lease.Start()
+	return func() {
+		if r.plans.Current() != nil {
+			r.lease.Confirm(asked)
+		}
+	}
+}
+
+// sync brings the plan and the upstreams into the routing table and the queues.
+func (r *Relay) sync() {
+	p := r.plans.Current()
+	if p == nil {
+		return
+	}
+	ups := r.members.List()
+	specs := make([]route.PoolSpec, 0, len(p.Pools))
+	for _, pool := range p.Pools {
+		slots := 1
+		if pool.Engine != nil {
+			slots = pool.Engine.Slots
+		}
+		specs = append(specs, route.PoolSpec{
+			Name:     pool.Name,
+			Slots:    slots,
+			Expected: usualTime,
+		})
+	}
+	r.table.Sync(specs, ups, r.roster.Count())
+	r.keeper.Sync(p, ups)
+}
+
+// present tells the other hosts of this one, and takes it back as the host stops.
+func (r *Relay) present(ctx context.Context, up func()) error {
+	up()
+	value, err := json.Marshal(r.self())
+	if err != nil {
+		return fmt.Errorf("encode host: %w", err)
+	}
+	for {
+		err := r.adapter.Hosts.Put(ctx, r.Host, value)
+		if err == nil {
+			break
+		}
+		if !common.Sleep(ctx, hostRetry) {
+			return nil
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// leave takes this host out of the table of hosts, so that others stop to send it work.
+func (r *Relay) leave() {
+	r.leaving.Store(true)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if err := r.adapter.Hosts.Remove(ctx, r.Host); err != nil {
+			r.Log.WithError(err).Info("Row of this host was not removed.")
+		}
+	}()
+}
--- /dev/null
+++ b/internal/setup/relay.go
@@ -0,0 +1,88 @@
+package setup
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cornelwing/cornelwing/internal/strict"
+	"github.com/cornelwing/cornelwing/pkg/config"
+)
+
+// Relay is what a daemon has to know that passes callers' requests on unchanged.
+type Relay struct {
+	Host   Host        `yaml:"host"`
+	Listen RelayListen `yaml:"listen"`
+	Store  Store       `yaml:"store"`
+	Stop   Stop        `yaml:"stop"`
+	Keys   Keys        `yaml:"keys"`
+	Retry  Retry       `yaml:"retry"`
+	Log    Log         `yaml:"log"`
+}
+
+// RelayListen holds the addresses, an IP number and a port each.
+type RelayListen struct {
+	Callers string `yaml:"callers" help:"address for callers (TCP)"`
+	Ready   string `yaml:"ready" help:"address at which the balancer asks whether the host is ready (TCP)"`
+	Peers   string `yaml:"peers" help:"address for the other hosts (TCP)"`
+	Metrics string `yaml:"metrics" help:"address of the metrics (TCP)"`
+}
+
+// Store says where the platform's store is.
+type Store struct {
+	Address string `yaml:"address" help:"address of the platform's store, an IP number and a port"`
+}
+
+// Stop bounds a graceful stop.
+type Stop struct {
+	Grace config.Span `yaml:"grace" help:"time from the signal to stop until the process is killed"`
+}
+
+// Keys says how long callers' keys may be trusted.
+type Keys struct {
+	Revoke config.Span `yaml:"revoke" help:"time after which a key that was taken away may no longer be served"`
+}
+
+// Retry is the retry budget of all hosts together.
+type Retry struct {
+	Ratio float64 `yaml:"ratio" help:"retries allowed for each request of a pool"`
+	Extra float64 `yaml:"extra" help:"retries of a pool that are allowed besides in a window"`
+}
+
+// ReadRelay reads and checks a settings file.
+func ReadRelay(path string) (Relay, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Relay{}, fmt.Errorf("read settings: %w", err)
+	}
+	s := Relay{
+		Log: Log{
+			Level: "info",
+		},
+	}
+	if err := strict.Decode(path, data, &s); err != nil {
+		return Relay{}, fmt.Errorf("decode settings: %w", err)
+	}
+	return s, nil
+}
+
+// Faults returns everything that is wrong with the settings.
+func (s *Relay) Faults() []strict.Fault {
+	var c strict.Check
+	c.That(s.Host.Name != "", "host.name", "a name is needed")
+	c.That(s.Host.Domain != "", "host.domain", "a failure domain is needed")
+	checkAddr(&c, "listen.callers", s.Listen.Callers)
+	checkAddr(&c, "listen.ready", s.Listen.Ready)
+	checkAddr(&c, "listen.peers", s.Listen.Peers)
+	checkAddr(&c, "listen.metrics", s.Listen.Metrics)
+	checkAddr(&c, "store.address", s.Store.Address)
+	c.That(s.Stop.Grace.D() >= time.Second, "stop.grace", "%s is less than 1s", s.Stop.Grace)
+	c.That(s.Keys.Revoke.D() >= time.Second, "keys.revoke", "%s is less than 1s", s.Keys.Revoke)
+	c.That(s.Retry.Ratio >= 0, "retry.ratio", "%g is below 0", s.Retry.Ratio)
+	c.That(s.Retry.Extra >= 0, "retry.extra", "%g is below 0", s.Retry.Extra)
+	_, err := logrus.ParseLevel(s.Log.Level)
+	c.That(err == nil, "log.level", "%q is not one of debug, info, warning, error", s.Log.Level)
+	return c.Faults()
+}
