--- a/internal/root/front/chain/route/entry.go
+++ b/internal/root/front/chain/route/entry.go
@@ -46,9 +46,8 @@
 
 // entry is what this host knows of one upstream.
 type entry struct {
-	up    Upstream
-	hash  uint64
-	local bool
+	up   Upstream
+	hash uint64
 
 	own     int
 	history [historySize]change
@@ -69,11 +68,10 @@
 	backAt   time.Time
 }
 
-func newEntry(up Upstream, domain string) *entry {
+func newEntry(up Upstream) *entry {
 	return &entry{
-		up:    up,
-		hash:  xxhash.Sum64String(up.Name),
-		local: up.Domain == domain,
+		up:   up,
+		hash: xxhash.Sum64String(up.Name),
 	}
 }
 
--- a/internal/root/front/chain/route/table.go
+++ b/internal/root/front/chain/route/table.go
@@ -37,15 +37,19 @@
 	Pool string
 	// Affinity is the hash of the prompt's prefix, or 0 where none is preferred.
 	Affinity uint64
+	// Near is the failure domain in which the upstream should be, or "" for the host's own.
+	Near string
 	// Exclude names upstreams that were tried already.
 	Exclude []string
 	// Allow, where set, leaves only some upstreams to choose from.
 	Allow func(upstream string) bool
+	// far leaves only upstreams of other domains to choose from.
+	far bool
 }
 
 // takes reports whether the query may be given the upstream.
 func (q Query) takes(now time.Time, e *entry) bool {
-	if !e.usable(now) || slices.Contains(q.Exclude, e.up.Name) {
+	if !e.usable(now) || slices.Contains(q.Exclude, e.up.Name) || (q.far && e.up.Domain == q.Near) {
 		return false
 	}
 	return q.Allow == nil || q.Allow(e.up.Name)
@@ -80,9 +84,9 @@
 	spec     PoolSpec
 	slots    int
 	expected time.Duration
-	// entries holds those of the own failure domain first.
-	entries []*entry
-	local   int
+	entries  []*entry
+	// near holds the entries by their failure domains.
+	near map[string][]*entry
 	// sum is the pressure as it was summed up last; own attempts are counted in as they begin and end.
 	sum   Pressure
 	sumAt time.Time
@@ -118,6 +122,7 @@
 			spec:     s,
 			slots:    s.Slots,
 			expected: s.Expected,
+			near:     map[string][]*entry{},
 		}
 	}
 	names := make(map[string]*entry, len(ups))
@@ -129,30 +134,17 @@
 		e := t.keep(u)
 		names[u.Name] = e
 		p.entries = append(p.entries, e)
-	}
-	for _, p := range pools {
-		slices.SortStableFunc(p.entries, func(a, b *entry) int { return rank(a) - rank(b) })
-		p.local = len(p.entries)
-		if i := slices.IndexFunc(p.entries, func(e *entry) bool { return !e.local }); i >= 0 {
-			p.local = i
-		}
+		p.near[u.Domain] = append(p.near[u.Domain], e)
 	}
 	t.pools = pools
 	t.byName = names
 }
 
-func rank(e *entry) int {
-	if e.local {
-		return 0
-	}
-	return 1
-}
-
 // keep returns the entry of an upstream, a new one if it is new or has moved.
 func (t *Table) keep(u Upstream) *entry {
 	old, ok := t.byName[u.Name]
 	if !ok || old.up.Addr != u.Addr || old.up.Born != u.Born {
-		return newEntry(u, t.domain)
+		return newEntry(u)
 	}
 	old.up = u
 	return old
@@ -177,6 +169,9 @@
 	if !ok || len(p.entries) == 0 {
 		return Upstream{}, false
 	}
+	if q.Near == "" {
+		q.Near = t.domain
+	}
 	e := t.preferred(now, p, q)
 	if e == nil {
 		e = t.sample(now, rng, p, q)
@@ -196,19 +191,40 @@
 	return t.Pick(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), q)
 }
 
-// preferred returns the upstream of the own domain that most likely holds the prefix, unless it has too much in hand.
-func (t *Table) preferred(now time.Time, p *pool, q Query) *entry {
-	if q.Affinity == 0 || p.local == 0 {
-		return nil
+// Home returns the failure domain of the upstream that most likely holds the prefix, over all domains.
+func (t *Table) Home(now time.Time, name string, affinity uint64) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.pools[name]
+	if !ok || affinity == 0 {
+		return t.domain
 	}
+	best := highest(now, p.entries, Query{Affinity: affinity})
+	if best == nil {
+		return t.domain
+	}
+	return best.up.Domain
+}
+
+// highest returns the usable entry that ranks highest for the query's prefix, or nil.
+func highest(now time.Time, from []*entry, q Query) *entry {
 	var best *entry
 	var bestRank uint64
-	for _, e := range p.entries[:p.local] {
+	for _, e := range from {
 		if r := common.Mix(e.hash ^ q.Affinity); (best == nil || r > bestRank) && q.takes(now, e) {
 			best = e
 			bestRank = r
 		}
 	}
+	return best
+}
+
+// preferred returns the upstream of the domain that most likely holds the prefix, unless it has too much in hand.
+func (t *Table) preferred(now time.Time, p *pool, q Query) *entry {
+	if q.Affinity == 0 {
+		return nil
+	}
+	best := highest(now, p.near[q.Near], q)
 	if best == nil {
 		return nil
 	}
@@ -221,13 +237,17 @@
 	return best
 }
 
-// sample compares a few candidates of the own domain, and others only where these have a queue.
+// sample compares a few candidates of the domain, and others only where these have a queue.
 func (t *Table) sample(now time.Time, rng *rand.Rand, p *pool, q Query) *entry {
-	best, cost := t.best(now, rng, p, p.entries[:p.local], q, 0)
+	best, cost := t.best(now, rng, p, p.near[q.Near], q, 0)
 	if best != nil && float64(best.load(now, t.hosts)+1) <= best.capacity(now, p.slots) && !t.slowFor(now, best, p) {
 		return best
 	}
-	far, farCost := t.best(now, rng, p, p.entries[p.local:], q, wayCost)
+	if len(p.near[q.Near]) == len(p.entries) {
+		return best
+	}
+	q.far = true
+	far, farCost := t.best(now, rng, p, p.entries, q, wayCost)
 	if best == nil || (far != nil && farCost < cost) {
 		return far
 	}
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -17,6 +17,8 @@
 	maxAfter = 3 * time.Second
 	// learnWeight is the weight of a new sample in the moving average of a piece's time.
 	learnWeight = 0.1
+	// worthWaiting is the size of inputs, in bytes, from which work waits for a worker near them while it can be on time.
+	worthWaiting = 256 << 10
 	// slowLimit is how much slower than expected a worker may be before others are preferred.
 	slowLimit = 1.8
 )
@@ -33,6 +35,19 @@
 	waiting []int
 	missing int
 	tries   int
+	// domains counts the results by the failure domains where they are.
+	domains map[string]int
+}
+
+// domain returns where most of the results are.
+func (j *Job) domain() string {
+	best := ""
+	for d, n := range j.domains {
+		if best == "" || n > j.domains[best] || (n == j.domains[best] && d < best) {
+			best = d
+		}
+	}
+	return best
 }
 
 // Call is one call to a worker.
@@ -117,6 +132,7 @@
 		last:    now.Add(w.Last),
 		handles: make([]string, len(w.Pieces)),
 		missing: len(w.Pieces),
+		domains: map[string]int{},
 	}
 	for i := range w.Pieces {
 		j.waiting = append(j.waiting, i)
@@ -216,20 +232,20 @@
 // Next returns the next call to make, or false while no worker is idle or nothing waits.
 func (q *Queue) Next(now time.Time) (*Call, bool) {
 	q.forget(now)
-	order := q.order(now)
+	order := q.order(now, "")
 	if len(order) == 0 {
 		return nil, false
 	}
 	for _, w := range q.idle(now, order[0].Domain) {
-		if c := q.fill(now, w, order); c != nil {
+		if c := q.fill(now, w, q.order(now, w.up.Domain)); c != nil {
 			return c, true
 		}
 	}
 	return nil, false
 }
 
-// order returns the work that waits: what can be on time first, then by rank, then the longest waiting.
-func (q *Queue) order(now time.Time) []*Job {
+// order returns the work that waits: what can be on time first, then by rank, then what wants its results in the domain, then the longest waiting.
+func (q *Queue) order(now time.Time, domain string) []*Job {
 	var out []*Job
 	for _, j := range q.jobs {
 		if len(j.waiting) > 0 {
@@ -242,8 +258,14 @@
 		}
 		return 0
 	}
+	away := func(j *Job) int {
+		if j.Domain == domain {
+			return 0
+		}
+		return 1
+	}
 	slices.SortStableFunc(out, func(a, b *Job) int {
-		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(a.Rank, b.Rank))
+		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(a.Rank, b.Rank), cmp.Compare(away(a), away(b)))
 	})
 	return out
 }
@@ -302,6 +324,9 @@
 	room := q.spec.Room - w.used
 	batch := max(1, q.spec.Batch)
 	for _, j := range order {
+		if q.waitsNear(now, j, w) {
+			continue
+		}
 		n := len(j.waiting)
 		if n > batch || q.spec.Room < int64(n)*j.Bytes {
 			n = min(n, batch-len(c.Items))
@@ -324,6 +349,45 @@
 	return c
 }
 
+// waitsNear reports whether work is left to a worker near its inputs rather than given to this one.
+func (q *Queue) waitsNear(now time.Time, j *Job, w *worker) bool {
+	if j.Moves < worthWaiting || j.Domain == w.up.Domain {
+		return false
+	}
+	var soonest time.Duration = -1
+	workers := 0
+	for _, o := range q.workers {
+		if o.up.Domain != j.Domain || o.up.Leaving || o.faults > 0 || o.slow > slowLimit {
+			continue
+		}
+		workers++
+		if free := max(0, o.endsAt.Sub(now), o.restTo.Sub(now)); soonest < 0 || free < soonest {
+			soonest = free
+		}
+	}
+	if workers == 0 {
+		return false
+	}
+	ahead := q.aheadNear(j)
+	calls := ahead / (workers * max(1, q.spec.Batch))
+	wait := soonest + time.Duration(calls)*q.callTime(j.Work)
+	return !now.Add(wait + q.callTime(j.Work)).After(j.onTime)
+}
+
+// aheadNear returns how many pieces wait for the same domain before this work.
+func (q *Queue) aheadNear(j *Job) int {
+	n := 0
+	for _, o := range q.jobs {
+		if o == j {
+			break
+		}
+		if o.Domain == j.Domain {
+			n += len(o.waiting)
+		}
+	}
+	return n
+}
+
 func (q *Queue) put(now time.Time, c *Call, j *Job, n int) {
 	for _, place := range j.waiting[:n] {
 		p := j.Pieces[place]
@@ -369,9 +433,11 @@
 		}
 		p.job.handles[p.place] = r.Handle
 		p.job.missing--
+		p.job.domains[c.Upstream.Domain]++
 		if p.job.missing == 0 {
 			q.end(p.job, Made{
 				Handles: p.job.handles,
+				Domain:  p.job.domain(),
 			})
 			over = append(over, p.job)
 		}
--- a/internal/root/relay/batch/work.go
+++ b/internal/root/relay/batch/work.go
@@ -25,6 +25,8 @@
 	Rank int `json:"rank"`
 	// Domain is the failure domain where the results are wanted.
 	Domain string `json:"domain,omitempty"`
+	// Moves is how many bytes of inputs cross to the worker where it is in another failure domain.
+	Moves int64 `json:"moves,omitempty"`
 	// OnTime and Last are how much time the stage has for an answer that is on time, and for one that still counts.
 	OnTime time.Duration `json:"on_time"`
 	Last   time.Duration `json:"last"`
@@ -38,6 +40,8 @@
 // Made holds the handles of the results, one for each piece in their order.
 type Made struct {
 	Handles []string
+	// Domain is the failure domain where most of the results are.
+	Domain string
 }
 
 // Refused says that nothing of the work was or will be done, and when to come back.
--- a/internal/root/relay/flow/run.go
+++ b/internal/root/relay/flow/run.go
@@ -47,6 +47,8 @@
 	stageRuns int
 	frees     []func()
 
+	// near is the failure domain in which the upstream should be.
+	near    string
 	exclude []string
 	// sends counts the upstreams that the request was sent to; ran says that one of them may have run it.
 	sends int
@@ -112,6 +114,7 @@
 	q := route.Query{
 		Pool:    u.pool,
 		Exclude: u.exclude,
+		Near:    u.near,
 	}
 	if u.route.Affinity {
 		q.Affinity = u.ask.affinity()
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -92,6 +92,9 @@
 	}
 	u.deadline = u.arrived.Add(wait)
 	u.pool = u.route.Pool(rand.Float64())
+	if u.route.Affinity {
+		u.near = u.Table.Home(u.arrived, u.pool, u.ask.affinity())
+	}
 	return true
 }
 
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -17,14 +17,16 @@
 	leastEngine = 60 * time.Millisecond
 	// fullCall is how many times its fixed part a call takes with the usual number of pieces.
 	fullCall = 1.4
+	// worthMoving is the size of results, in bytes, from which the request goes to the failure domain where they are.
+	worthMoving = 256 << 10
 )
 
 // graph is the state of a request's stages.
 type graph struct {
 	*run
-	mu      sync.Mutex
-	handles [][]string
-	done    []chan struct{}
+	mu   sync.Mutex
+	made []batch.Made
+	done []chan struct{}
 	// failed is the first outcome of a stage that has no results.
 	failed batch.Outcome
 	stage  int
@@ -44,10 +46,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g := &graph{
-		run:     u,
-		handles: make([][]string, len(u.route.Stages)),
-		done:    make([]chan struct{}, len(u.route.Stages)),
-		cancel:  cancel,
+		run:    u,
+		made:   make([]batch.Made, len(u.route.Stages)),
+		done:   make([]chan struct{}, len(u.route.Stages)),
+		cancel: cancel,
 	}
 	for i := range g.done {
 		g.done[i] = make(chan struct{})
@@ -81,13 +83,30 @@
 		return false
 	}
 	u.inputs = nil
-	for _, i := range u.route.Last() {
-		u.inputs = append(u.inputs, g.handles[i]...)
+	last := u.route.Last()
+	for _, i := range last {
+		u.inputs = append(u.inputs, g.made[i].Handles...)
+	}
+	if domain, bytes := g.heaviest(last); bytes >= worthMoving {
+		u.near = domain
 	}
 	u.staged = true
 	return true
 }
 
+// heaviest returns where the largest results of the stages are, and their size in bytes.
+func (g *graph) heaviest(stages []int) (domain string, bytes int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, i := range stages {
+		if b := g.route.Stages[i].Bytes * int64(len(g.made[i].Handles)); b > bytes {
+			bytes = b
+			domain = g.made[i].Domain
+		}
+	}
+	return domain, bytes
+}
+
 // forgetInputs makes the stages run again before the next send.
 func (u *run) forgetInputs() {
 	u.freeAll()
@@ -132,7 +151,7 @@
 		}
 		return
 	}
-	g.handles[i] = made.Handles
+	g.made[i] = made
 }
 
 func (g *graph) work(i, n int) batch.Work {
@@ -145,7 +164,7 @@
 		Stage:   i,
 		Bytes:   s.Bytes,
 		Rank:    g.rank(),
-		Domain:  g.Domain,
+		Domain:  g.near,
 		OnTime:  g.arrived.Add(g.route.Objective).Sub(now) - rest - engineTime,
 		Last:    g.deadline.Sub(now) - rest - leastEngine,
 	}
@@ -153,6 +172,10 @@
 		w.Key = g.ask.PieceKey
 	}
 	inputs := g.inputsOf(s)
+	if domain, bytes := g.heaviest(s.After); bytes*int64(n) >= worthMoving {
+		w.Domain = domain
+		w.Moves = bytes * int64(n)
+	}
 	for p := range n {
 		w.Pieces = append(w.Pieces, batch.Piece{
 			Index:  p,
@@ -167,7 +190,7 @@
 	defer g.mu.Unlock()
 	var out []string
 	for _, a := range s.After {
-		out = append(out, g.handles[a]...)
+		out = append(out, g.made[a].Handles...)
 	}
 	return out
 }
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -47,6 +47,7 @@
 // answer is what a host says of work, of which one field is set.
 type answer struct {
 	Handles []string     `json:"handles,omitempty"`
+	Domain  string       `json:"domain,omitempty"`
 	AfterMS int64        `json:"after_ms,omitempty"`
 	Reason  batch.Reason `json:"reason,omitempty"`
 }
@@ -54,7 +55,10 @@
 func answerOf(o batch.Outcome) answer {
 	switch o := o.(type) {
 	case batch.Made:
-		return answer{Handles: o.Handles}
+		return answer{
+			Handles: o.Handles,
+			Domain:  o.Domain,
+		}
 	case batch.Refused:
 		return answer{AfterMS: max(1, o.After.Milliseconds())}
 	case batch.Failed:
@@ -67,7 +71,10 @@
 func (a answer) outcome() batch.Outcome {
 	switch {
 	case len(a.Handles) > 0:
-		return batch.Made{Handles: a.Handles}
+		return batch.Made{
+			Handles: a.Handles,
+			Domain:  a.Domain,
+		}
 	case a.AfterMS > 0:
 		return batch.Refused{After: time.Duration(a.AfterMS) * time.Millisecond}
 	default:
