--- a/internal/root/relay/batch/keeper.go
+++ b/internal/root/relay/batch/keeper.go
@@ -172,12 +172,23 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.Now()
+	log := k.Log.WithFields(map[string]any{
+		"pool":     pool,
+		"upstream": c.Upstream.Name,
+		"items":    len(c.Items),
+		"took_ms":  now.Sub(c.began).Milliseconds(),
+		"expected": c.Expected.Milliseconds(),
+		"waiting":  q.Waiting(),
+		"full":     count(results, Full),
+		"gone":     count(results, Gone),
+	})
 	var over []*Job
 	var spare []string
 	if err != nil {
-		k.Log.WithError(err).WithField("upstream", c.Upstream.Name).WithField("items", len(c.Items)).WithField("took_ms", now.Sub(c.began).Milliseconds()).Warn("Call broke.")
+		log.WithError(err).Warn("Call broke.")
 		over, spare = q.Broke(now, c)
 	} else {
+		log.Info("Call done.")
 		over, spare = q.Finish(now, c, results)
 	}
 	k.free(pool, spare)
@@ -185,6 +196,17 @@
 	k.dispatch()
 }
 
+// count returns how many results have the reason.
+func count(results []Result, why Reason) int {
+	n := 0
+	for _, r := range results {
+		if r.Reason == why {
+			n++
+		}
+	}
+	return n
+}
+
 // Free gives up results.
 func (k *Keeper) Free(pool string, handles []string) {
 	k.mu.Lock()
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -75,6 +75,8 @@
 	jobs    []*Job
 	held    map[string]held
 	item    map[kind]time.Duration
+	// pace spaces the calls.
+	pace pace
 }
 
 // NewQueue returns an empty queue for workers of the kind.
@@ -138,6 +140,7 @@
 		j.waiting = append(j.waiting, i)
 	}
 	q.jobs = append(q.jobs, j)
+	q.pace.arrived(now, len(w.Pieces))
 	return j, nil
 }
 
@@ -233,7 +236,7 @@
 func (q *Queue) Next(now time.Time) (*Call, bool) {
 	q.forget(now)
 	order := q.order(now, "")
-	if len(order) == 0 {
+	if len(order) == 0 || q.holds(now) {
 		return nil, false
 	}
 	for _, w := range q.idle(now, order[0].Domain) {
@@ -244,6 +247,17 @@
 	return nil, false
 }
 
+// holds reports whether the next call waits for more pieces, as workers that begin at once with few of them leave none for those that come just after.
+func (q *Queue) holds(now time.Time) bool {
+	workers := 0
+	for _, w := range q.workers {
+		if !w.gone && !w.up.Leaving && w.faults == 0 && w.slow <= slowLimit {
+			workers++
+		}
+	}
+	return workers > 1 && q.pace.holds(now, q.Waiting(), workers, q.spec)
+}
+
 // order returns the work that waits: what can be on time first, then by rank, then what wants its results in the domain, then the longest waiting.
 func (q *Queue) order(now time.Time, domain string) []*Job {
 	var out []*Job
@@ -344,6 +358,7 @@
 		return nil
 	}
 	w.calls++
+	q.pace.called(now)
 	c.Expected = time.Duration(float64(c.Expected) * w.slow)
 	w.endsAt = now.Add(c.Expected)
 	return c
--- a/internal/root/relay/flow/run.go
+++ b/internal/root/relay/flow/run.go
@@ -41,11 +41,11 @@
 	// deadline is when the caller is told, answered or not.
 	deadline time.Time
 
-	// inputs are the results of the last stages, and frees give up what the stages made.
+	// inputs are the results of the last stages, and frees give up what each stage made.
 	inputs    []string
 	staged    bool
 	stageRuns int
-	frees     []func()
+	frees     map[int]func()
 
 	// near is the failure domain in which the upstream should be.
 	near    string
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -43,6 +43,7 @@
 		return false
 	}
 	u.stageRuns++
+	u.frees = map[int]func(){}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g := &graph{
@@ -114,14 +115,21 @@
 
 // freeAll gives up what the stages made.
 func (u *run) freeAll() {
-	for _, free := range u.frees {
-		free()
+	for i := range u.frees {
+		u.free(i)
 	}
-	u.frees = nil
 	u.inputs = nil
 	u.staged = false
 }
 
+// free gives up what a stage made, so that its worker has room for other results.
+func (u *run) free(i int) {
+	if free, ok := u.frees[i]; ok {
+		free()
+		delete(u.frees, i)
+	}
+}
+
 // runStage runs one stage once those before it are done.
 func (g *graph) runStage(ctx context.Context, i int) {
 	defer close(g.done[i])
@@ -140,7 +148,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if free != nil {
-		g.frees = append(g.frees, free)
+		g.frees[i] = free
 	}
 	made, ok := o.(batch.Made)
 	if !ok {
@@ -152,6 +160,21 @@
 		return
 	}
 	g.made[i] = made
+	for _, a := range s.After {
+		if g.used(a) {
+			g.free(a)
+		}
+	}
+}
+
+// used reports whether every stage that needs the results of a stage is done.
+func (g *graph) used(a int) bool {
+	for j, s := range g.route.Stages {
+		if slices.Contains(s.After, a) && g.ask.pieces(j) > 0 && len(g.made[j].Handles) == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 func (g *graph) work(i, n int) batch.Work {
