--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -335,7 +335,7 @@
 		worker:   w,
 		began:    now,
 	}
-	room := q.spec.Room - w.used
+	room := w.room(now, q.spec.Room)
 	batch := max(1, q.spec.Batch)
 	for _, j := range order {
 		if q.waitsNear(now, j, w) {
@@ -475,7 +475,8 @@
 		return false
 	}
 	if why == Full {
-		w.restTo = now.Add(fullPause)
+		w.full(now, q.spec.Room)
+		j.tries--
 	}
 	if why == Gone || j.tries >= maxTries {
 		q.end(j, Failed{
--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -10,8 +10,10 @@
 	// restAfterFault is how long a worker that failed a call is left alone, doubled with each further failure.
 	restAfterFault = 300 * time.Millisecond
 	maxRest        = 3 * time.Second
-	// fullPause is how long a worker without room is left alone.
-	fullPause = 100 * time.Millisecond
+	// fullFor is how long room that a worker turned out not to have is taken to be missing, less and less of it.
+	fullFor = time.Second
+	// roomShare is the part of a worker's room that is used, as the sizes of results are only about known.
+	roomShare = 0.95
 	// slowWeight is the weight of a new sample in a worker's moving average of slowness.
 	slowWeight = 0.4
 	maxSlow    = 20
@@ -22,8 +24,11 @@
 	up    route.Upstream
 	calls int
 	// slow is how many times longer than expected its calls take.
-	slow   float64
-	used   int64
+	slow float64
+	used int64
+	// hidden is room that was taken at fullAt by results that are not known here.
+	hidden int64
+	fullAt time.Time
 	faults int
 	restTo time.Time
 	endsAt time.Time
@@ -46,6 +51,19 @@
 	w.restTo = now.Add(rest)
 }
 
+// full records that a result found no room.
+func (w *worker) full(now time.Time, room int64) {
+	w.hidden = max(0, room-w.used)
+	w.fullAt = now
+}
+
+// room returns how many bytes of results the worker should have room for.
+func (w *worker) room(now time.Time, room int64) int64 {
+	left := 1 - float64(now.Sub(w.fullAt))/float64(fullFor)
+	hidden := int64(max(0, left) * float64(w.hidden))
+	return int64(roomShare*float64(room)) - w.used - hidden
+}
+
 // held is a result that takes up room at its worker.
 type held struct {
 	worker *worker
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -185,6 +185,10 @@
 		return
 	}
 	o := p.local.Do(r.Context(), work)
+	if made, ok := o.(batch.Made); ok && r.Context().Err() != nil {
+		p.local.Free(work.Pool, made.Handles)
+		return
+	}
 	w.Header().Set("Content-Type", typeJSON)
 	// A peer that has gone away needs no answer: its results expire.
 	_ = json.NewEncoder(w).Encode(answerOf(o))
