--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -17,8 +17,6 @@
 // wholeLimit bounds the answers that are read whole before the caller gets a byte, in bytes.
 const wholeLimit = 256 << 10
 
-var errTooBig = errors.New("answer is too big to be held")
-
 // attempt sends the request to one upstream; done says that the caller has its answer.
 func (u *run) attempt(ctx context.Context, up route.Upstream) (ev retry.Event, done bool) {
 	began := u.Now()
--- /dev/null
+++ b/internal/root/relay/hosts/hosts_test.go
@@ -0,0 +1,213 @@
+package hosts
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
+)
+
+func hostOf(i int, addr string) Host {
+	return Host{
+		Name:   fmt.Sprintf("h%d", i),
+		Addr:   addr,
+		Domain: "d",
+	}
+}
+
+func rowsOf(hosts ...Host) []follow.Row {
+	var out []follow.Row
+	for _, h := range hosts {
+		b, _ := json.Marshal(h)
+		out = append(out, follow.Row{
+			Key:   h.Name,
+			Value: b,
+		})
+	}
+	return out
+}
+
+func TestRoster(t *testing.T) {
+	Convey("Given five hosts", t, func() {
+		now := time.Unix(1000, 0)
+		deps := common.Quiet("h0", "d")
+		deps.Now = func() time.Time { return now }
+		var all []Host
+		for i := range 5 {
+			all = append(all, hostOf(i, fmt.Sprintf("10.0.0.%d:1", i)))
+		}
+		r := NewRoster(deps, all[0])
+		r.Reset(rowsOf(all...))
+		So(r.Count(), ShouldEqual, 5)
+		owner, down := r.Owner("pool")
+		Convey("every host names the same owner", func() {
+			for _, h := range all {
+				other := NewRoster(common.Quiet(h.Name, "d"), h)
+				other.Reset(rowsOf(all...))
+				got, _ := other.Owner("pool")
+				So(got, ShouldResemble, owner)
+			}
+		})
+		Convey("another one takes over where it is down, until it answers probes again", func() {
+			if owner.Name == "h0" {
+				So(r.Due(), ShouldBeEmpty)
+				return
+			}
+			r.Down(owner, errors.New("silent"))
+			_, open := <-down
+			So(open, ShouldBeFalse)
+			next, _ := r.Owner("pool")
+			So(next, ShouldNotResemble, owner)
+			now = now.Add(probeEvery)
+			So(r.Due(), ShouldResemble, []Host{owner})
+			r.Probed(owner, true)
+			r.Probed(owner, false)
+			r.Probed(owner, true)
+			got, _ := r.Owner("pool")
+			So(got, ShouldResemble, next)
+			r.Probed(owner, true)
+			got, _ = r.Owner("pool")
+			So(got, ShouldResemble, owner)
+		})
+		Convey("the host itself is the owner where all others are down", func() {
+			for _, h := range all {
+				r.Down(h, errors.New("silent"))
+			}
+			got, _ := r.Owner("pool")
+			So(got, ShouldResemble, all[0])
+		})
+		Convey("a host that left is not known any more, nor one whose row can't be read", func() {
+			r.Apply([]follow.Row{{Key: "h3", Deleted: true}, {Key: "h9", Value: []byte("{}")}, {Key: "h8", Value: []byte("?")}})
+			So(r.Count(), ShouldEqual, 4)
+		})
+	})
+}
+
+// fakeLocal answers work with handles that name it.
+type fakeLocal struct {
+	name string
+	hang bool
+
+	mu    sync.Mutex
+	did   int
+	freed []string
+}
+
+func (f *fakeLocal) Do(ctx context.Context, w batch.Work) batch.Outcome {
+	f.mu.Lock()
+	f.did++
+	f.mu.Unlock()
+	if f.hang {
+		<-ctx.Done()
+		return batch.Failed{Reason: batch.Late}
+	}
+	if w.Request == "refuse" {
+		return batch.Refused{After: 70 * time.Millisecond}
+	}
+	return batch.Made{
+		Handles: []string{f.name + "/" + w.Request},
+		Domain:  "d",
+	}
+}
+
+func (f *fakeLocal) Free(_ string, handles []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freed = append(f.freed, handles...)
+}
+
+func (f *fakeLocal) frees() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.freed)
+}
+
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// pair starts one peer and returns another that sends to it, with the pool that it owns.
+func pair(t *testing.T, remote *fakeLocal) (*Peers, *fakeLocal, string, context.CancelFunc) {
+	a, b := hostOf(0, freeAddr(t)), hostOf(1, freeAddr(t))
+	roster := NewRoster(common.Quiet(a.Name, "d"), a)
+	roster.Reset(rowsOf(a, b))
+	local := &fakeLocal{name: "local"}
+	here := NewPeers(common.Quiet(a.Name, "d"), a.Addr, roster, local)
+	there := NewPeers(common.Quiet(b.Name, "d"), b.Addr, NewRoster(common.Quiet(b.Name, "d"), b), remote)
+	ctx, cancel := context.WithCancel(t.Context())
+	up := make(chan struct{})
+	go func() { _ = there.Run(ctx, func() { close(up) }) }()
+	<-up
+	pool := ""
+	for i := range 100 {
+		if owner, _ := roster.Owner(fmt.Sprint(i)); owner == b {
+			pool = fmt.Sprint(i)
+			break
+		}
+	}
+	return here, local, pool, cancel
+}
+
+func TestWorkGoesToTheOwner(t *testing.T) {
+	Convey("Given a peer that owns a pool", t, func() {
+		remote := &fakeLocal{name: "remote"}
+		here, local, pool, stop := pair(t, remote)
+		defer stop()
+		Convey("work goes there, and what it made is freed there", func() {
+			o, free := here.Do(t.Context(), batch.Work{Pool: pool, Request: "r"})
+			So(o, ShouldResemble, batch.Made{Handles: []string{"remote/r"}, Domain: "d"})
+			free()
+			for range 100 {
+				if remote.frees() > 0 {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			So(remote.frees(), ShouldEqual, 1)
+		})
+		Convey("its refusal is passed on", func() {
+			o, free := here.Do(t.Context(), batch.Work{Pool: pool, Request: "refuse"})
+			So(o, ShouldResemble, batch.Refused{After: 70 * time.Millisecond})
+			So(free, ShouldBeNil)
+		})
+		Convey("where it is gone, the work is done by another", func() {
+			stop()
+			time.Sleep(50 * time.Millisecond)
+			o, _ := here.Do(t.Context(), batch.Work{Pool: pool, Request: "r"})
+			So(o, ShouldResemble, batch.Made{Handles: []string{"local/r"}, Domain: "d"})
+			So(local.did, ShouldEqual, 1)
+		})
+	})
+	Convey("Work that waits at a peer which goes down is done by another", t, func() {
+		remote := &fakeLocal{name: "remote", hang: true}
+		here, _, pool, stop := pair(t, remote)
+		time.AfterFunc(100*time.Millisecond, stop)
+		o, _ := here.Do(t.Context(), batch.Work{Pool: pool, Request: "r"})
+		So(o, ShouldResemble, batch.Made{Handles: []string{"local/r"}, Domain: "d"})
+	})
+	Convey("Work whose caller leaves is given up at the peer", t, func() {
+		remote := &fakeLocal{name: "remote", hang: true}
+		here, local, pool, stop := pair(t, remote)
+		defer stop()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		o, _ := here.Do(ctx, batch.Work{Pool: pool, Request: "r"})
+		So(o, ShouldResemble, batch.Failed{Reason: batch.Late})
+		So(local.did, ShouldEqual, 0)
+	})
+}
--- /dev/null
+++ b/internal/root/relay/plan/plan_test.go
@@ -0,0 +1,105 @@
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func routeOf(name, host, prefix string) Route {
+	return Route{
+		Name:   name,
+		Host:   host,
+		Prefix: prefix,
+	}
+}
+
+func TestMatch(t *testing.T) {
+	p := New(1, []Route{
+		routeOf("short", "a.example", "/x/"),
+		routeOf("long", "a.example", "/x/y/"),
+		routeOf("other", "b.example", "/x/"),
+	}, nil, nil, Limits{})
+	scenarios := []struct {
+		host, path, want string
+	}{
+		{host: "a.example", path: "/x/1", want: "short"},
+		{host: "a.example", path: "/x/y/1", want: "long"},
+		{host: "a.example", path: "/x/yy/1", want: "short"},
+		{host: "b.example", path: "/x/y/1", want: "other"},
+		{host: "a.example", path: "/x", want: ""},
+		{host: "c.example", path: "/x/", want: ""},
+	}
+	for _, sc := range scenarios {
+		Convey("For "+sc.host+sc.path, t, func() {
+			r, ok := p.Match(sc.host, sc.path)
+			So(r.Name, ShouldEqual, sc.want)
+			So(ok, ShouldEqual, sc.want != "")
+		})
+	}
+}
+
+// TestMatchAgainstNaive compares with a search through all routes.
+func TestMatchAgainstNaive(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	part := func() string { return string(rune('a' + rng.IntN(3))) }
+	for range 200 {
+		var routes []Route
+		for i := range 20 {
+			prefix := "/" + strings.Repeat(part()+"/", rng.IntN(4))
+			routes = append(routes, routeOf(fmt.Sprint(i, prefix), part(), prefix))
+		}
+		p := New(1, routes, nil, nil, Limits{})
+		for range 50 {
+			host, path := part(), "/"+part()+"/"+part()+"/"+part()
+			best := -1
+			for _, r := range routes {
+				if r.Host == host && strings.HasPrefix(path, r.Prefix) {
+					best = max(best, len(r.Prefix))
+				}
+			}
+			got, ok := p.Match(host, path)
+			if ok != (best >= 0) || (ok && len(got.Prefix) != best) {
+				t.Fatalf("host %s path %s: got %q, want a prefix of %d", host, path, got.Prefix, best)
+			}
+		}
+	}
+}
+
+func TestPoolByWeight(t *testing.T) {
+	Convey("A split route sends its share to each pool", t, func() {
+		r := Route{
+			Targets: []Target{{Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}},
+		}
+		So(r.Pool(0), ShouldEqual, "a")
+		So(r.Pool(0.899), ShouldEqual, "a")
+		So(r.Pool(0.901), ShouldEqual, "b")
+		So(r.Pool(0.999999), ShouldEqual, "b")
+	})
+}
+
+func TestLastStages(t *testing.T) {
+	Convey("The request needs the results of the stages that none follows", t, func() {
+		r := Route{
+			Stages: []Stage{{}, {}, {After: []int{1}}, {After: []int{2}}},
+		}
+		So(r.Last(), ShouldResemble, []int{0, 3})
+	})
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	Convey("A holder takes only what is newer", t, func() {
+		var h Holder
+		So(h.Current(), ShouldBeNil)
+		for _, step := range []struct {
+			version int64
+			taken   bool
+		}{{3, true}, {3, false}, {2, false}, {9, true}, {8, false}} {
+			So(h.Offer(New(step.version, nil, nil, nil, Limits{})), ShouldEqual, step.taken)
+		}
+		So(h.Current().Version, ShouldEqual, 9)
+	})
+}
