--- a/cmd/entryd/main.go
+++ b/cmd/entryd/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/relay"
@@ -15,8 +16,12 @@
 	"github.com/cornelwing/cornelwing/platform"
 )
 
-// memoryLimit is in bytes; near it the collector works harder.
-const memoryLimit = 100 << 20
+const (
+	// memoryLimit is in bytes; near it the collector works harder.
+	memoryLimit = 100 << 20
+	// logFlush bounds how long the last log lines may hold up the end.
+	logFlush = 200 * time.Millisecond
+)
 
 func main() {
 	os.Exit(run(os.Args[1:]))
@@ -32,7 +37,9 @@
 		return code
 	}
 	debug.SetMemoryLimit(memoryLimit)
-	deps := common.NewDeps(s.Host.Name, s.Host.Domain, os.Stdout, s.Log.Threshold())
+	logs := common.NewAsync(os.Stdout)
+	defer logs.Close(logFlush)
+	deps := common.NewDeps(s.Host.Name, s.Host.Domain, logs, s.Log.Threshold())
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -76,7 +76,8 @@
 	held    map[string]held
 	item    map[kind]time.Duration
 	// pace spaces the calls.
-	pace pace
+	pace  pace
+	stats Stats
 }
 
 // NewQueue returns an empty queue for workers of the kind.
@@ -86,6 +87,9 @@
 		workers: map[string]*worker{},
 		held:    map[string]held{},
 		item:    map[kind]time.Duration{},
+		stats: Stats{
+			Missed: map[Reason]int64{},
+		},
 	}
 }
 
@@ -119,11 +123,13 @@
 func (q *Queue) Add(now time.Time, w Work) (*Job, *Refused) {
 	wait, ok := q.wait(now, w.Rank)
 	if !ok {
+		q.stats.Refused++
 		return nil, &Refused{
 			After: maxAfter / 3,
 		}
 	}
 	if wait+q.callTime(w) > w.Last {
+		q.stats.Refused++
 		return nil, &Refused{
 			After: min(max(wait/2, minAfter), maxAfter),
 		}
@@ -429,6 +435,8 @@
 func (q *Queue) Finish(now time.Time, c *Call, results []Result) (over []*Job, spare []string) {
 	took := now.Sub(c.began)
 	c.worker.calls--
+	q.stats.Calls++
+	q.stats.Pieces += int64(len(c.Items))
 	c.worker.took(took, time.Duration(float64(c.Expected)/c.worker.slow))
 	q.learn(c, took)
 	for i, p := range c.parts {
@@ -471,6 +479,7 @@
 // miss puts a piece back into the queue, or gives its work up and reports that it did.
 func (q *Queue) miss(now time.Time, w *worker, p part, why Reason) bool {
 	j := p.job
+	q.stats.Missed[why]++
 	if j.Outcome != nil {
 		return false
 	}
@@ -491,6 +500,8 @@
 // Broke takes the end of a call without results.
 func (q *Queue) Broke(now time.Time, c *Call) (over []*Job, spare []string) {
 	c.worker.calls--
+	q.stats.Calls++
+	q.stats.Broken++
 	c.worker.failed(now)
 	for _, p := range c.parts {
 		c.worker.used -= p.job.Bytes
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -30,7 +30,7 @@
 		u.Table.Done(u.Now(), up.Name, u.Now().Sub(began), false)
 		u.Table.Eject(u.Now(), up.Name)
 		u.exclude = append(u.exclude, up.Name)
-		u.reason = "not sent: " + res.Err.Error()
+		u.blame(CauseNotSent, res.Err.Error())
 		return retry.Unsent{}, false
 	case send.Broken:
 		return u.broke(up, began, res.Err), false
@@ -80,7 +80,7 @@
 func (u *run) broke(up route.Upstream, began time.Time, err error) retry.Event {
 	u.ran = true
 	u.exclude = append(u.exclude, up.Name)
-	u.reason = "broken: " + err.Error()
+	u.blame(CauseBroken, err.Error())
 	if u.r.Context().Err() != nil || u.left() <= 0 {
 		u.Table.Release(u.Now(), up.Name)
 	} else {
@@ -110,7 +110,7 @@
 	if a.Status >= 500 && u.worthAgain() {
 		u.Table.Done(u.Now(), up.Name, u.Now().Sub(began), false)
 		u.exclude = append(u.exclude, up.Name)
-		u.reason = "upstream failed: " + a.Header.Get("Status") + http.StatusText(a.Status)
+		u.blame(CauseFailed, http.StatusText(a.Status))
 		return retry.Broken{Free: true}, false
 	}
 	var err error
@@ -134,15 +134,15 @@
 // notRun takes an upstream's word that it ran nothing.
 func (u *run) notRun(up route.Upstream, head Head) retry.Event {
 	u.Table.Release(u.Now(), up.Name)
-	u.reason = "upstream ran nothing"
+	u.blame(CauseNotRun, "upstream ran nothing")
 	if head.Gone {
-		u.reason = "a result is gone"
-		u.forgetInputs()
+		u.blame(CauseNotRun, "a result of a stage is gone")
+		u.freeAll()
 		return retry.Refused{}
 	}
 	if head.Moved {
 		u.Table.Eject(u.Now(), up.Name)
-		u.reason = "upstream has moved"
+		u.blame(CauseNotRun, "another upstream has the address")
 	}
 	u.exclude = append(u.exclude, up.Name)
 	return retry.Refused{}
@@ -225,6 +225,7 @@
 		return
 	}
 	u.begun = true
+	u.first = u.Now().Sub(u.arrived)
 	u.status = a.Status
 	h := u.w.Header()
 	stripHops(a.Header)
--- a/internal/root/relay/flow/run.go
+++ b/internal/root/relay/flow/run.go
@@ -58,9 +58,13 @@
 	events int
 
 	status   int
-	reason   string
+	cause    Cause
+	detail   string
 	upstream string
 	abort    bool
+	// first is when the caller's answer began, from its arrival; stageTime is what the stages took.
+	first     time.Duration
+	stageTime time.Duration
 }
 
 // serve runs the stages and then sends the request to upstreams until it is answered or given up.
@@ -74,7 +78,7 @@
 		}
 		up, ok := u.pick()
 		if !ok {
-			u.giveUp("no upstream of pool "+u.pool, overload)
+			u.giveUp(CauseNoUpstream, "no upstream of pool "+u.pool+" is usable", overload)
 			return
 		}
 		ev, done := u.attempt(ctx, up)
@@ -94,11 +98,11 @@
 	}
 	switch {
 	case u.r.Context().Err() != nil:
-		u.giveUp("caller went away", 0)
+		u.giveUp(CauseCaller, "caller went away", 0)
 	case u.left() < leastLeft:
-		u.giveUp("deadline", overload)
+		u.giveUp(CauseDeadline, "too little time is left", overload)
 	case !u.allowed():
-		u.giveUp("key is no longer known to be valid", notReadyRetry)
+		u.giveUp(CauseKeysUnsure, "key is no longer known to be valid", notReadyRetry)
 	default:
 		return true
 	}
@@ -130,7 +134,7 @@
 // again decides whether another upstream is tried.
 func (u *run) again(ctx context.Context, ev retry.Event) bool {
 	if u.r.Context().Err() != nil {
-		u.giveUp("caller went away", 0)
+		u.giveUp(CauseCaller, "caller went away", 0)
 		return false
 	}
 	state := retry.State{
@@ -148,7 +152,7 @@
 		}
 		return true
 	case retry.Stop:
-		u.giveUp(u.reason+": "+string(a.Reason), overload)
+		u.giveUp(u.cause, u.detail+": "+string(a.Reason), overload)
 	}
 	return false
 }
@@ -163,10 +167,10 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		u.reject(http.StatusRequestEntityTooLarge, "body is too large")
+		u.fail(http.StatusRequestEntityTooLarge, CauseTooLarge, "body is too large")
 		return false
 	case err != nil:
-		u.reject(http.StatusBadRequest, "body did not arrive whole")
+		u.fail(http.StatusBadRequest, CauseMalformed, "body did not arrive whole")
 		return false
 	}
 	u.body = body
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -14,6 +14,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/grant"
+	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 )
@@ -49,6 +50,7 @@
 	Lease   *grant.Lease
 	Headers Headers
 	Budget  Budget
+	Meter   *meter.Meter
 	// Hosts returns how many hosts share the retry budget.
 	Hosts func() int
 
@@ -75,12 +77,12 @@
 	var err error
 	u.header = u.r.Header.Clone()
 	if u.ask, err = u.Headers.Ask(u.header); err != nil {
-		u.reject(http.StatusBadRequest, err.Error())
+		u.fail(http.StatusBadRequest, CauseMalformed, err.Error())
 		return false
 	}
 	u.plan = u.Plans.Current()
 	if u.plan == nil {
-		u.refuse(notReadyRetry, "no configuration yet")
+		u.refuse(notReadyRetry, CauseNotReady, "no configuration yet")
 		return false
 	}
 	if !u.match() || !u.identify() || !u.readBody() {
@@ -106,7 +108,7 @@
 	path, _, _ := strings.Cut(u.r.RequestURI, "?")
 	var ok bool
 	if u.route, ok = u.plan.Match(host, path); !ok || !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") {
-		u.reject(http.StatusNotFound, "no route")
+		u.fail(http.StatusNotFound, CauseRoute, "no route")
 		return false
 	}
 	return true
@@ -119,12 +121,12 @@
 	}
 	if !u.Lease.Valid() {
 		age, _ := u.Lease.Age()
-		u.refuse(notReadyRetry, "platform not heard for "+age.Round(time.Millisecond).String())
+		u.refuse(notReadyRetry, CauseKeysUnsure, "platform not heard for "+age.Round(time.Millisecond).String())
 		return false
 	}
 	var ok bool
 	if u.account, ok = u.plan.Account(u.ask.Key); !ok {
-		u.reject(http.StatusUnauthorized, "unknown key")
+		u.fail(http.StatusUnauthorized, CauseKey, "unknown key")
 		return false
 	}
 	u.keyed = true
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -39,11 +39,13 @@
 		return true
 	}
 	if u.stageRuns >= maxStageRuns {
-		u.giveUp("results of stages were lost again", overload)
+		u.giveUp(CauseStage, "results of stages were lost again", overload)
 		return false
 	}
 	u.stageRuns++
 	u.frees = map[int]func(){}
+	began := u.Now()
+	defer func() { u.stageTime += u.Now().Sub(began) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g := &graph{
@@ -77,10 +79,10 @@
 	switch o := g.failed.(type) {
 	case nil:
 	case batch.Refused:
-		u.giveUp(fmt.Sprintf("stage %d would not be done in time", g.stage), o.After)
+		u.giveUp(CauseOverload, fmt.Sprintf("stage %d would not be done in time", g.stage), o.After)
 		return false
 	case batch.Failed:
-		u.giveUp(fmt.Sprintf("stage %d: %s", g.stage, o.Reason), overload)
+		u.giveUp(CauseStage, fmt.Sprintf("stage %d: %s", g.stage, o.Reason), overload)
 		return false
 	}
 	u.inputs = nil
@@ -108,11 +110,6 @@
 	return domain, bytes
 }
 
-// forgetInputs makes the stages run again before the next send.
-func (u *run) forgetInputs() {
-	u.freeAll()
-}
-
 // freeAll gives up what the stages made.
 func (u *run) freeAll() {
 	for i := range u.frees {
--- /dev/null
+++ b/internal/root/relay/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter counts the outcomes of requests and keeps histograms of their latencies, for the metrics of a host.
+package meter
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 	"github.com/cornelwing/cornelwing/internal/root/relay/grant"
 	"github.com/cornelwing/cornelwing/internal/root/relay/hosts"
+	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 	"github.com/cornelwing/cornelwing/internal/serve"
@@ -78,6 +79,7 @@
 	peers    *hosts.Peers
 	flow     *flow.Service
 	callers  *serve.Graceful
+	meter    *meter.Meter
 	leaving  atomic.Bool
 }
 
@@ -91,6 +93,7 @@
 		lease:    grant.New(grant.Boot, s.Keys.Revoke.D()-keySlack),
 		table:    route.New(s.Host.Domain),
 		keeper:   batch.NewKeeper(deps, a.Workers),
+		meter:    meter.New(),
 	}
 	r.members = follow.NewMembers(deps, a.Upstream, r.sync)
 	r.roster = hosts.NewRoster(deps, r.self())
@@ -107,6 +110,7 @@
 			Ratio: s.Retry.Ratio * retryShare,
 			Extra: s.Retry.Extra * retryShare,
 		},
+		Meter: r.meter,
 		Hosts: r.roster.Count,
 	}
 	grace := s.Stop.Grace.D()
@@ -144,6 +148,10 @@
 			Label: "ready",
 			Body:  serve.New(r.WithPart("ready"), r.settings.Listen.Ready, r.readyHandler(), serve.Limits{HeaderTimeout: headerTimeout}).Run,
 		},
+		super.Func{
+			Label: "metrics",
+			Body:  serve.New(r.WithPart("metrics"), r.settings.Listen.Metrics, r.metrics(), serve.Limits{HeaderTimeout: headerTimeout}).Run,
+		},
 		super.Func{
 			Label: "callers",
 			Body:  r.callers.Run,
