--- a/internal/root/front/chain/route/table.go
+++ b/internal/root/front/chain/route/table.go
@@ -19,6 +19,8 @@
 	wayCost = 3 * time.Millisecond
 	// affinityBound is how far above the mean load a preferred upstream may be.
 	affinityBound = 1.25
+	// affinityFree is the share of its slots up to which a preferred upstream is taken whatever the mean load is.
+	affinityFree = 0.5
 	// maxOutShare is the share of a pool that may be ejected at the same time.
 	maxOutShare = 0.5
 	// sumEvery is how long the summed pressure of a pool is used.
@@ -231,7 +233,8 @@
 	sum := t.pressure(now, p)
 	mean := float64(sum.Load+1) / float64(max(1, sum.Upstream))
 	load := float64(best.load(now, t.hosts) + 1)
-	if load > max(1, affinityBound*mean) || load > best.capacity(now, p.slots) {
+	capacity := best.capacity(now, p.slots)
+	if load > max(1, affinityBound*mean, affinityFree*capacity) || load > capacity {
 		return nil
 	}
 	return best
--- a/internal/root/relay/flow/ask.go
+++ b/internal/root/relay/flow/ask.go
@@ -39,9 +39,8 @@
 	if len(a.Parts) == 0 {
 		return 0
 	}
-	shared := a.Parts[:max(1, len(a.Parts)-1)]
 	d := xxhash.New()
-	for _, p := range shared {
+	for _, p := range a.shared() {
 		// A hash never fails to take bytes.
 		_, _ = d.WriteString(p.ID)
 		_, _ = d.Write([]byte{0})
@@ -49,6 +48,20 @@
 	return d.Sum64()
 }
 
+// shared returns the parts of the prompt that other requests have as well; a single part is the session's.
+func (a Ask) shared() []Part {
+	return a.Parts[:min(len(a.Parts), max(1, len(a.Parts)-1))]
+}
+
+// sharedTokens returns the length of the shared parts.
+func (a Ask) sharedTokens() int64 {
+	n := 0
+	for _, p := range a.shared() {
+		n += p.Tokens
+	}
+	return int64(n)
+}
+
 // pieces returns the number of pieces of a stage.
 func (a Ask) pieces(stage int) int {
 	if stage < len(a.Pieces) {
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -19,6 +19,8 @@
 	fullCall = 1.4
 	// worthMoving is the size of results, in bytes, from which the request goes to the failure domain where they are.
 	worthMoving = 256 << 10
+	// tokenBytes is how many bytes of results are moved rather than one token of a prompt read again.
+	tokenBytes = 2500
 )
 
 // graph is the state of a request's stages.
@@ -90,7 +92,7 @@
 	for _, i := range last {
 		u.inputs = append(u.inputs, g.made[i].Handles...)
 	}
-	if domain, bytes := g.heaviest(last); bytes >= worthMoving {
+	if domain, bytes := g.heaviest(last); bytes >= worthMoving && bytes > u.ask.sharedTokens()*tokenBytes {
 		u.near = domain
 	}
 	u.staged = true
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -23,8 +23,10 @@
 )
 
 const (
-	// feedWait is how long a call for changes waits; it bounds how late a connection that fell silent is noticed.
-	feedWait = 1500 * time.Millisecond
+	// upstreamWait is how long a call for changes of the upstreams waits; it bounds how late a connection that fell silent is noticed.
+	upstreamWait = 2 * time.Second
+	// planShare is the part of the lease on keys for which a call for changes of the configuration waits, so that most of the lease is left when the platform falls silent.
+	planShare = 0.3
 	// hostsWait is the same for the table of hosts, which may be old.
 	hostsWait = 15 * time.Second
 	// keySlack is how much sooner than allowed a key is no longer trusted.
@@ -136,8 +138,8 @@
 func (r *Relay) Run(ctx context.Context) error {
 	plans := follow.NewPlans(r.Deps, r.adapter.ConfigKey, r.adapter.Plan, r.plans, r.sync)
 	tree := super.New(r.WithPart("root"), super.WithParts(
-		follow.NewFeed(r.Deps, "configurations", r.adapter.Configurations, plans, feedWait, follow.WithConfirm(r.confirm)),
-		follow.NewFeed(r.Deps, "upstreams", r.adapter.Upstreams, r.members, feedWait, follow.WithOutage(r.members.Lost, r.members.Back)),
+		follow.NewFeed(r.Deps, "configurations", r.adapter.Configurations, plans, r.planWait(), follow.WithConfirm(r.confirm)),
+		follow.NewFeed(r.Deps, "upstreams", r.adapter.Upstreams, r.members, upstreamWait, follow.WithOutage(r.members.Lost, r.members.Back)),
 		follow.NewFeed(r.Deps, "hosts", r.adapter.Hosts, r.roster, hostsWait),
 		super.Func{
 			Label: "presence",
@@ -163,6 +165,10 @@
 	return nil
 }
 
+func (r *Relay) planWait() time.Duration {
+	return time.Duration(planShare * float64(r.settings.Keys.Revoke.D()))
+}
+
 // confirm extends the lease on keys from before the call that the returned function follows.
 func (r *Relay) confirm() func() {
 	asked := r.lease.Start()
