--- a/internal/common/deps.go
+++ b/internal/common/deps.go
@@ -27,6 +27,8 @@
 		inner: &logrus.TextFormatter{
 			DisableColors: true,
 			FullTimestamp: true,
+			// Milliseconds let the logs of several hosts be joined.
+			TimestampFormat: "2006-01-02T15:04:05.000Z07:00",
 		},
 	})
 	return Deps{
--- a/internal/opcli/command_test.go
+++ b/internal/opcli/command_test.go
@@ -34,6 +34,8 @@
 		{name: "drain nothing", args: append([]string{"drain"}, nowhere...), code: 2, want: "one UPSTREAM is needed"},
 		{name: "token", args: []string{"token", "operator"}, code: 0, want: "06e55b633481f7bb072957eabcf110c972e86691c3cfedabe088024bffe42f23"},
 		{name: "completion", args: []string{"completion"}, code: 0, want: "complete -o default"},
+		{name: "trace of nothing", args: []string{"trace"}, code: 2, want: "-request ID is needed"},
+		{name: "trace of a missing file", args: []string{"trace", "-request", "a", filepath.Join(dir, "none")}, code: 1, want: "no such file"},
 		{name: "demo of nothing", args: []string{"demo", "-rate", "0"}, code: 2, want: "must be above 0"},
 	}
 	for _, sc := range scenarios {
--- a/internal/opcli/commands.go
+++ b/internal/opcli/commands.go
@@ -26,6 +26,8 @@
 	// length and account bound a report.
 	length  time.Duration
 	account string
+	// request is the id of the request to trace.
+	request string
 	demo    demo.Options
 	bench   benchOptions
 }
@@ -68,6 +70,14 @@
 			Long:  "Lists the revisions with their authors and times, the newest first.",
 			run:   runHistory,
 		},
+		{
+			Name:  "trace",
+			Args:  "[FILE...]",
+			Short: "show what the hosts' logs say of one request",
+			Long:  "Reads the logs in the FILEs, or standard input, and prints the lines that name the request, over all hosts in the order of time.",
+			run:   runTrace,
+			flags: traceFlags,
+		},
 		{
 			Name:  "status",
 			Short: "show which hosts live and which revision each has in force",
--- a/internal/root/relay/batch/keeper.go
+++ b/internal/root/relay/batch/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -115,6 +116,7 @@
 	}
 	job, refused := q.Add(k.Now(), w)
 	if refused != nil {
+		k.Log.WithFields(fieldsOf(w)).WithField("waiting", q.Waiting()).WithField("after_ms", refused.After.Milliseconds()).Info("Work refused: it would not be done in time.")
 		return nil, nil, refused
 	}
 	done := make(chan Outcome, 1)
@@ -154,6 +156,9 @@
 // tell gives outcomes to those that wait for them; the lock is held.
 func (k *Keeper) tell(over []*Job) {
 	for _, j := range over {
+		if _, ok := j.Outcome.(Made); !ok {
+			k.Log.WithFields(fieldsOf(j.Work)).WithField("tries", j.tries).WithField("outcome", fmt.Sprintf("%+v", j.Outcome)).Info("Work given up.")
+		}
 		if done, ok := k.waiters[j]; ok {
 			done <- j.Outcome
 			delete(k.waiters, j)
@@ -161,6 +166,18 @@
 	}
 }
 
+// fieldsOf names the work and the time that it had, for log lines.
+func fieldsOf(w Work) map[string]any {
+	return map[string]any{
+		"request": w.Request,
+		"stage":   w.Stage,
+		"pool":    w.Pool,
+		"pieces":  len(w.Pieces),
+		"rank":    w.Rank,
+		"left_ms": w.Last.Milliseconds(),
+	}
+}
+
 func (k *Keeper) call(pool string, q *Queue, c *Call) {
 	limit := time.Duration(callFactor*float64(c.Expected)) + callSlack
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -51,17 +51,22 @@
 	Extra float64 `yaml:"extra" help:"retries of a pool that are allowed besides in a window"`
 }
 
+// RelayDefaults returns the settings that hold where the file names none.
+func RelayDefaults() Relay {
+	return Relay{
+		Log: Log{
+			Level: "info",
+		},
+	}
+}
+
 // ReadRelay reads and checks a settings file.
 func ReadRelay(path string) (Relay, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return Relay{}, fmt.Errorf("read settings: %w", err)
 	}
-	s := Relay{
-		Log: Log{
-			Level: "info",
-		},
-	}
+	s := RelayDefaults()
 	if err := strict.Decode(path, data, &s); err != nil {
 		return Relay{}, fmt.Errorf("decode settings: %w", err)
 	}
