--- a/internal/root/relay/batch/keeper.go
+++ b/internal/root/relay/batch/keeper.go
@@ -17,7 +17,7 @@
 	// tick is how often the queues are looked at while work waits.
 	tick = 20 * time.Millisecond
 	// callFactor and callSlack bound a call: that many times what is expected, and a bit.
-	callFactor = 3
+	callFactor = 6
 	callSlack  = 300 * time.Millisecond
 	// freeTimeout bounds the call that frees results.
 	freeTimeout = time.Second
@@ -130,6 +130,7 @@
 	now := k.Now()
 	waits := false
 	for name, q := range k.queues {
+		q.Hedge(now)
 		k.tell(q.Expire(now))
 		for {
 			c, ok := q.Next(now)
@@ -138,7 +139,7 @@
 			}
 			go k.call(name, q, c)
 		}
-		waits = waits || q.Waiting() > 0
+		waits = waits || q.Waiting() > 0 || len(q.running) > 0
 	}
 	if waits && !k.ticking {
 		k.ticking = true
--- a/internal/root/relay/batch/load_test.go
+++ b/internal/root/relay/batch/load_test.go
@@ -66,6 +66,7 @@
 				r.finish(e.call)
 			}
 		}
+		r.q.Hedge(r.now)
 		for _, j := range r.q.Expire(r.now) {
 			r.lost[j.Rank]++
 		}
@@ -151,6 +152,27 @@
 	})
 }
 
+// TestWorkersTurnSlow answers workers that turn slow in the middle of their calls: what they hold is made elsewhere meanwhile.
+func TestWorkersTurnSlow(t *testing.T) {
+	Convey("With two workers of five turning six times as slow under load, no work waits for them to end", t, func() {
+		r := newRig(specOf(12), "x", "x", "y", "y", "z")
+		rng := rand.New(rand.NewPCG(6, 6))
+		for i := range 1000 {
+			if i%200 == 100 {
+				r.slow["w0"], r.slow["w2"] = 6, 6
+			}
+			if i%200 == 0 {
+				clear(r.slow)
+			}
+			r.arrive(rng, time.Second/60, workOf(fmt.Sprint(i), 1))
+		}
+		r.step(r.now.Add(5 * time.Second))
+		So(r.lost[0], ShouldEqual, 0)
+		So(r.within(0, stageAim), ShouldBeGreaterThan, servedTarget)
+		So(r.within(0, 2*stageAim), ShouldEqual, 1)
+	})
+}
+
 // TestBurstBeyondCapacity answers a burst of patient work above what the workers carry: urgent work beside it stays on time.
 func TestBurstBeyondCapacity(t *testing.T) {
 	Convey("Urgent work is on time while patient work comes at twice what the workers carry", t, func() {
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -19,6 +19,8 @@
 	learnWeight = 0.1
 	// worthWaiting is the size of inputs, in bytes, from which work waits for a worker near them while it can be on time.
 	worthWaiting = 256 << 10
+	// hedgeAfter is how many times longer than expected a call may take before its pieces are made elsewhere as well.
+	hedgeAfter = 1.8
 	// slowLimit is how much slower than expected a worker may be before others are preferred.
 	slowLimit = 1.8
 )
@@ -60,6 +62,10 @@
 	worker *worker
 	parts  []part
 	began  time.Time
+	// normal is how long the call takes at a worker of normal speed.
+	normal time.Duration
+	// hedged says that the pieces are made elsewhere as well, as the call takes too long.
+	hedged bool
 }
 
 // part says which piece of which job an item is.
@@ -73,6 +79,7 @@
 	spec    plan.Worker
 	workers map[string]*worker
 	jobs    []*Job
+	running []*Call
 	held    map[string]held
 	item    map[kind]time.Duration
 	// pace spaces the calls.
@@ -187,7 +194,7 @@
 		if w.up.Leaving || w.faults > 1 {
 			continue
 		}
-		speed += 1 / w.slow
+		speed += 1 / w.slowness(now)
 		free := max(0, w.endsAt.Sub(now))
 		if w.calls == 0 {
 			free = max(0, w.restTo.Sub(now))
@@ -257,7 +264,7 @@
 func (q *Queue) holds(now time.Time) bool {
 	workers := 0
 	for _, w := range q.workers {
-		if !w.gone && !w.up.Leaving && w.faults == 0 && w.slow <= slowLimit {
+		if !w.gone && !w.up.Leaving && w.faults == 0 && w.slowness(now) <= slowLimit {
 			workers++
 		}
 	}
@@ -305,7 +312,7 @@
 		return 1
 	}
 	slow := func(w *worker) int {
-		if w.slow > slowLimit {
+		if w.slowness(now) > slowLimit {
 			return 1
 		}
 		return 0
@@ -318,12 +325,13 @@
 
 // shunned reports whether waiting for another worker is quicker than a call to this slow one.
 func (q *Queue) shunned(now time.Time, w *worker) bool {
-	if w.slow <= slowLimit {
+	slow := w.slowness(now)
+	if slow <= slowLimit {
 		return false
 	}
-	mine := time.Duration(float64(q.spec.Call) * w.slow)
+	mine := time.Duration(float64(q.spec.Call) * slow)
 	for _, o := range q.workers {
-		if o == w || o.gone || o.up.Leaving || o.slow > slowLimit || o.faults > 0 {
+		if o == w || o.gone || o.up.Leaving || o.slowness(now) > slowLimit || o.faults > 0 {
 			continue
 		}
 		if max(0, o.endsAt.Sub(now))+q.spec.Call < mine {
@@ -359,13 +367,19 @@
 		}
 		room -= int64(n) * j.Bytes
 		q.put(now, c, j, n)
+		if w.slow > slowLimit {
+			// One that was slow is tried with the work of one request.
+			break
+		}
 	}
 	if len(c.Items) == 0 {
 		return nil
 	}
 	w.calls++
+	q.running = append(q.running, c)
 	q.pace.called(now)
-	c.Expected = time.Duration(float64(c.Expected) * w.slow)
+	c.normal = c.Expected
+	c.Expected = time.Duration(float64(c.normal) * w.slowness(now))
 	w.endsAt = now.Add(c.Expected)
 	return c
 }
@@ -378,7 +392,7 @@
 	var soonest time.Duration = -1
 	workers := 0
 	for _, o := range q.workers {
-		if o.up.Domain != j.Domain || o.up.Leaving || o.faults > 0 || o.slow > slowLimit {
+		if o.up.Domain != j.Domain || o.up.Leaving || o.faults > 0 || o.slowness(now) > slowLimit {
 			continue
 		}
 		workers++
@@ -434,27 +448,27 @@
 // Finish takes the results of a call, one for each item; it returns the work that is over, and results that nobody wants.
 func (q *Queue) Finish(now time.Time, c *Call, results []Result) (over []*Job, spare []string) {
 	took := now.Sub(c.began)
-	c.worker.calls--
-	q.stats.Calls++
+	q.ended(c)
 	q.stats.Pieces += int64(len(c.Items))
-	c.worker.took(took, time.Duration(float64(c.Expected)/c.worker.slow))
+	c.worker.took(now, took, c.normal)
 	q.learn(c, took)
 	for i, p := range c.parts {
 		r := results[i]
 		if r.Handle == "" {
 			c.worker.used -= p.job.Bytes
-			if q.miss(now, c.worker, p, r.Reason) {
+			if q.miss(now, c, p, r.Reason) {
 				over = append(over, p.job)
 				spare = append(spare, q.partial(p.job)...)
 			}
 			continue
 		}
 		q.hold(now, c.worker, p.job.Bytes, r.Handle)
-		if p.job.Outcome != nil {
+		if p.job.Outcome != nil || p.job.handles[p.place] != "" {
 			spare = append(spare, r.Handle)
 			continue
 		}
 		p.job.handles[p.place] = r.Handle
+		p.job.waiting = slices.DeleteFunc(p.job.waiting, func(place int) bool { return place == p.place })
 		p.job.missing--
 		p.job.domains[c.Upstream.Domain]++
 		if p.job.missing == 0 {
@@ -477,14 +491,16 @@
 }
 
 // miss puts a piece back into the queue, or gives its work up and reports that it did.
-func (q *Queue) miss(now time.Time, w *worker, p part, why Reason) bool {
+func (q *Queue) miss(now time.Time, c *Call, p part, why Reason) bool {
 	j := p.job
 	q.stats.Missed[why]++
-	if j.Outcome != nil {
+	if why == Full {
+		c.worker.full(now, q.spec.Room)
+	}
+	if j.Outcome != nil || j.handles[p.place] != "" || (c.hedged && why != Gone) {
 		return false
 	}
 	if why == Full {
-		w.full(now, q.spec.Room)
 		j.tries--
 	}
 	if why == Gone || j.tries >= maxTries {
@@ -497,15 +513,42 @@
 	return false
 }
 
-// Broke takes the end of a call without results.
-func (q *Queue) Broke(now time.Time, c *Call) (over []*Job, spare []string) {
+// ended takes a call out of those that run.
+func (q *Queue) ended(c *Call) {
 	c.worker.calls--
 	q.stats.Calls++
+	q.running = slices.DeleteFunc(q.running, func(o *Call) bool { return o == c })
+}
+
+// Hedge puts the pieces of calls that take too long back into the queue, so that another worker makes them as well; the first result counts.
+func (q *Queue) Hedge(now time.Time) {
+	for _, c := range q.running {
+		took := now.Sub(c.began)
+		if c.hedged || took < time.Duration(hedgeAfter*float64(c.Expected)) {
+			continue
+		}
+		c.hedged = true
+		c.worker.took(now, took, c.normal)
+		for _, p := range c.parts {
+			if p.job.Outcome == nil && p.job.handles[p.place] == "" {
+				p.job.waiting = append(p.job.waiting, p.place)
+				q.stats.Hedged++
+			}
+		}
+	}
+}
+
+// Broke takes the end of a call without results.
+func (q *Queue) Broke(now time.Time, c *Call) (over []*Job, spare []string) {
+	q.ended(c)
 	q.stats.Broken++
 	c.worker.failed(now)
+	if took := now.Sub(c.began); took > c.Expected {
+		c.worker.took(now, took, c.normal)
+	}
 	for _, p := range c.parts {
 		c.worker.used -= p.job.Bytes
-		if q.miss(now, c.worker, p, Fault) {
+		if q.miss(now, c, p, Fault) {
 			over = append(over, p.job)
 			spare = append(spare, q.partial(p.job)...)
 		}
@@ -518,8 +561,8 @@
 	for _, p := range c.parts {
 		items += q.itemTime(p.job.Work)
 	}
-	rest := time.Duration(float64(took)/c.worker.slow) - q.spec.Call
-	if items <= 0 || rest <= 0 || c.worker.slow > slowLimit {
+	rest := took - q.spec.Call
+	if items <= 0 || rest <= 0 || c.hedged || c.Expected > time.Duration(slowLimit*float64(c.normal)) {
 		return
 	}
 	ratio := min(max(float64(rest)/float64(items), 0.2), 2)
--- a/internal/root/relay/batch/queue_test.go
+++ b/internal/root/relay/batch/queue_test.go
@@ -369,6 +369,7 @@
 				note(list)
 				kept = append(kept, spare...)
 			case 5:
+				q.Hedge(now)
 				q.Free(kept)
 				kept = nil
 				note(q.Expire(now))
@@ -418,7 +419,10 @@
 			t.Fatalf("a call of %d items", len(c.Items))
 		}
 		for _, p := range c.parts {
-			inCall[p]++
+			// A hedged call no longer counts: its pieces are in the queue again.
+			if !c.hedged {
+				inCall[p]++
+			}
 		}
 	}
 	for _, w := range q.workers {
@@ -436,6 +440,10 @@
 				places[i]++
 			}
 			places[i] += inCall[part{job: j, place: i}]
+			if h != "" {
+				// A result that came late from a hedged call may stand beside the copy that was made for it.
+				places[i] = min(places[i], 1)
+			}
 			if places[i] != 1 {
 				t.Fatalf("piece %d of %s is in %d places", i, j.Request, places[i])
 			}
--- a/internal/root/relay/batch/stats.go
+++ b/internal/root/relay/batch/stats.go
@@ -7,6 +7,8 @@
 	Calls   int64 `json:"calls"`
 	Broken  int64 `json:"broken"`
 	Pieces  int64 `json:"pieces"`
+	// Hedged counts the pieces that were made a second time as their call took too long.
+	Hedged int64 `json:"hedged"`
 	// Missed counts the pieces without a result by the reason.
 	Missed map[Reason]int64 `json:"missed"`
 	// Refused counts the work that was refused at once.
--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"math"
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
@@ -17,14 +18,17 @@
 	// slowWeight is the weight of a new sample in a worker's moving average of slowness.
 	slowWeight = 0.4
 	maxSlow    = 20
+	// slowFor is the time constant with which slowness is forgotten.
+	slowFor = 2 * time.Second
 )
 
 // worker is what is known of one upstream that works on pieces.
 type worker struct {
 	up    route.Upstream
 	calls int
-	// slow is how many times longer than expected its calls take.
-	slow float64
+	// slow is how many times longer than expected its calls took at slowAt.
+	slow   float64
+	slowAt time.Time
 	used int64
 	// hidden is room that was taken at fullAt by results that are not known here.
 	hidden int64
@@ -39,9 +43,22 @@
 	return !w.gone && !w.up.Leaving && w.calls < slots && !now.Before(w.restTo)
 }
 
-func (w *worker) took(actual, expected time.Duration) {
+// slowness is how many times longer than expected a call is taken to last; without new calls it is forgotten.
+func (w *worker) slowness(now time.Time) float64 {
+	since := w.slowAt
+	if w.endsAt.After(since) {
+		since = w.endsAt
+	}
+	idle := max(0, now.Sub(since))
+	return 1 + (w.slow-1)*math.Exp(-float64(idle)/float64(slowFor))
+}
+
+// took learns from a call that lasted that long where a worker of normal speed takes the expected time.
+func (w *worker) took(now time.Time, actual, expected time.Duration) {
 	w.faults = 0
 	ratio := float64(actual) / float64(max(expected, time.Millisecond))
+	w.slow = w.slowness(now)
+	w.slowAt = now
 	w.slow += slowWeight * (min(max(ratio, 1), maxSlow) - w.slow)
 }
 
