--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -29,7 +29,7 @@
 	// slow is how many times longer than expected its calls took at slowAt.
 	slow   float64
 	slowAt time.Time
-	used int64
+	used   int64
 	// hidden is room that was taken at fullAt by results that are not known here.
 	hidden int64
 	fullAt time.Time
--- a/internal/root/relay/flow/run.go
+++ b/internal/root/relay/flow/run.go
@@ -96,17 +96,27 @@
 	if !u.runStages(ctx) {
 		return false
 	}
+	if u.ended() {
+		return false
+	}
+	if !u.allowed() {
+		u.giveUp(CauseKeysUnsure, "key is no longer known to be valid", notReadyRetry)
+		return false
+	}
+	return true
+}
+
+// ended gives the request up where its caller has left or its time has run out, and reports whether it did.
+func (u *run) ended() bool {
 	switch {
 	case u.r.Context().Err() != nil:
 		u.giveUp(CauseCaller, "caller went away", 0)
 	case u.left() < leastLeft:
 		u.giveUp(CauseDeadline, "too little time is left", overload)
-	case !u.allowed():
-		u.giveUp(CauseKeysUnsure, "key is no longer known to be valid", notReadyRetry)
 	default:
-		return true
+		return false
 	}
-	return false
+	return true
 }
 
 func (u *run) left() time.Duration {
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -26,9 +26,10 @@
 // graph is the state of a request's stages.
 type graph struct {
 	*run
-	mu   sync.Mutex
-	made []batch.Made
-	done []chan struct{}
+	mu     sync.Mutex
+	made   []batch.Made
+	madeAt []time.Time
+	done   []chan struct{}
 	// failed is the first outcome of a stage that has no results.
 	failed batch.Outcome
 	stage  int
@@ -53,6 +54,7 @@
 	g := &graph{
 		run:    u,
 		made:   make([]batch.Made, len(u.route.Stages)),
+		madeAt: make([]time.Time, len(u.route.Stages)),
 		done:   make([]chan struct{}, len(u.route.Stages)),
 		cancel: cancel,
 	}
@@ -84,6 +86,9 @@
 		u.giveUp(CauseOverload, fmt.Sprintf("stage %d would not be done in time", g.stage), o.After)
 		return false
 	case batch.Failed:
+		if u.ended() {
+			return false
+		}
 		u.giveUp(CauseStage, fmt.Sprintf("stage %d: %s", g.stage, o.Reason), overload)
 		return false
 	}
@@ -159,6 +164,7 @@
 		return
 	}
 	g.made[i] = made
+	g.madeAt[i] = g.Now()
 	for _, a := range s.After {
 		if g.used(a) {
 			g.free(a)
@@ -193,6 +199,9 @@
 	if len(s.After) == 0 {
 		w.Key = g.ask.PieceKey
 	}
+	if kept, ok := g.keptFor(s.After); ok {
+		w.Last = min(w.Last, kept)
+	}
 	inputs := g.inputsOf(s)
 	if domain, bytes := g.heaviest(s.After); bytes*int64(n) >= worthMoving {
 		w.Domain = domain
@@ -217,6 +226,24 @@
 	return out
 }
 
+// keptFor returns how much longer the results of the stages are kept at their workers; false says that there are none.
+func (g *graph) keptFor(stages []int) (kept time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range stages {
+		worker := g.plan.Pools[g.route.Stages[a].Pool].Worker
+		if len(g.made[a].Handles) == 0 || worker == nil || worker.Keep <= 0 {
+			continue
+		}
+		left := g.madeAt[a].Add(worker.Keep).Sub(g.Now())
+		if !ok || left < kept {
+			kept = left
+			ok = true
+		}
+	}
+	return kept, ok
+}
+
 // rest is about what the stages that follow a stage take.
 func (g *graph) rest(i int) time.Duration {
 	var longest time.Duration
