--- a/internal/root/front/chain/retry/budget.go
+++ b/internal/root/front/chain/retry/budget.go
@@ -48,6 +48,14 @@
 	return b
 }
 
+// Limit sets how many retries the budget holds at the most; what it holds above that is lost.
+func (b *Budget) Limit(reserve float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserve = reserve
+	b.tokens = min(b.tokens, reserve)
+}
+
 // Earn counts a fresh request.
 func (b *Budget) Earn() {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/root/relay/batch/next.go
@@ -0,0 +1,207 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Next returns the next call to make, or false while no worker is idle or nothing waits.
+func (q *Queue) Next(now time.Time) (*Call, bool) {
+	q.forget(now)
+	order := q.order(now, "")
+	if len(order) == 0 || q.holds(now) {
+		return nil, false
+	}
+	for _, w := range q.idle(now, order[0].Domain) {
+		if c := q.fill(now, w, q.order(now, w.up.Domain)); c != nil {
+			return c, true
+		}
+	}
+	return nil, false
+}
+
+// holds reports whether the next call waits for more pieces, as workers that begin at once with few of them leave none for those that come just after.
+func (q *Queue) holds(now time.Time) bool {
+	workers := 0
+	for _, w := range q.workers {
+		if !w.gone && !w.up.Leaving && w.faults == 0 && w.slowness(now) <= slowLimit {
+			workers++
+		}
+	}
+	return workers > 1 && q.pace.holds(now, q.Waiting(), workers, q.spec)
+}
+
+// order returns the work that waits: what can be on time first, then by rank, then what wants its results in the domain, then the longest waiting.
+func (q *Queue) order(now time.Time, domain string) []*Job {
+	var out []*Job
+	for _, j := range q.jobs {
+		if len(j.waiting) > 0 {
+			out = append(out, j)
+		}
+	}
+	late := func(j *Job) int {
+		if now.Add(q.callTime(j.Work)).After(j.onTime) {
+			return 1
+		}
+		return 0
+	}
+	away := func(j *Job) int {
+		if j.Domain == domain {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(out, func(a, b *Job) int {
+		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(a.Rank, b.Rank), cmp.Compare(away(a), away(b)))
+	})
+	return out
+}
+
+// idle returns the workers that can take a call: those of normal speed first, then those in the domain.
+func (q *Queue) idle(now time.Time, domain string) []*worker {
+	var out []*worker
+	for _, w := range q.workers {
+		if w.idle(now, max(1, q.spec.Slots)) && !q.shunned(now, w) {
+			out = append(out, w)
+		}
+	}
+	far := func(w *worker) int {
+		if w.up.Domain == domain {
+			return 0
+		}
+		return 1
+	}
+	slow := func(w *worker) int {
+		if w.slowness(now) > slowLimit {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(out, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(slow(a), slow(b)), cmp.Compare(far(a), far(b)), cmp.Compare(a.used, b.used), cmp.Compare(a.up.Name, b.up.Name))
+	})
+	return out
+}
+
+// shunned reports whether waiting for another worker is quicker than a call to this slow one.
+func (q *Queue) shunned(now time.Time, w *worker) bool {
+	slow := w.slowness(now)
+	if slow <= slowLimit {
+		return false
+	}
+	mine := time.Duration(float64(q.spec.Call) * slow)
+	for _, o := range q.workers {
+		if o == w || o.gone || o.up.Leaving || o.slowness(now) > slowLimit || o.faults > 0 {
+			continue
+		}
+		if max(0, o.endsAt.Sub(now))+q.spec.Call < mine {
+			return true
+		}
+	}
+	return false
+}
+
+// fill puts as much as the worker takes into one call, in the order given; work that fits whole is not split.
+func (q *Queue) fill(now time.Time, w *worker, order []*Job) *Call {
+	c := &Call{
+		Upstream: w.up,
+		Expected: q.spec.Call,
+		worker:   w,
+		began:    now,
+	}
+	room := w.room(now, q.spec.Room)
+	batch := max(1, q.spec.Batch)
+	for _, j := range order {
+		if q.waitsNear(now, j, w) {
+			continue
+		}
+		n := len(j.waiting)
+		if n > batch || q.spec.Room < int64(n)*j.Bytes {
+			n = min(n, batch-len(c.Items))
+			if j.Bytes > 0 {
+				n = min(n, int(max(0, room)/j.Bytes))
+			}
+		}
+		if n == 0 || n > batch-len(c.Items) || int64(n)*j.Bytes > room {
+			continue
+		}
+		room -= int64(n) * j.Bytes
+		q.put(now, c, j, n)
+		if w.slow > slowLimit {
+			// One that was slow is tried with the work of one request.
+			break
+		}
+	}
+	if len(c.Items) == 0 {
+		return nil
+	}
+	w.calls++
+	q.running = append(q.running, c)
+	q.pace.called(now)
+	c.normal = c.Expected
+	c.Expected = time.Duration(float64(c.normal) * w.slowness(now))
+	w.endsAt = now.Add(c.Expected)
+	return c
+}
+
+// waitsNear reports whether work is left to a worker near its inputs rather than given to this one.
+func (q *Queue) waitsNear(now time.Time, j *Job, w *worker) bool {
+	if j.Moves < worthWaiting || j.Domain == w.up.Domain {
+		return false
+	}
+	var soonest time.Duration = -1
+	workers := 0
+	for _, o := range q.workers {
+		if o.up.Domain != j.Domain || o.up.Leaving || o.faults > 0 || o.slowness(now) > slowLimit {
+			continue
+		}
+		workers++
+		if free := max(0, o.endsAt.Sub(now), o.restTo.Sub(now)); soonest < 0 || free < soonest {
+			soonest = free
+		}
+	}
+	if workers == 0 {
+		return false
+	}
+	ahead := q.aheadNear(j)
+	calls := ahead / (workers * max(1, q.spec.Batch))
+	wait := soonest + time.Duration(calls)*q.callTime(j.Work)
+	return !now.Add(wait + q.callTime(j.Work)).After(j.onTime)
+}
+
+// aheadNear returns how many pieces wait for the same domain before this work.
+func (q *Queue) aheadNear(j *Job) int {
+	n := 0
+	for _, o := range q.jobs {
+		if o == j {
+			break
+		}
+		if o.Domain == j.Domain {
+			n += len(o.waiting)
+		}
+	}
+	return n
+}
+
+func (q *Queue) put(now time.Time, c *Call, j *Job, n int) {
+	for _, place := range j.waiting[:n] {
+		p := j.Pieces[place]
+		c.Items = append(c.Items, Item{
+			Request: j.Request,
+			Stage:   j.Stage,
+			Piece:   p.Index,
+			Key:     j.Key,
+			Inputs:  p.Inputs,
+			Left:    j.last.Sub(now),
+		})
+		c.parts = append(c.parts, part{
+			job:   j,
+			place: place,
+		})
+		c.worker.used += j.Bytes
+		c.Expected += q.itemTime(j.Work)
+	}
+	j.waiting = slices.Delete(j.waiting, 0, n)
+	j.tries++
+}
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -19,8 +19,12 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 )
 
-// notReadyRetry is when to come back to a host that may serve nothing yet.
-const notReadyRetry = 500 * time.Millisecond
+const (
+	// notReadyRetry is when to come back to a host that may serve nothing yet.
+	notReadyRetry = 500 * time.Millisecond
+	// lonelyReserve is the reserve of retries of a host that doesn't know how many others there are.
+	lonelyReserve = 1.0
+)
 
 // Sender sends one request to an upstream.
 type Sender interface {
@@ -51,7 +55,7 @@
 	Headers Headers
 	Budget  Budget
 	Meter   *meter.Meter
-	// Hosts returns how many hosts share the retry budget.
+	// Hosts returns how many hosts share the retry budget, or 0 while that is not known.
 	Hosts func() int
 
 	mu      sync.Mutex
@@ -155,6 +159,10 @@
 
 // budget returns the retry budget of a pool, of which this host has its share.
 func (s *Service) budget(pool string) *retry.Budget {
+	reserve := lonelyReserve
+	if n := s.Hosts(); n > 0 {
+		reserve = s.Budget.Extra / float64(n)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.budgets == nil {
@@ -162,8 +170,9 @@
 	}
 	b, ok := s.budgets[pool]
 	if !ok {
-		b = retry.NewBudget(retry.WithRatio(s.Budget.Ratio), retry.WithReserve(s.Budget.Extra/float64(max(1, s.Hosts()))))
+		b = retry.NewBudget(retry.WithRatio(s.Budget.Ratio), retry.WithReserve(reserve))
 		s.budgets[pool] = b
 	}
+	b.Limit(reserve)
 	return b
 }
--- a/internal/root/relay/hosts/roster.go
+++ b/internal/root/relay/hosts/roster.go
@@ -64,6 +64,8 @@
 
 	mu     sync.Mutex
 	states map[string]*state
+	// loaded says that the table of hosts was read.
+	loaded bool
 }
 
 // NewRoster returns a roster that knows only the host itself.
@@ -97,6 +99,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.loaded = true
 	for name := range r.states {
 		if !seen[name] {
 			delete(r.states, name)
@@ -127,10 +130,13 @@
 	}
 }
 
-// Count returns how many hosts are known, down or not.
+// Count returns how many hosts are known, down or not, or 0 while the table of hosts was not read.
 func (r *Roster) Count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.loaded {
+		return 0
+	}
 	return len(r.states)
 }
 
