--- a/internal/opcli/trace.go
+++ b/internal/opcli/trace.go
@@ -15,7 +15,9 @@
 // runTrace prints what the logs say of one request, over all hosts in the order of time.
 func runTrace(_ context.Context, c *call) error {
 	if c.opts.request == "" {
-		return &UsageError{Reason: "-request ID is needed"}
+		return &UsageError{
+			Reason: "-request ID is needed",
+		}
 	}
 	var logs [][]trace.Line
 	for _, name := range c.words {
--- a/internal/root/front/chain/route/table.go
+++ b/internal/root/front/chain/route/table.go
@@ -201,7 +201,9 @@
 	if !ok || affinity == 0 {
 		return t.domain
 	}
-	best := highest(now, p.entries, Query{Affinity: affinity})
+	best := highest(now, p.entries, Query{
+		Affinity: affinity,
+	})
 	if best == nil {
 		return t.domain
 	}
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -111,7 +112,9 @@
 		u.Table.Done(u.Now(), up.Name, u.Now().Sub(began), false)
 		u.exclude = append(u.exclude, up.Name)
 		u.blame(CauseFailed, http.StatusText(a.Status))
-		return retry.Broken{Free: true}, false
+		return retry.Broken{
+			Free: true,
+		}, false
 	}
 	var err error
 	if success && u.route.Kind == plan.Stream {
@@ -152,18 +155,23 @@
 func (u *run) passWhole(a send.Answer) error {
 	body, err := io.ReadAll(io.LimitReader(a.Body, wholeLimit+1))
 	if err != nil {
-		return err
+		return fmt.Errorf("read answer: %w", err)
 	}
 	if len(body) > wholeLimit {
 		return u.passLong(a, body)
 	}
 	if a.Length > int64(len(body)) {
-		return io.ErrUnexpectedEOF
+		return fmt.Errorf("read answer: %w", io.ErrUnexpectedEOF)
 	}
 	u.begin(a)
-	if _, err := u.w.Write(body); err != nil {
+	return u.write(body)
+}
+
+// write gives bytes to the caller; the answer of one that takes no more is cut off.
+func (u *run) write(b []byte) error {
+	if _, err := u.w.Write(b); err != nil {
 		u.abort = true
-		return err
+		return fmt.Errorf("write to caller: %w", err)
 	}
 	return nil
 }
@@ -171,14 +179,13 @@
 // passLong passes an answer on as it comes; a break cuts the caller's answer off.
 func (u *run) passLong(a send.Answer, first []byte) error {
 	u.begin(a)
-	u.abort = true
-	if _, err := u.w.Write(first); err != nil {
+	if err := u.write(first); err != nil {
 		return err
 	}
 	if _, err := io.Copy(u.w, a.Body); err != nil {
-		return err
+		u.abort = true
+		return fmt.Errorf("pass answer on: %w", err)
 	}
-	u.abort = false
 	return nil
 }
 
@@ -188,21 +195,21 @@
 	ev := newEvents(a.Body)
 	for {
 		raw, id, err := ev.next()
-		if err != nil && !errors.Is(err, io.EOF) {
+		ended := errors.Is(err, io.EOF)
+		if err != nil && !ended {
 			u.abort = u.begun && !u.resumable()
-			return err
+			return fmt.Errorf("pass stream on: %w", err)
 		}
 		a.Header.Del("Content-Length")
 		u.begin(a)
 		u.freeAll()
 		if len(raw) > 0 {
-			if _, err := u.w.Write(raw); err != nil {
-				u.abort = true
+			if err := u.write(raw); err != nil {
 				return err
 			}
 			u.events++
 		}
-		if errors.Is(err, io.EOF) {
+		if ended {
 			return nil
 		}
 		if id != "" {
@@ -210,7 +217,7 @@
 		}
 		if err := rc.Flush(); err != nil {
 			u.abort = true
-			return err
+			return fmt.Errorf("flush to caller: %w", err)
 		}
 	}
 }
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -22,8 +22,8 @@
 const (
 	// notReadyRetry is when to come back to a host that may serve nothing yet.
 	notReadyRetry = 500 * time.Millisecond
-	// lonelyReserve is the reserve of retries of a host that doesn't know how many others there are.
-	lonelyReserve = 1.0
+	// unsharedReserve is the reserve of retries of a host that doesn't know how many others there are.
+	unsharedReserve = 1.0
 )
 
 // Sender sends one request to an upstream.
@@ -159,7 +159,7 @@
 
 // budget returns the retry budget of a pool, of which this host has its share.
 func (s *Service) budget(pool string) *retry.Budget {
-	reserve := lonelyReserve
+	reserve := unsharedReserve
 	if n := s.Hosts(); n > 0 {
 		reserve = s.Budget.Extra / float64(n)
 	}
--- a/internal/root/relay/follow/feed.go
+++ b/internal/root/relay/follow/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -123,7 +124,7 @@
 	if f.version == 0 {
 		rows, version, err := f.source.All(ctx)
 		if err != nil {
-			return err
+			return fmt.Errorf("read %s: %w", f.name, err)
 		}
 		f.sink.Reset(rows)
 		f.version = version
@@ -136,7 +137,7 @@
 		return nil
 	}
 	if err != nil {
-		return err
+		return fmt.Errorf("follow %s: %w", f.name, err)
 	}
 	if len(rows) > 0 {
 		f.sink.Apply(rows)
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -60,9 +60,13 @@
 			Domain:  o.Domain,
 		}
 	case batch.Refused:
-		return answer{AfterMS: max(1, o.After.Milliseconds())}
+		return answer{
+			AfterMS: max(1, o.After.Milliseconds()),
+		}
 	case batch.Failed:
-		return answer{Reason: o.Reason}
+		return answer{
+			Reason: o.Reason,
+		}
 	default:
 		panic(fmt.Sprintf("unknown outcome %T", o))
 	}
@@ -76,9 +80,13 @@
 			Domain:  a.Domain,
 		}
 	case a.AfterMS > 0:
-		return batch.Refused{After: time.Duration(a.AfterMS) * time.Millisecond}
+		return batch.Refused{
+			After: time.Duration(a.AfterMS) * time.Millisecond,
+		}
 	default:
-		return batch.Failed{Reason: a.Reason}
+		return batch.Failed{
+			Reason: a.Reason,
+		}
 	}
 }
 
@@ -222,7 +230,9 @@
 			return o, p.freer(owner, w.Pool, o)
 		}
 		if ctx.Err() != nil {
-			return batch.Failed{Reason: batch.Late}, nil
+			return batch.Failed{
+				Reason: batch.Late,
+			}, nil
 		}
 		p.roster.Down(owner, err)
 		spent := p.Now().Sub(began)
@@ -270,7 +280,7 @@
 	}()
 	var a answer
 	if err := p.post(ctx, owner, pathWork, w, &a); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("give work to its owner: %w", err)
 	}
 	return a.outcome(), nil
 }
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -148,11 +149,11 @@
 		r.peers,
 		super.Func{
 			Label: "ready",
-			Body:  serve.New(r.WithPart("ready"), r.settings.Listen.Ready, r.readyHandler(), serve.Limits{HeaderTimeout: headerTimeout}).Run,
+			Body:  r.plainServer("ready", r.settings.Listen.Ready, r.readyHandler()).Run,
 		},
 		super.Func{
 			Label: "metrics",
-			Body:  serve.New(r.WithPart("metrics"), r.settings.Listen.Metrics, r.metrics(), serve.Limits{HeaderTimeout: headerTimeout}).Run,
+			Body:  r.plainServer("metrics", r.settings.Listen.Metrics, r.metrics()).Run,
 		},
 		super.Func{
 			Label: "callers",
@@ -169,6 +170,13 @@
 	return time.Duration(planShare * float64(r.settings.Keys.Revoke.D()))
 }
 
+// plainServer returns a server that has nothing to drain.
+func (r *Relay) plainServer(part, addr string, h http.Handler) *serve.Graceful {
+	return serve.New(r.WithPart(part), addr, h, serve.Limits{
+		HeaderTimeout: headerTimeout,
+	})
+}
+
 // confirm extends the lease on keys from before the call that the returned function follows.
 func (r *Relay) confirm() func() {
 	asked := r.lease.Start()
--- a/internal/stand/rows/listen.go
+++ b/internal/stand/rows/listen.go
@@ -140,7 +140,9 @@
 		}
 	}
 	if failed := l.store.Run(tx); failed != nil {
-		l.reply(w, http.StatusPreconditionFailed, answer{Rows: failed})
+		l.reply(w, http.StatusPreconditionFailed, answer{
+			Rows: failed,
+		})
 		return
 	}
 	l.reply(w, http.StatusOK, answer{})
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -315,7 +315,9 @@
 		s.made++
 		handle := fmt.Sprintf("%s/%s-%d-%d-%d", s.addr, it.ID, it.Stage, it.Piece, s.made)
 		s.results[handle] = true
-		out = append(out, result{Handle: handle})
+		out = append(out, result{
+			Handle: handle,
+		})
 	}
 	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
