--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -25,7 +25,7 @@
 func (q *Queue) holds(now time.Time) bool {
 	workers := 0
 	for _, w := range q.workers {
-		if !w.gone && !w.up.Leaving && w.faults == 0 && w.slowness(now) <= slowLimit {
+		if w.steady(now) {
 			workers++
 		}
 	}
@@ -92,7 +92,7 @@
 	}
 	mine := time.Duration(float64(q.spec.Call) * slow)
 	for _, o := range q.workers {
-		if o == w || o.gone || o.up.Leaving || o.slowness(now) > slowLimit || o.faults > 0 {
+		if o == w || !o.steady(now) {
 			continue
 		}
 		if max(0, o.endsAt.Sub(now))+q.spec.Call < mine {
@@ -153,7 +153,7 @@
 	var soonest time.Duration = -1
 	workers := 0
 	for _, o := range q.workers {
-		if o.up.Domain != j.Domain || o.up.Leaving || o.faults > 0 || o.slowness(now) > slowLimit {
+		if o.up.Domain != j.Domain || !o.steady(now) {
 			continue
 		}
 		workers++
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -68,11 +68,6 @@
 		w.up = u
 		next[u.Name] = w
 	}
-	for name, w := range q.workers {
-		if next[name] != w {
-			w.gone = true
-		}
-	}
 	q.workers = next
 }
 
--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -36,11 +36,15 @@
 	faults int
 	restTo time.Time
 	endsAt time.Time
-	gone   bool
 }
 
 func (w *worker) idle(now time.Time, slots int) bool {
-	return !w.gone && !w.up.Leaving && w.calls < slots && !now.Before(w.restTo)
+	return !w.up.Leaving && w.calls < slots && !now.Before(w.restTo)
+}
+
+// steady reports whether the worker stays and works at about normal speed.
+func (w *worker) steady(now time.Time) bool {
+	return !w.up.Leaving && w.faults == 0 && w.slowness(now) <= slowLimit
 }
 
 // slowness is how many times longer than expected a call is taken to last; without new calls it is forgotten.
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -5,8 +5,6 @@
 	"os"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/cornelwing/cornelwing/internal/strict"
 	"github.com/cornelwing/cornelwing/pkg/config"
 )
@@ -76,8 +74,7 @@
 // Faults returns everything that is wrong with the settings.
 func (s *Relay) Faults() []strict.Fault {
 	var c strict.Check
-	c.That(s.Host.Name != "", "host.name", "a name is needed")
-	c.That(s.Host.Domain != "", "host.domain", "a failure domain is needed")
+	s.Host.check(&c)
 	checkAddr(&c, "listen.callers", s.Listen.Callers)
 	checkAddr(&c, "listen.ready", s.Listen.Ready)
 	checkAddr(&c, "listen.peers", s.Listen.Peers)
@@ -87,7 +84,6 @@
 	c.That(s.Keys.Revoke.D() >= time.Second, "keys.revoke", "%s is less than 1s", s.Keys.Revoke)
 	c.That(s.Retry.Ratio >= 0, "retry.ratio", "%g is below 0", s.Retry.Ratio)
 	c.That(s.Retry.Extra >= 0, "retry.extra", "%g is below 0", s.Retry.Extra)
-	_, err := logrus.ParseLevel(s.Log.Level)
-	c.That(err == nil, "log.level", "%q is not one of debug, info, warning, error", s.Log.Level)
+	s.Log.check(&c)
 	return c.Faults()
 }
--- a/internal/setup/settings.go
+++ b/internal/setup/settings.go
@@ -176,8 +176,7 @@
 // Faults returns everything that is wrong with the settings.
 func (s *Settings) Faults() []strict.Fault {
 	var c strict.Check
-	c.That(s.Host.Name != "", "host.name", "a name is needed")
-	c.That(s.Host.Domain != "", "host.domain", "a failure domain is needed")
+	s.Host.check(&c)
 	checkAddr(&c, "listen.callers", s.Listen.Callers)
 	checkAddr(&c, "listen.operators", s.Listen.Operators)
 	checkAddr(&c, "listen.peers", s.Listen.Peers)
@@ -187,11 +186,20 @@
 	s.checkPeers(&c)
 	s.checkOperators(&c)
 	s.checkLimits(&c)
-	_, err = logrus.ParseLevel(s.Log.Level)
-	c.That(err == nil, "log.level", "%q is not one of debug, info, warning, error", s.Log.Level)
+	s.Log.check(&c)
 	return c.Faults()
 }
 
+func (h Host) check(c *strict.Check) {
+	c.That(h.Name != "", "host.name", "a name is needed")
+	c.That(h.Domain != "", "host.domain", "a failure domain is needed")
+}
+
+func (l Log) check(c *strict.Check) {
+	_, err := logrus.ParseLevel(l.Level)
+	c.That(err == nil, "log.level", "%q is not one of debug, info, warning, error", l.Level)
+}
+
 func (s *Settings) checkPeers(c *strict.Check) {
 	p := s.Peers
 	all := p.CA != "" && p.Cert != "" && p.Key != ""
