--- a/internal/root/relay/ready.go
+++ b/internal/root/relay/ready.go
@@ -19,6 +19,8 @@
 	switch {
 	case r.leaving.Load():
 		return "leaving"
+	case r.callers.Addr() == "":
+		return "no requests are taken yet"
 	case p == nil:
 		return "no configuration yet"
 	case !r.members.Loaded():
--- /dev/null
+++ b/internal/root/relay/ready_test.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
+	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/setup"
+)
+
+// noHosts is a table of hosts without a row.
+type noHosts struct {
+	follow.Source
+}
+
+func (noHosts) Put(context.Context, string, []byte) error {
+	return nil
+}
+
+func (noHosts) Remove(context.Context, string) error {
+	return nil
+}
+
+func TestReadyOnlyOnceCallersAreServed(t *testing.T) {
+	Convey("Given a host that knows its configuration and its upstreams", t, func() {
+		r := New(common.Quiet("host-1", "d"), setup.Relay{
+			Listen: setup.RelayListen{Callers: "127.0.0.1:0"},
+			Stop:   setup.Stop{Grace: 1},
+		}, Adapter{Hosts: noHosts{}})
+		r.plans.Offer(&plan.Plan{Version: 1})
+		r.members.Reset(nil)
+		Convey("it is not ready before it takes requests", func() {
+			So(r.unready(), ShouldEqual, "no requests are taken yet")
+			Convey("and is once it does, until it leaves", func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				up := make(chan struct{})
+				done := make(chan error, 1)
+				go func() { done <- r.callers.Run(ctx, func() { close(up) }) }()
+				<-up
+				So(r.unready(), ShouldEqual, "")
+				r.leaving.Store(true)
+				So(r.unready(), ShouldEqual, "leaving")
+				cancel()
+				<-done
+			})
+		})
+	})
+}
--- a/internal/serve/graceful.go
+++ b/internal/serve/graceful.go
@@ -71,7 +71,7 @@
 	return g
 }
 
-// Addr returns the address that the server listens on, or "" before it does.
+// Addr returns the address that the server listens on, or "" before it does and after it failed.
 func (g *Graceful) Addr() string {
 	if a := g.bound.Load(); a != nil {
 		return *a
@@ -105,6 +105,7 @@
 	up()
 	select {
 	case err := <-failed:
+		g.bound.Store(nil)
 		return fmt.Errorf("serve on %s: %w", bound, err)
 	case <-ctx.Done():
 	}
