--- a/internal/root/front/chain/choose.go
+++ b/internal/root/front/chain/choose.go
@@ -45,19 +45,21 @@
 	return up, ok
 }
 
-// pickTrial picks an upstream on which no other suspect is tried, by this host or another, and waits for one if it must.
+// pickTrial picks an upstream on which no other suspect is tried, by this host or another.
+// It waits for one whose trial ends, but for none to come back.
 func (u *run) pickTrial(ctx context.Context, t *try) (route.Upstream, bool) {
 	for {
 		up, ok := u.pick(t, u.suspects.Mine)
 		if !ok {
 			up, ok = u.pickAny(t)
 		}
-		if ok && u.suspects.Hold(u.print, up.Name) {
-			return up, true
+		if !ok {
+			return route.Upstream{}, false
 		}
-		if ok {
-			u.Table.Release(u.Now(), up.Name)
+		if u.suspects.Hold(u.print, up.Name) {
+			return up, true
 		}
+		u.Table.Release(u.Now(), up.Name)
 		if !common.Sleep(ctx, trialPause) {
 			return route.Upstream{}, false
 		}
--- a/internal/root/front/chain/reach/client.go
+++ b/internal/root/front/chain/reach/client.go
@@ -59,7 +59,9 @@
 		Timeout: dialTimeout,
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return dialConn(ctx, dialer, network, addr)
+		},
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -91,9 +93,9 @@
 	defer cancel(nil)
 	watch := NewWatch(ctx, a, func() { cancel(ErrSilent) })
 	defer watch.Stop()
-	var sent atomic.Bool
+	var sent sending
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GotConn: sent.begin,
 	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Addr+pathOf(a), bytes.NewReader(body))
 	if err != nil {
@@ -105,7 +107,7 @@
 	req.Header.Set(wire.HeaderRequestID, a.Call.AttemptID)
 	resp, err := c.transport(a).RoundTrip(req)
 	if err != nil {
-		return c.ended(ctx, a, sent.Load(), err)
+		return c.ended(ctx, a, !sent.nothing(), err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
--- /dev/null
+++ b/internal/root/front/chain/reach/conn_test.go
@@ -0,0 +1,136 @@
+package reach
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/stage"
+)
+
+// pairOf returns a connection of ours and its peer's end.
+func pairOf(t *testing.T) (*conn, net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c, err := dialConn(t.Context(), &net.Dialer{}, "tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = c.Close()
+		_ = peer.Close()
+	})
+	return c.(*conn), peer
+}
+
+func TestNothingIsWrittenOnceThePeerHasClosed(t *testing.T) {
+	scenarios := []struct {
+		name string
+		end  func(peer net.Conn)
+	}{
+		{name: "closed", end: func(p net.Conn) { _ = p.Close() }},
+		{name: "reset", end: func(p net.Conn) { _ = p.(*net.TCPConn).SetLinger(0); _ = p.Close() }},
+		{name: "half closed", end: func(p net.Conn) { _ = p.(*net.TCPConn).CloseWrite() }},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			c, peer := pairOf(t)
+			if n, err := c.Write([]byte("abc")); n != 3 || err != nil {
+				t.Fatalf("wrote %d, %v", n, err)
+			}
+			mark := c.Written()
+			sc.end(peer)
+			for end := time.Now().Add(time.Second); !c.peerClosed() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			if n, err := c.Write([]byte("d")); n != 0 || !errors.Is(err, ErrPeerClosed) {
+				t.Errorf("wrote %d, %v", n, err)
+			}
+			if !c.Seal(mark) || c.Seal(mark-1) {
+				t.Error("what was written is not told right")
+			}
+		})
+	}
+}
+
+func TestASealedConnectionWritesNothing(t *testing.T) {
+	c, _ := pairOf(t)
+	if !c.Seal(0) {
+		t.Fatal("something was written")
+	}
+	if n, err := c.Write([]byte("late")); n != 0 || !errors.Is(err, ErrSealed) {
+		t.Errorf("wrote %d, %v", n, err)
+	}
+}
+
+// TestAnAttemptIsUnsentWhereItsKeptConnectionWasClosed has the client hold a connection whose end it has not read yet.
+func TestAnAttemptIsUnsentWhereItsKeptConnectionWasClosed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c := New()
+	read := make(chan string, 1)
+	go func() {
+		peer, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		_ = peer.Close()
+		_ = ln.Close()
+		read <- ""
+	}()
+	// The connection is closed between the dial and the write of the first byte.
+	via := c.kept(ln.Addr().String())
+	dial := via.DialContext
+	via.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		got, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		<-read
+		for !got.(*conn).peerClosed() {
+			time.Sleep(time.Millisecond)
+		}
+		return got, nil
+	}
+	got := c.Do(t.Context(), Attempt{Addr: ln.Addr().String(), Silence: time.Second, Call: stage.Call{AttemptID: "a"}})
+	if _, ok := got.(Unsent); !ok {
+		t.Errorf("got %#v", got)
+	}
+}
+
+func TestAnAttemptThatWasSentIsBroken(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		peer, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		// The request is read whole, so it may have run.
+		_, _ = http.ReadRequest(bufio.NewReader(peer))
+		_ = peer.Close()
+	}()
+	got := New().Do(t.Context(), Attempt{Addr: ln.Addr().String(), Silence: time.Second, Call: stage.Call{AttemptID: "a"}})
+	if _, ok := got.(Broken); !ok {
+		t.Errorf("got %#v", got)
+	}
+}
--- /dev/null
+++ b/internal/root/front/chain/suspect_test.go
@@ -0,0 +1,71 @@
+package chain_test
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/crash"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/reach"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/stage"
+	"github.com/cornelwing/cornelwing/pkg/config"
+	"github.com/cornelwing/cornelwing/pkg/wire"
+)
+
+// gone stands for upstreams that lose the connection of each attempt and do not answer a probe.
+type gone struct{}
+
+func (gone) Do(context.Context, reach.Attempt) reach.Result {
+	return reach.Broken{Err: io.EOF}
+}
+
+func (gone) Probe(context.Context, string) (stage.Load, error) {
+	return stage.Load{}, io.EOF
+}
+
+// blame makes a suspect of every request whose upstream is gone.
+type blame struct {
+	crashes atomic.Int32
+}
+
+func (b *blame) Crashes(crash.Fingerprint) (int, bool) { return int(b.crashes.Load()), false }
+func (*blame) Mine(string) bool                        { return true }
+func (*blame) Hold(crash.Fingerprint, string) bool     { return true }
+func (*blame) Free(crash.Fingerprint, string)          {}
+func (b *blame) Broke(context.Context, crash.Fingerprint, route.Upstream) bool {
+	b.crashes.Add(1)
+	return true
+}
+
+func TestASuspectDoesNotWaitForUpstreamsThatAreGone(t *testing.T) {
+	for _, n := range []int{1, 2, 3} {
+		table := route.New("d")
+		var ups []route.Upstream
+		for i := range n {
+			ups = append(ups, route.Upstream{
+				Name:   string(rune('a' + i)),
+				Addr:   "127.0.0.1:1",
+				Domain: "d",
+				Pool:   "workers",
+			})
+		}
+		table.Sync([]route.PoolSpec{{Name: "workers", Slots: 1, Expected: time.Millisecond}}, ups, 1)
+		r := chain.New(common.Quiet("h", "d"), table, gone{}, chain.WithSuspects(&blame{}))
+		job := jobOf(n, false)
+		job.Pipeline.Stages = job.Pipeline.Stages[:1]
+		job.Pools = []config.Pool{{Name: "workers", Kind: config.KindWorker, Silence: config.Span(time.Second)}}
+		job.Deadline = job.Arrived.Add(4 * time.Second)
+		given, ok := r.Run(t.Context(), job).(chain.Given)
+		if !ok || given.Problem.Kind() != wire.KindUpstream || given.Problem.Outcome != wire.Failed {
+			t.Errorf("%d upstreams: got %+v", n, given)
+		}
+		if took := time.Since(job.Arrived); took > time.Second {
+			t.Errorf("%d upstreams: given up after %s", n, took)
+		}
+	}
+}
