--- a/internal/root/relay/batch/finish.go
+++ b/internal/root/relay/batch/finish.go
@@ -10,7 +10,7 @@
 	took := now.Sub(c.began)
 	q.ended(c)
 	q.stats.Pieces += int64(len(c.Items))
-	c.worker.took(now, took, c.normal)
+	c.worker.served(now, took, c.normal)
 	q.learn(c, took)
 	for i, p := range c.parts {
 		r := results[i]
--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -57,9 +57,14 @@
 	return 1 + (w.slow-1)*math.Exp(-float64(idle)/float64(slowFor))
 }
 
-// took learns from a call that lasted that long where a worker of normal speed takes the expected time.
-func (w *worker) took(now time.Time, actual, expected time.Duration) {
+// served learns from a call with results.
+func (w *worker) served(now time.Time, actual, expected time.Duration) {
 	w.faults = 0
+	w.took(now, actual, expected)
+}
+
+// took learns from a call that lasted that long, or longer, where a worker of normal speed takes the expected time.
+func (w *worker) took(now time.Time, actual, expected time.Duration) {
 	ratio := float64(actual) / float64(max(expected, time.Millisecond))
 	w.slow = w.slowness(now)
 	w.slowAt = now
