--- a/internal/root/relay/follow/members.go
+++ b/internal/root/relay/follow/members.go
@@ -10,8 +10,8 @@
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 )
 
-// lapseGrace is how long after the platform's return an entry that is missing still counts, as live upstreams register again within it.
-const lapseGrace = 2 * time.Second
+// lapseShare is the part of the time in which a gone upstream has to be forgotten for which an entry that vanished around an outage still counts, as live upstreams register again.
+const lapseShare = 0.7
 
 // Decode reads an upstream's entry.
 type Decode func(key string, value []byte) (route.Upstream, error)
@@ -21,6 +21,8 @@
 	common.Deps
 	decode  Decode
 	changed func()
+	// lapse is how long an entry that vanished around an outage still counts.
+	lapse time.Duration
 
 	mu  sync.Mutex
 	ups map[string]route.Upstream
@@ -32,12 +34,13 @@
 	loaded bool
 }
 
-// NewMembers returns an empty view; changed is called after each change.
-func NewMembers(deps common.Deps, decode Decode, changed func()) *Members {
+// NewMembers returns an empty view; changed is called after each change, and nothing may be sent to an upstream that has been gone for the time to forget it.
+func NewMembers(deps common.Deps, decode Decode, forget time.Duration, changed func()) *Members {
 	return &Members{
 		Deps:    deps.WithPart("members"),
 		decode:  decode,
 		changed: changed,
+		lapse:   time.Duration(lapseShare * float64(forget)),
 		ups:     map[string]route.Upstream{},
 		missing: map[string]time.Time{},
 	}
@@ -96,11 +99,11 @@
 		return
 	}
 	now := m.Now()
-	if !up.Leaving && (m.out || now.Sub(m.backAt) < lapseGrace) {
+	if !up.Leaving && (m.out || now.Sub(m.backAt) < m.lapse) {
 		if _, known := m.missing[name]; !known {
-			m.missing[name] = now.Add(lapseGrace)
+			m.missing[name] = now.Add(m.lapse)
 			m.Log.WithField("upstream", name).Info("Entry vanished around an outage. It counts a little longer.")
-			time.AfterFunc(lapseGrace+time.Millisecond, m.changed)
+			time.AfterFunc(m.lapse+time.Millisecond, m.changed)
 		}
 		return
 	}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -98,7 +98,7 @@
 		keeper:   batch.NewKeeper(deps, a.Workers),
 		meter:    meter.New(),
 	}
-	r.members = follow.NewMembers(deps, a.Upstream, r.sync)
+	r.members = follow.NewMembers(deps, a.Upstream, s.Upstreams.Forget.D(), r.sync)
 	r.roster = hosts.NewRoster(deps, r.self())
 	r.peers = hosts.NewPeers(deps, s.Listen.Peers, r.roster, r.keeper)
 	r.flow = &flow.Service{
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -11,13 +11,14 @@
 
 // Relay is what a daemon has to know that passes callers' requests on unchanged.
 type Relay struct {
-	Host   Host        `yaml:"host"`
-	Listen RelayListen `yaml:"listen"`
-	Store  Store       `yaml:"store"`
-	Stop   Stop        `yaml:"stop"`
-	Keys   Keys        `yaml:"keys"`
-	Retry  Retry       `yaml:"retry"`
-	Log    Log         `yaml:"log"`
+	Host      Host        `yaml:"host"`
+	Listen    RelayListen `yaml:"listen"`
+	Store     Store       `yaml:"store"`
+	Upstreams Upstreams   `yaml:"upstreams"`
+	Stop      Stop        `yaml:"stop"`
+	Keys      Keys        `yaml:"keys"`
+	Retry     Retry       `yaml:"retry"`
+	Log       Log         `yaml:"log"`
 }
 
 // RelayListen holds the addresses, an IP number and a port each.
@@ -33,6 +34,11 @@
 	Address string `yaml:"address" help:"address of the platform's store, an IP number and a port"`
 }
 
+// Upstreams says how soon changes of the upstreams have to take effect.
+type Upstreams struct {
+	Forget config.Span `yaml:"forget" help:"time after which nothing may be sent to an upstream that has gone"`
+}
+
 // Stop bounds a graceful stop.
 type Stop struct {
 	Grace config.Span `yaml:"grace" help:"time from the signal to stop until the process is killed"`
@@ -52,6 +58,9 @@
 // RelayDefaults returns the settings that hold where the file names none.
 func RelayDefaults() Relay {
 	return Relay{
+		Upstreams: Upstreams{
+			Forget: config.Span(2 * time.Second),
+		},
 		Log: Log{
 			Level: "info",
 		},
@@ -80,6 +89,7 @@
 	checkAddr(&c, "listen.peers", s.Listen.Peers)
 	checkAddr(&c, "listen.metrics", s.Listen.Metrics)
 	checkAddr(&c, "store.address", s.Store.Address)
+	c.That(s.Upstreams.Forget.D() >= 500*time.Millisecond, "upstreams.forget", "%s is less than 500ms", s.Upstreams.Forget)
 	c.That(s.Stop.Grace.D() >= time.Second, "stop.grace", "%s is less than 1s", s.Stop.Grace)
 	c.That(s.Keys.Revoke.D() >= time.Second, "keys.revoke", "%s is less than 1s", s.Keys.Revoke)
 	c.That(s.Retry.Ratio >= 0, "retry.ratio", "%g is below 0", s.Retry.Ratio)
