--- a/internal/root/relay/batch/finish.go
+++ b/internal/root/relay/batch/finish.go
@@ -32,6 +32,7 @@
 		p.job.missing--
 		p.job.domains[c.Upstream.Domain]++
 		if p.job.missing == 0 {
+			q.spend(p.job)
 			q.end(p.job, Made{
 				Handles: p.job.handles,
 				Domain:  p.job.domain(),
@@ -60,6 +61,9 @@
 	if j.Outcome != nil || j.handles[p.place] != "" || (c.hedged && why != Gone) {
 		return false
 	}
+	if j.freed {
+		why = Gone
+	}
 	if why == Full {
 		j.tries--
 	}
@@ -90,7 +94,7 @@
 		c.hedged = true
 		c.worker.took(now, took, c.normal)
 		for _, p := range c.parts {
-			if p.job.Outcome == nil && p.job.handles[p.place] == "" {
+			if p.job.Outcome == nil && p.job.handles[p.place] == "" && !p.job.freed {
 				p.job.waiting = append(p.job.waiting, p.place)
 				q.stats.Hedged++
 			}
--- a/internal/root/relay/batch/job.go
+++ b/internal/root/relay/batch/job.go
@@ -18,6 +18,9 @@
 	waiting []int
 	missing int
 	tries   int
+	// begun is when the last piece was put into a call, and freed says that the inputs were given up since.
+	begun time.Time
+	freed bool
 	// domains counts the results by the failure domains where they are.
 	domains map[string]int
 }
@@ -40,6 +43,9 @@
 	// Expected is how long the call should take.
 	Expected time.Duration
 
+	// room is how many bytes of results the worker had room for.
+	room int64
+
 	worker *worker
 	parts  []part
 	began  time.Time
--- a/internal/root/relay/batch/keeper.go
+++ b/internal/root/relay/batch/keeper.go
@@ -42,11 +42,13 @@
 	ticking bool
 	frees   map[string][]string
 	freeing map[string]bool
+	// onSpent takes results of a pool that are no longer needed; this host need not be the one that keeps its queue.
+	onSpent func(pool string, handles []string)
 }
 
 // NewKeeper returns a keeper without queues.
 func NewKeeper(deps common.Deps, caller Caller) *Keeper {
-	return &Keeper{
+	k := &Keeper{
 		Deps:    deps.WithPart("batch"),
 		caller:  caller,
 		queues:  map[string]*Queue{},
@@ -54,6 +56,15 @@
 		frees:   map[string][]string{},
 		freeing: map[string]bool{},
 	}
+	k.onSpent = k.Free
+	return k
+}
+
+// OnSpent sets the function that takes results of any pool that are no longer needed.
+func (k *Keeper) OnSpent(f func(pool string, handles []string)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.onSpent = f
 }
 
 // Sync brings the pools of the plan and their workers into the queues.
@@ -132,6 +143,9 @@
 	for name, q := range k.queues {
 		q.Hedge(now)
 		k.tell(q.Expire(now))
+		for pool, handles := range q.Spent(now) {
+			go k.onSpent(pool, handles)
+		}
 		for {
 			c, ok := q.Next(now)
 			if !ok {
@@ -196,6 +210,7 @@
 		"items":    len(c.Items),
 		"took_ms":  now.Sub(c.began).Milliseconds(),
 		"expected": c.Expected.Milliseconds(),
+		"room_kb":  c.room >> 10,
 		"waiting":  q.Waiting(),
 		"full":     count(results, Full),
 		"gone":     count(results, Gone),
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -111,6 +111,7 @@
 		began:    now,
 	}
 	room := w.room(now, q.spec.Room)
+	c.room = room
 	batch := max(1, q.spec.Batch)
 	for _, j := range order {
 		if q.waitsNear(now, j, w) {
@@ -167,7 +168,7 @@
 	ahead := q.aheadNear(j)
 	calls := ahead / (workers * max(1, q.spec.Batch))
 	wait := soonest + time.Duration(calls)*q.callTime(j.Work)
-	return !now.Add(wait + q.callTime(j.Work)).After(j.onTime)
+	return !now.Add(wait + q.callTime(j.Work) + nearSlack).After(j.onTime)
 }
 
 // aheadNear returns how many pieces wait for the same domain before this work.
@@ -204,4 +205,5 @@
 	}
 	j.waiting = slices.Delete(j.waiting, 0, n)
 	j.tries++
+	j.begun = now
 }
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -18,6 +18,8 @@
 	learnWeight = 0.1
 	// worthWaiting is the size of inputs, in bytes, from which work waits for a worker near them while it can be on time.
 	worthWaiting = 256 << 10
+	// nearSlack is how much time such work has to have left besides, as it may wait longer than predicted.
+	nearSlack = 200 * time.Millisecond
 	// hedgeAfter is how many times longer than expected a call may take before its pieces are made elsewhere as well.
 	hedgeAfter = 1.8
 	// slowLimit is how much slower than expected a worker may be before others are preferred.
@@ -32,6 +34,8 @@
 	running []*Call
 	held    map[string]held
 	item    map[kind]time.Duration
+	// spent holds results of other pools that are no longer needed, by their pools.
+	spent map[string][]string
 	// pace spaces the calls.
 	pace  pace
 	stats Stats
@@ -44,6 +48,7 @@
 		workers: map[string]*worker{},
 		held:    map[string]held{},
 		item:    map[kind]time.Duration{},
+		spent:   map[string][]string{},
 		stats: Stats{
 			Missed: map[Reason]int64{},
 		},
--- a/internal/root/relay/batch/work.go
+++ b/internal/root/relay/batch/work.go
@@ -11,6 +11,12 @@
 	Inputs []string `json:"inputs,omitempty"`
 }
 
+// Spent names results of a pool that are no longer needed.
+type Spent struct {
+	Pool    string   `json:"pool"`
+	Handles []string `json:"handles"`
+}
+
 // Work is what one request needs of one stage.
 type Work struct {
 	Pool    string `json:"pool"`
@@ -19,6 +25,8 @@
 	// Key is what pieces of a stage without earlier stages are made from.
 	Key    string  `json:"key,omitempty"`
 	Pieces []Piece `json:"pieces"`
+	// Spent are results that nothing else needs once the pieces are in the making.
+	Spent []Spent `json:"spent,omitempty"`
 	// Bytes is about the size of one piece's result.
 	Bytes int64 `json:"bytes"`
 	// Rank is 0 for the most urgent.
--- a/internal/root/relay/flow/answer.go
+++ b/internal/root/relay/flow/answer.go
@@ -106,6 +106,7 @@
 		"sends":    u.sends,
 		"upstream": u.upstream,
 		"took_ms":  int64(common.Millis(u.Now().Sub(u.arrived))),
+		"wait_ms":  int64(common.Millis(u.ask.Wait)),
 	}
 	if u.plan != nil {
 		fields["version"] = u.plan.Version
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -58,6 +58,9 @@
 	// Hosts returns how many hosts share the retry budget, or 0 while that is not known.
 	Hosts func() int
 
+	// spans is how long stages take.
+	spans spans
+
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
 }
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 )
@@ -145,9 +146,13 @@
 	for _, a := range s.After {
 		<-g.done[a]
 	}
+	if len(s.After) == 0 {
+		common.Sleep(ctx, g.begin(i))
+	}
 	if ctx.Err() != nil {
 		return
 	}
+	began := g.Now()
 	o, free := g.Workers.Do(ctx, g.work(i, n))
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -165,8 +170,13 @@
 	}
 	g.made[i] = made
 	g.madeAt[i] = g.Now()
+	g.spans.learn(s.Pool, i, g.madeAt[i].Sub(began))
 	for _, a := range s.After {
-		if g.used(a) {
+		switch {
+		case g.onlyNeeds(i, a):
+			// Whoever made the pieces gave their inputs up.
+			delete(g.frees, a)
+		case g.used(a):
 			g.free(a)
 		}
 	}
@@ -174,8 +184,8 @@
 
 // used reports whether every stage that needs the results of a stage is done.
 func (g *graph) used(a int) bool {
-	for j, s := range g.route.Stages {
-		if slices.Contains(s.After, a) && g.ask.pieces(j) > 0 && len(g.made[j].Handles) == 0 {
+	for j := range g.route.Stages {
+		if g.follows(j, a) && g.ask.pieces(j) > 0 && len(g.made[j].Handles) == 0 {
 			return false
 		}
 	}
@@ -207,6 +217,7 @@
 		w.Domain = domain
 		w.Moves = bytes * int64(n)
 	}
+	w.Spent = g.spentBy(i)
 	for p := range n {
 		w.Pieces = append(w.Pieces, batch.Piece{
 			Index:  p,
@@ -216,6 +227,32 @@
 	return w
 }
 
+// spentBy returns the results that no other stage needs.
+func (g *graph) spentBy(i int) []batch.Spent {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []batch.Spent
+	for _, a := range g.route.Stages[i].After {
+		if len(g.made[a].Handles) > 0 && g.onlyNeeds(i, a) {
+			out = append(out, batch.Spent{
+				Pool:    g.route.Stages[a].Pool,
+				Handles: g.made[a].Handles,
+			})
+		}
+	}
+	return out
+}
+
+// onlyNeeds reports whether no other stage needs the results of the earlier one.
+func (g *graph) onlyNeeds(stage, earlier int) bool {
+	for j := range g.route.Stages {
+		if j != stage && g.follows(j, earlier) && g.ask.pieces(j) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (g *graph) inputsOf(s plan.Stage) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -248,15 +285,23 @@
 func (g *graph) rest(i int) time.Duration {
 	var longest time.Duration
 	for j := i + 1; j < len(g.route.Stages); j++ {
-		s := g.route.Stages[j]
-		if g.ask.pieces(j) == 0 || !slices.Contains(s.After, i) {
-			continue
-		}
-		var call time.Duration
-		if w := g.plan.Pools[s.Pool].Worker; w != nil {
-			call = time.Duration(fullCall * float64(w.Call))
+		if g.ask.pieces(j) > 0 && g.follows(j, i) {
+			longest = max(longest, g.callTime(g.route.Stages[j].Pool)+g.rest(j))
 		}
-		longest = max(longest, call+g.rest(j))
 	}
 	return longest
 }
+
+// follows reports whether a stage needs the results of another.
+func (g *graph) follows(stage, earlier int) bool {
+	return slices.Contains(g.route.Stages[stage].After, earlier)
+}
+
+// callTime is about what a call to a worker of the pool takes.
+func (g *graph) callTime(pool string) time.Duration {
+	w := g.plan.Pools[pool].Worker
+	if w == nil {
+		return 0
+	}
+	return time.Duration(fullCall * float64(w.Call))
+}
--- a/internal/root/relay/hosts/hosts_test.go
+++ b/internal/root/relay/hosts/hosts_test.go
@@ -180,6 +180,11 @@
 			}
 			So(remote.frees(), ShouldEqual, 1)
 		})
+		Convey("results of the pool that others have used up are freed there", func() {
+			here.Release(pool, []string{"h1", "h2"})
+			So(remote.frees(), ShouldEqual, 2)
+			So(local.frees(), ShouldEqual, 0)
+		})
 		Convey("its refusal is passed on", func() {
 			o, free := here.Do(t.Context(), batch.Work{Pool: pool, Request: "refuse"})
 			So(o, ShouldResemble, batch.Refused{After: 70 * time.Millisecond})
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -256,6 +256,16 @@
 	return func() { go p.freeAt(owner, pool, made.Handles) }
 }
 
+// Release gives up results of a pool at the host that batches for it.
+func (p *Peers) Release(pool string, handles []string) {
+	owner, _ := p.roster.Owner(pool)
+	if owner.Name == p.Host {
+		p.local.Free(pool, handles)
+		return
+	}
+	p.freeAt(owner, pool, handles)
+}
+
 func (p *Peers) freeAt(owner Host, pool string, handles []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -101,6 +101,7 @@
 	r.members = follow.NewMembers(deps, a.Upstream, s.Upstreams.Forget.D(), r.sync)
 	r.roster = hosts.NewRoster(deps, r.self())
 	r.peers = hosts.NewPeers(deps, s.Listen.Peers, r.roster, r.keeper)
+	r.keeper.OnSpent(r.peers.Release)
 	r.flow = &flow.Service{
 		Deps:    deps.WithPart("flow"),
 		Plans:   r.plans,
