--- a/internal/root/relay/batch/finish.go
+++ b/internal/root/relay/batch/finish.go
@@ -12,6 +12,7 @@
 	q.stats.Pieces += int64(len(c.Items))
 	c.worker.served(now, took, c.normal)
 	q.learn(c, took)
+	q.heeds(now, c, results)
 	for i, p := range c.parts {
 		r := results[i]
 		if r.Handle == "" {
@@ -152,6 +153,23 @@
 	return out
 }
 
+// Unknown returns the results that this queue has not made, by the addresses of its workers that hold them.
+func (q *Queue) Unknown(handles []string, holder func(handle string) string) map[string][]string {
+	out := map[string][]string{}
+	for _, h := range handles {
+		if _, ok := q.held[h]; ok {
+			continue
+		}
+		addr := holder(h)
+		for _, w := range q.workers {
+			if w.up.Addr == addr {
+				out[addr] = append(out[addr], h)
+			}
+		}
+	}
+	return out
+}
+
 // forget gives back the room of results that their workers have dropped by now.
 func (q *Queue) forget(now time.Time) {
 	for h, x := range q.held {
--- a/internal/root/relay/batch/keeper.go
+++ b/internal/root/relay/batch/keeper.go
@@ -29,6 +29,8 @@
 	Run(ctx context.Context, up route.Upstream, items []Item) ([]Result, error)
 	// Free frees results at the worker of the address.
 	Free(ctx context.Context, addr string, handles []string) error
+	// Holder returns the address of the worker that holds a result, or "" where the handle doesn't say.
+	Holder(handle string) string
 }
 
 // Keeper runs the queues of all pools of workers.
@@ -171,7 +173,9 @@
 // tell gives outcomes to those that wait for them; the lock is held.
 func (k *Keeper) tell(over []*Job) {
 	for _, j := range over {
-		if _, ok := j.Outcome.(Made); !ok {
+		switch j.Outcome.(type) {
+		case Made, Moved:
+		default:
 			k.Log.WithFields(fieldsOf(j.Work)).WithField("tries", j.tries).WithField("outcome", fmt.Sprintf("%+v", j.Outcome)).Info("Work given up.")
 		}
 		if done, ok := k.waiters[j]; ok {
@@ -240,6 +244,21 @@
 	return n
 }
 
+// HandOver ends the work that has not begun, in pools that this host does not own.
+func (k *Keeper) HandOver(owns func(pool string) bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for pool, q := range k.queues {
+		if owns(pool) {
+			continue
+		}
+		if over := q.HandOver(); len(over) > 0 {
+			k.Log.WithField("pool", pool).WithField("work", len(over)).Info("Work is handed to another host.")
+			k.tell(over)
+		}
+	}
+}
+
 // Free gives up results.
 func (k *Keeper) Free(pool string, handles []string) {
 	k.mu.Lock()
@@ -254,12 +273,20 @@
 	if !ok || len(handles) == 0 {
 		return
 	}
+	// What a host made that kept the queue before takes up room until it is freed as well.
+	for addr, list := range q.Unknown(handles, k.caller.Holder) {
+		k.freeSoon(addr, list)
+	}
 	for addr, list := range q.Free(handles) {
-		k.frees[addr] = append(k.frees[addr], list...)
-		if !k.freeing[addr] {
-			k.freeing[addr] = true
-			go k.freeAt(addr)
-		}
+		k.freeSoon(addr, list)
+	}
+}
+
+func (k *Keeper) freeSoon(addr string, handles []string) {
+	k.frees[addr] = append(k.frees[addr], handles...)
+	if !k.freeing[addr] {
+		k.freeing[addr] = true
+		go k.freeAt(addr)
 	}
 }
 
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -139,7 +139,7 @@
 	}
 	w.calls++
 	q.running = append(q.running, c)
-	q.pace.called(now)
+	q.calls(now)
 	c.normal = c.Expected
 	c.Expected = time.Duration(float64(c.normal) * w.slowness(now))
 	w.endsAt = now.Add(c.Expected)
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -36,6 +36,8 @@
 	item    map[kind]time.Duration
 	// spent holds results of other pools that are no longer needed, by their pools.
 	spent map[string][]string
+	// alone is from when on no other host is taken to use the workers.
+	alone time.Time
 	// pace spaces the calls.
 	pace  pace
 	stats Stats
@@ -87,6 +89,18 @@
 	return q.partial(j)
 }
 
+// HandOver ends the work of which no piece was put into a call, and returns it.
+func (q *Queue) HandOver() []*Job {
+	var over []*Job
+	for _, j := range slices.Clone(q.jobs) {
+		if j.tries == 0 {
+			q.end(j, Moved{})
+			over = append(over, j)
+		}
+	}
+	return over
+}
+
 func (q *Queue) partial(j *Job) []string {
 	var out []string
 	for _, h := range j.handles {
--- a/internal/root/relay/batch/spent_test.go
+++ b/internal/root/relay/batch/spent_test.go
@@ -159,6 +159,8 @@
 		So(refused, ShouldBeNil)
 		c, ok := q.Next(start)
 		So(ok, ShouldBeTrue)
+		// The queue has made calls for a while.
+		q.alone = start
 		fetched := start.Add(q.spec.Call)
 		Convey("they are kept while a piece waits", func() {
 			So(q.Spent(fetched), ShouldBeNil)
@@ -179,6 +181,22 @@
 				So(q.Waiting(), ShouldEqual, 0)
 			})
 		})
+		Convey("they are kept while another host may use the workers, as a call that waits has fetched nothing", func() {
+			second, ok := q.Next(start.Add(30 * time.Millisecond))
+			So(ok, ShouldBeTrue)
+			Convey("because a result was gone", func() {
+				results := handlesOf(c, "h")
+				results[0] = Result{Reason: Gone}
+				q.heeds(fetched, c, results)
+			})
+			Convey("because a call was late by most of another call", func() {
+				q.heeds(start.Add(second.Expected+q.spec.Call), second, handlesOf(second, "h"))
+			})
+			Convey("because this queue made no call for a while", func() {
+				q.calls(start.Add(quietFor + time.Minute))
+			})
+			So(q.Spent(start.Add(second.Expected+q.spec.Call)), ShouldBeNil)
+		})
 		Convey("a call that is done sooner gives them up as well", func() {
 			second, ok := q.Next(start.Add(30 * time.Millisecond))
 			So(ok, ShouldBeTrue)
--- a/internal/root/relay/batch/work.go
+++ b/internal/root/relay/batch/work.go
@@ -40,7 +40,7 @@
 	Last   time.Duration `json:"last"`
 }
 
-// Outcome is how work ended: Made, Refused or Failed.
+// Outcome is how work ended: Made, Refused, Failed or Moved.
 type Outcome interface {
 	outcome()
 }
@@ -62,9 +62,13 @@
 	Reason Reason
 }
 
+// Moved says that nothing of the work was done, as another host keeps the queue now.
+type Moved struct{}
+
 func (Made) outcome()    {}
 func (Refused) outcome() {}
 func (Failed) outcome()  {}
+func (Moved) outcome()   {}
 
 // Reason says why a piece has no result.
 type Reason string
--- /dev/null
+++ b/internal/root/relay/hosts/give.go
@@ -0,0 +1,150 @@
+package hosts
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
+)
+
+// Do sends the work to the host that batches for its pool, and to another one where that is down or hands it over.
+func (p *Peers) Do(ctx context.Context, w batch.Work) (batch.Outcome, func()) {
+	began := p.Now()
+	owner, down := p.roster.Owner(w.Pool)
+	for range maxOwners {
+		o, next := p.give(ctx, owner, down, w)
+		if next == nil {
+			return o, p.freer(owner, w.Pool, o)
+		}
+		if ctx.Err() != nil {
+			return batch.Failed{
+				Reason: batch.Late,
+			}, nil
+		}
+		owner = *next
+		down = p.roster.Watch(owner)
+		spent := p.Now().Sub(began)
+		began = began.Add(spent)
+		w.OnTime -= spent
+		w.Last -= spent
+	}
+	o := p.local.Do(ctx, w)
+	if _, ok := o.(batch.Moved); ok {
+		o = batch.Failed{
+			Reason: batch.NoWorker,
+		}
+	}
+	return o, p.freer(p.roster.self, w.Pool, o)
+}
+
+// give asks one host; next is the host to ask instead, or nil where the outcome counts.
+func (p *Peers) give(ctx context.Context, owner Host, down <-chan struct{}, w batch.Work) (o batch.Outcome, next *Host) {
+	if owner.Name == p.Host {
+		o = p.local.Do(ctx, w)
+		if _, ok := o.(batch.Moved); !ok {
+			return o, nil
+		}
+		return nil, p.ownerOf(w.Pool)
+	}
+	a, err := p.remote(ctx, owner, down, w)
+	switch {
+	case err == nil && a.Owner == nil:
+		return a.outcome(), nil
+	case err == nil && !a.Leaving:
+		return nil, a.Owner
+	case err == nil:
+		p.roster.Left(owner)
+	case ctx.Err() == nil:
+		p.roster.Down(owner, err)
+	}
+	return nil, p.ownerOf(w.Pool)
+}
+
+func (p *Peers) ownerOf(pool string) *Host {
+	owner, _ := p.roster.Owner(pool)
+	return &owner
+}
+
+// freer returns the function that gives up what the work made, or nil.
+func (p *Peers) freer(owner Host, pool string, o batch.Outcome) func() {
+	made, ok := o.(batch.Made)
+	if !ok {
+		return nil
+	}
+	if owner.Name == p.Host {
+		return func() { p.local.Free(pool, made.Handles) }
+	}
+	return func() { go p.freeAt(owner, pool, made.Handles) }
+}
+
+// Release gives up results of a pool at the host that batches for it.
+func (p *Peers) Release(pool string, handles []string) {
+	owner, _ := p.roster.Owner(pool)
+	if owner.Name == p.Host {
+		p.local.Free(pool, handles)
+		return
+	}
+	p.freeAt(owner, pool, handles)
+}
+
+func (p *Peers) freeAt(owner Host, pool string, handles []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	body := release{
+		Pool:    pool,
+		Handles: handles,
+	}
+	if err := p.post(ctx, owner, pathFree, body, nil); err != nil {
+		p.Log.WithError(err).WithField("host", owner.Name).Info("Results were not freed. They expire by themselves.")
+	}
+}
+
+func (p *Peers) remote(ctx context.Context, owner Host, down <-chan struct{}, w batch.Work) (answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-down:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	var a answer
+	if err := p.post(ctx, owner, pathWork, w, &a); err != nil {
+		return answer{}, fmt.Errorf("give work to its owner: %w", err)
+	}
+	return a, nil
+}
+
+func (p *Peers) post(ctx context.Context, h Host, path string, body, into any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode message: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.Addr+path, bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("make message: %w", err)
+	}
+	resp, err := p.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("send to host %s: %w", h.Name, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("host %s answered %d", h.Name, resp.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(into); err != nil {
+		return fmt.Errorf("decode answer of host %s: %w", h.Name, err)
+	}
+	return nil
+}
--- a/internal/root/relay/hosts/roster.go
+++ b/internal/root/relay/hosts/roster.go
@@ -64,21 +64,73 @@
 
 	mu     sync.Mutex
 	states map[string]*state
-	// loaded says that the table of hosts was read.
-	loaded bool
+	// loaded says that the table of hosts was read, and leaving that this host is about to stop.
+	loaded  bool
+	leaving bool
+	// changed is called after each change, without the lock.
+	changed func()
 }
 
 // NewRoster returns a roster that knows only the host itself.
 func NewRoster(deps common.Deps, self Host) *Roster {
 	r := &Roster{
-		Deps:   deps.WithPart("hosts"),
-		self:   self,
-		states: map[string]*state{},
+		Deps:    deps.WithPart("hosts"),
+		self:    self,
+		states:  map[string]*state{},
+		changed: func() {},
 	}
 	r.put(self)
 	return r
 }
 
+// OnChange sets the function that is called after each change; it is set before the roster is used.
+func (r *Roster) OnChange(f func()) {
+	r.changed = f
+}
+
+// Leave says that this host is about to stop: it owns nothing any more while there are others.
+func (r *Roster) Leave() {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	r.changed()
+}
+
+// Leaving reports whether this host is about to stop.
+func (r *Roster) Leaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
+// Left takes out a host that says that it is about to stop, until it tells of itself again.
+func (r *Roster) Left(h Host) {
+	r.mu.Lock()
+	if s, ok := r.states[h.Name]; ok && s.host == h && h.Name != r.self.Name {
+		delete(r.states, h.Name)
+		r.Log.WithField("host", h.Name).Info("Host says that it leaves.")
+	}
+	r.mu.Unlock()
+	r.changed()
+}
+
+// Loaded reports whether the table of hosts was read.
+func (r *Roster) Loaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
+// Watch returns a channel that closes when the host goes down, or nil where it is not known.
+func (r *Roster) Watch(h Host) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.states[h.Name]; ok && s.host == h {
+		return s.down
+	}
+	return nil
+}
+
 func (r *Roster) put(h Host) {
 	if old, ok := r.states[h.Name]; ok && old.host == h {
 		return
@@ -92,13 +144,14 @@
 
 // Reset takes the whole table of hosts.
 func (r *Roster) Reset(rows []follow.Row) {
-	r.Apply(rows)
+	defer r.changed()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(rows)
 	seen := map[string]bool{r.self.Name: true}
 	for _, row := range rows {
 		seen[row.Key] = true
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.loaded = true
 	for name := range r.states {
 		if !seen[name] {
@@ -109,8 +162,13 @@
 
 // Apply takes changed rows of the table of hosts.
 func (r *Roster) Apply(rows []follow.Row) {
+	defer r.changed()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.apply(rows)
+}
+
+func (r *Roster) apply(rows []follow.Row) {
 	for _, row := range rows {
 		if row.Key == r.self.Name {
 			continue
@@ -146,7 +204,7 @@
 	defer r.mu.Unlock()
 	var best *state
 	for _, s := range r.states {
-		if s.down == nil {
+		if s.down == nil || (r.leaving && s.host.Name == r.self.Name) {
 			continue
 		}
 		if best == nil || r.before(pool, s, best) {
@@ -167,6 +225,7 @@
 
 // Down takes a host out of use until it answers probes again.
 func (r *Roster) Down(h Host, why error) {
+	defer r.changed()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, ok := r.states[h.Name]
@@ -182,6 +241,7 @@
 
 // Probed takes the answer of a probe of a host that is down.
 func (r *Roster) Probed(h Host, ok bool) {
+	defer r.changed()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, known := r.states[h.Name]
--- a/internal/root/relay/ready_test.go
+++ b/internal/root/relay/ready_test.go
@@ -36,6 +36,7 @@
 		r.members.Reset(nil)
 		Convey("it is not ready before it takes requests", func() {
 			So(r.unready(), ShouldEqual, "no requests are taken yet")
+			r.roster.Reset(nil)
 			Convey("and is once it does, until it leaves", func() {
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 				up := make(chan struct{})
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -234,6 +234,7 @@
 // leave takes this host out of the table of hosts, so that others stop to send it work.
 func (r *Relay) leave() {
 	r.leaving.Store(true)
+	r.roster.Leave()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
