--- a/internal/root/relay/batch/finish.go
+++ b/internal/root/relay/batch/finish.go
@@ -107,9 +107,11 @@
 func (q *Queue) Broke(now time.Time, c *Call) (over []*Job, spare []string) {
 	q.ended(c)
 	q.stats.Broken++
-	c.worker.failed(now)
 	if took := now.Sub(c.began); took > c.Expected {
+		c.worker.silent(now)
 		c.worker.took(now, took, c.normal)
+	} else {
+		c.worker.failed(now)
 	}
 	for _, p := range c.parts {
 		c.worker.used -= p.job.Bytes
--- a/internal/root/relay/batch/keeper.go
+++ b/internal/root/relay/batch/keeper.go
@@ -17,7 +17,7 @@
 	// tick is how often the queues are looked at while work waits.
 	tick = 20 * time.Millisecond
 	// callFactor and callSlack bound a call: that many times what is expected, and a bit.
-	callFactor = 6
+	callFactor = 4
 	callSlack  = 300 * time.Millisecond
 	// freeTimeout bounds the call that frees results.
 	freeTimeout = time.Second
--- a/internal/root/relay/batch/load_test.go
+++ b/internal/root/relay/batch/load_test.go
@@ -191,3 +191,40 @@
 		So(r.lost[2], ShouldBeGreaterThan, 0)
 	})
 }
+
+// TestBacklogWhileMostWorkersSeemSlow answers a burst while answers of most workers are lost: what waits is more than the steady worker can make, so the others are used as well.
+func TestBacklogWhileMostWorkersSeemSlow(t *testing.T) {
+	Convey("Given four workers of five that seem three times as slow", t, func() {
+		q := NewQueue(specOf(12))
+		q.SetWorkers(workersOf("x", "x", "x", "x", "x"))
+		for _, name := range []string{"w0", "w1", "w2", "w3"} {
+			q.workers[name].slow = 3
+			q.workers[name].slowAt = start
+		}
+		fill := func(n int) {
+			for i := range n {
+				_, refused := q.Add(start, workOf(fmt.Sprint(i), 4).withTime(20*time.Second, 20*time.Second))
+				So(refused, ShouldBeNil)
+			}
+		}
+		calls := func() int {
+			n := 0
+			for at := start; at.Before(start.Add(200 * time.Millisecond)); at = at.Add(5 * time.Millisecond) {
+				for _, ok := q.Next(at); ok; _, ok = q.Next(at) {
+					n++
+				}
+			}
+			return n
+		}
+		Convey("a backlog is shared by all", func() {
+			fill(60)
+			So(calls(), ShouldEqual, 5)
+		})
+		Convey("what one call carries waits for the steady one", func() {
+			fill(2)
+			So(calls(), ShouldEqual, 1)
+			fill(2)
+			So(calls(), ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -84,22 +84,31 @@
 	return out
 }
 
-// shunned reports whether waiting for another worker is quicker than a call to this slow one.
+// shunned reports whether others would make everything that waits before this slow worker ends a call.
 func (q *Queue) shunned(now time.Time, w *worker) bool {
 	slow := w.slowness(now)
 	if slow <= slowLimit {
 		return false
 	}
-	mine := time.Duration(float64(q.spec.Call) * slow)
+	var soonest time.Duration = -1
+	steady := 0
 	for _, o := range q.workers {
 		if o == w || !o.steady(now) {
 			continue
 		}
-		if max(0, o.endsAt.Sub(now))+q.spec.Call < mine {
-			return true
+		steady++
+		if free := max(0, o.endsAt.Sub(now)); soonest < 0 || free < soonest {
+			soonest = free
 		}
 	}
-	return false
+	if steady == 0 {
+		return false
+	}
+	batch := max(1, q.spec.Batch)
+	// The calls of the steady workers go on side by side.
+	rounds := (q.Waiting() + batch*steady - 1) / (batch * steady)
+	mine := time.Duration(float64(q.spec.Call) * slow)
+	return soonest+time.Duration(max(1, rounds))*q.spec.Call < mine
 }
 
 // fill puts as much as the worker takes into one call, in the order given; work that fits whole is not split.
--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -11,6 +11,8 @@
 	// restAfterFault is how long a worker that failed a call is left alone, doubled with each further failure.
 	restAfterFault = 300 * time.Millisecond
 	maxRest        = 3 * time.Second
+	// restAfterSilence is the same for one whose answer did not come, as the wait for it was a rest already.
+	restAfterSilence = 100 * time.Millisecond
 	// fullFor is how long room that a worker turned out not to have is taken to be missing, less and less of it.
 	fullFor = time.Second
 	// roomShare is the part of a worker's room that is used, as the sizes of results are only about known.
@@ -71,6 +73,13 @@
 	w.slow += slowWeight * (min(max(ratio, 1), maxSlow) - w.slow)
 }
 
+// silent leaves a worker alone for a moment whose call had no answer in time: it may work, and have lost the answer.
+func (w *worker) silent(now time.Time) {
+	w.faults = max(1, w.faults)
+	w.restTo = now.Add(restAfterSilence)
+}
+
+// failed leaves a worker alone that refused a call or broke it off.
 func (w *worker) failed(now time.Time) {
 	rest := min(restAfterFault<<min(w.faults, 4), maxRest)
 	w.faults++
