--- a/internal/root/relay/hosts/give.go
+++ b/internal/root/relay/hosts/give.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 )
 
@@ -18,7 +19,7 @@
 func (p *Peers) Do(ctx context.Context, w batch.Work) (batch.Outcome, func()) {
 	began := p.Now()
 	owner, down := p.roster.Owner(w.Pool)
-	for range maxOwners {
+	for i := range maxOwners {
 		o, next := p.give(ctx, owner, down, w)
 		if next == nil {
 			return o, p.freer(owner, w.Pool, o)
@@ -28,6 +29,9 @@
 				Reason: batch.Late,
 			}, nil
 		}
+		if i >= quickOwner {
+			common.Sleep(ctx, ownerPause)
+		}
 		owner = *next
 		down = p.roster.Watch(owner)
 		spent := p.Now().Sub(began)
@@ -81,7 +85,15 @@
 	if owner.Name == p.Host {
 		return func() { p.local.Free(pool, made.Handles) }
 	}
-	return func() { go p.freeAt(owner, pool, made.Handles) }
+	return func() {
+		go func() {
+			if p.freeAt(owner, pool, made.Handles) == nil {
+				return
+			}
+			// The host that has its place frees what it does not know as well.
+			p.Release(pool, made.Handles)
+		}()
+	}
 }
 
 // Release gives up results of a pool at the host that batches for it.
@@ -91,10 +103,12 @@
 		p.local.Free(pool, handles)
 		return
 	}
-	p.freeAt(owner, pool, handles)
+	if err := p.freeAt(owner, pool, handles); err != nil {
+		p.Log.WithError(err).WithField("host", owner.Name).Info("Results were not freed. They expire by themselves.")
+	}
 }
 
-func (p *Peers) freeAt(owner Host, pool string, handles []string) {
+func (p *Peers) freeAt(owner Host, pool string, handles []string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	body := release{
@@ -102,8 +116,9 @@
 		Handles: handles,
 	}
 	if err := p.post(ctx, owner, pathFree, body, nil); err != nil {
-		p.Log.WithError(err).WithField("host", owner.Name).Info("Results were not freed. They expire by themselves.")
+		return fmt.Errorf("free results: %w", err)
 	}
+	return nil
 }
 
 func (p *Peers) remote(ctx context.Context, owner Host, down <-chan struct{}, w batch.Work) (answer, error) {
--- a/internal/root/relay/hosts/hosts_test.go
+++ b/internal/root/relay/hosts/hosts_test.go
@@ -225,6 +225,21 @@
 			So(remote.frees(), ShouldEqual, 2)
 			So(local.frees(), ShouldEqual, 0)
 		})
+		Convey("what it made is freed by the host in its place once it is gone", func() {
+			_, free := here.Do(t.Context(), batch.Work{Pool: pool, Request: "r"})
+			stop()
+			time.Sleep(50 * time.Millisecond)
+			owner, _ := here.roster.Owner(pool)
+			here.roster.Left(owner)
+			free()
+			for range 100 {
+				if local.frees() > 0 {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			So(local.frees(), ShouldEqual, 1)
+		})
 		Convey("its refusal is passed on", func() {
 			o, free := here.Do(t.Context(), batch.Work{Pool: pool, Request: "refuse"})
 			So(o, ShouldResemble, batch.Refused{After: 70 * time.Millisecond})
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -22,10 +22,12 @@
 	pingTimeout = 500 * time.Millisecond
 	// probeTimeout bounds the probe of a host that is down.
 	probeTimeout = 400 * time.Millisecond
-	// maxOwners is how many hosts are asked for the same work.
-	maxOwners = 3
-	maxBody   = 1 << 20
-	typeJSON  = "application/json"
+	// maxOwners is how many hosts are asked for the same work, the later ones after a pause, as hosts may differ for a moment in who owns a pool.
+	maxOwners  = 8
+	quickOwner = 3
+	ownerPause = 20 * time.Millisecond
+	maxBody    = 1 << 20
+	typeJSON   = "application/json"
 )
 
 // Paths of the interface between hosts.
