--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -217,6 +217,9 @@
 		w.Domain = domain
 		w.Moves = bytes * int64(n)
 	}
+	if made := s.Bytes * int64(n); len(s.After) == 0 && g.staysHome(i, made) {
+		w.Moves = made
+	}
 	w.Spent = g.spentBy(i)
 	for p := range n {
 		w.Pieces = append(w.Pieces, batch.Piece{
@@ -227,6 +230,14 @@
 	return w
 }
 
+// staysHome reports whether the request goes to the upstream that holds its prefix, wherever the results of a last stage are.
+func (g *graph) staysHome(i int, made int64) bool {
+	if made < worthMoving || made > g.ask.sharedTokens()*tokenBytes {
+		return false
+	}
+	return slices.Contains(g.route.Last(), i)
+}
+
 // spentBy returns the results that no other stage needs.
 func (g *graph) spentBy(i int) []batch.Spent {
 	g.mu.Lock()
--- a/internal/root/relay/flow/stages_test.go
+++ b/internal/root/relay/flow/stages_test.go
@@ -52,6 +52,16 @@
 			So(w.Key, ShouldEqual, "k")
 			So(w.Domain, ShouldEqual, "home")
 		})
+		Convey("large results that only the engine needs are made where the prompt's prefix is, unless moving the prefix is cheaper", func() {
+			g.ask.Pieces = []int{0, 0, 0, 2}
+			g.route.Stages = append(g.route.Stages, plan.Stage{Pool: "a", Bytes: 1_500_000})
+			So(g.work(3, 2).Moves, ShouldEqual, 0)
+			g.ask.Parts = []Part{{ID: "p", Tokens: 6300}, {ID: "own", Tokens: 10}}
+			w := g.work(3, 2)
+			So(w.Domain, ShouldEqual, "home")
+			So(w.Moves, ShouldEqual, 3_000_000)
+			So(g.work(0, 1).Moves, ShouldEqual, 0)
+		})
 		Convey("pieces get the results of the stage before, and no key", func() {
 			w := g.work(1, 2)
 			So(w.Key, ShouldEqual, "")
