--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -297,7 +297,8 @@
 	var longest time.Duration
 	for j := i + 1; j < len(g.route.Stages); j++ {
 		if g.ask.pieces(j) > 0 && g.follows(j, i) {
-			longest = max(longest, g.callTime(g.route.Stages[j].Pool)+g.rest(j))
+			pool := g.route.Stages[j].Pool
+			longest = max(longest, max(g.callTime(pool), g.spans.of(pool, j, 0))+g.rest(j))
 		}
 	}
 	return longest
--- a/internal/root/relay/flow/stages_test.go
+++ b/internal/root/relay/flow/stages_test.go
@@ -62,6 +62,13 @@
 			So(w.Moves, ShouldEqual, 3_000_000)
 			So(g.work(0, 1).Moves, ShouldEqual, 0)
 		})
+		Convey("the first stage has less time where the stages that follow have been taking longer than a call", func() {
+			g.spans.learn("b", 1, time.Second)
+			g.spans.learn("c", 2, 100*time.Millisecond)
+			w := g.work(0, 1)
+			So(w.Last, ShouldEqual, 8*time.Second-time.Second-280*time.Millisecond-leastEngine)
+			So(w.OnTime, ShouldEqual, 2*time.Second-time.Second-280*time.Millisecond-engineTime)
+		})
 		Convey("pieces get the results of the stage before, and no key", func() {
 			w := g.work(1, 2)
 			So(w.Key, ShouldEqual, "")
