--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -32,7 +32,7 @@
 	return workers > 1 && q.pace.holds(now, q.Waiting(), workers, q.spec)
 }
 
-// order returns the work that waits: what can be on time first, then by rank, then what wants its results in the domain, then the longest waiting.
+// order returns the work that waits: what can be on time first, then by rank, then what wants its results in the domain, then what has the least time to be on time, then the longest waiting.
 func (q *Queue) order(now time.Time, domain string) []*Job {
 	var out []*Job
 	for _, j := range q.jobs {
@@ -53,7 +53,7 @@
 		return 1
 	}
 	slices.SortStableFunc(out, func(a, b *Job) int {
-		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(a.Rank, b.Rank), cmp.Compare(away(a), away(b)))
+		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(a.Rank, b.Rank), cmp.Compare(away(a), away(b)), a.onTime.Compare(b.onTime))
 	})
 	return out
 }
--- a/internal/root/relay/batch/queue_test.go
+++ b/internal/root/relay/batch/queue_test.go
@@ -107,6 +107,8 @@
 		{name: "the urgent before the patient", batch: 2, work: []Work{workOf("patient", 2).withRank(2), workOf("urgent", 2).withRank(0)}, want: []string{"urgent"}},
 		{name: "what can be on time before what is late", batch: 2, work: []Work{workOf("late", 2).withTime(0, 5*time.Second), workOf("good", 2).withRank(2)}, want: []string{"good"}},
 		{name: "what came first among equals", batch: 3, work: []Work{workOf("a", 2), workOf("b", 2), workOf("c", 1)}, want: []string{"a", "c"}},
+		{name: "what has the least time among equals", batch: 2, work: []Work{workOf("early", 2).withTime(900*time.Millisecond, 5*time.Second), workOf("hurried", 2).withTime(600*time.Millisecond, 5*time.Second)}, want: []string{"hurried"}},
+		{name: "what can still be on time before what has less time", batch: 2, work: []Work{workOf("good", 2).withTime(900*time.Millisecond, 5*time.Second), workOf("doomed", 2).withTime(100*time.Millisecond, 5*time.Second)}, want: []string{"good"}},
 		{name: "work that fits whole is not split", batch: 4, work: []Work{workOf("a", 3), workOf("b", 2)}, want: []string{"a"}},
 		{name: "work above a call is split", batch: 4, work: []Work{workOf("a", 7)}, want: []string{"a"}},
 		{name: "work that wants its results in the worker's domain", batch: 1, work: []Work{workOf("far", 1).near("z", 0), workOf("near", 1).near("x", 0)}, want: []string{"near"}},
