--- a/internal/root/relay/batch/work.go
+++ b/internal/root/relay/batch/work.go
@@ -35,6 +35,8 @@
 	Domain string `json:"domain,omitempty"`
 	// Moves is how many bytes of inputs cross to the worker where it is in another failure domain.
 	Moves int64 `json:"moves,omitempty"`
+	// Keep asks the host to batch the work itself, whoever it takes for the owner.
+	Keep bool `json:"keep,omitempty"`
 	// OnTime and Last are how much time the stage has for an answer that is on time, and for one that still counts.
 	OnTime time.Duration `json:"on_time"`
 	Last   time.Duration `json:"last"`
--- a/internal/root/relay/hosts/give.go
+++ b/internal/root/relay/hosts/give.go
@@ -32,6 +32,8 @@
 		if i >= quickOwner {
 			common.Sleep(ctx, ownerPause)
 		}
+		// Hosts that differ in who the owner is must not send the work back and forth.
+		w.Keep = w.Keep || i > 0
 		owner = *next
 		down = p.roster.Watch(owner)
 		spent := p.Now().Sub(began)
--- a/internal/root/relay/hosts/hosts_test.go
+++ b/internal/root/relay/hosts/hosts_test.go
@@ -276,6 +276,51 @@
 			So(o, ShouldResemble, batch.Made{Handles: []string{"local/s"}, Domain: "d"})
 		})
 	})
+	Convey("Given hosts that differ in who owns a pool", t, func() {
+		remote := &fakeLocal{name: "remote"}
+		here, there, local, pool, stop := three(t, remote)
+		defer stop()
+		there.roster.Down(here.roster.self, errors.New("test"))
+		Convey("the host that is asked names the owner, which does the work", func() {
+			owner, _ := there.roster.Owner(pool)
+			So(owner.Name, ShouldEqual, there.Host)
+			here.roster.Down(owner, errors.New("test"))
+			o, _ := there.Do(t.Context(), batch.Work{Pool: pool, Request: "r"})
+			So(o, ShouldResemble, batch.Made{Handles: []string{"remote/r"}, Domain: "d"})
+			o, _ = here.Do(t.Context(), batch.Work{Pool: pool, Request: "r"})
+			So(o, ShouldResemble, batch.Made{Handles: []string{"local/r"}, Domain: "d"})
+			So(local.did, ShouldEqual, 1)
+		})
+		Convey("work is not sent back and forth", func() {
+			// Each takes the other for the owner.
+			mine := ""
+			for i := 0; mine == ""; i++ {
+				if owner, _ := here.roster.Owner(fmt.Sprint(i)); owner.Name == here.Host {
+					mine = fmt.Sprint(i)
+				}
+			}
+			here.roster.Leave()
+			there.roster.Apply(rowsOf(here.roster.self))
+			began := time.Now()
+			o, _ := there.Do(t.Context(), batch.Work{Pool: mine, Request: "r"})
+			So(o, ShouldHaveSameTypeAs, batch.Made{})
+			So(time.Since(began), ShouldBeLessThan, time.Second)
+		})
+		Convey("one that was down and tells of itself again is used at once", func() {
+			mine := ""
+			for i := 0; mine == ""; i++ {
+				if owner, _ := here.roster.Owner(fmt.Sprint(i)); owner.Name == here.Host {
+					mine = fmt.Sprint(i)
+				}
+			}
+			owner, _ := there.roster.Owner(mine)
+			So(owner.Name, ShouldEqual, there.Host)
+			there.roster.Apply(rowsOf(here.roster.self))
+			owner, down := there.roster.Owner(mine)
+			So(owner.Name, ShouldEqual, here.Host)
+			So(down, ShouldNotBeNil)
+		})
+	})
 	Convey("A host that stops and knows no other does its work itself", t, func() {
 		a := hostOf(0, "127.0.0.1:1")
 		local := &fakeLocal{name: "local"}
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -224,9 +224,10 @@
 	_ = json.NewEncoder(w).Encode(p.answerOf(work.Pool, o))
 }
 
-// take runs a peer's work, unless this host is stopping and another one takes its place.
+// take runs a peer's work, unless another host is the owner as far as is known here.
 func (p *Peers) take(ctx context.Context, w batch.Work) batch.Outcome {
-	if owner, _ := p.roster.Owner(w.Pool); p.roster.Leaving() && owner.Name != p.Host {
+	owner, _ := p.roster.Owner(w.Pool)
+	if owner.Name != p.Host && (!w.Keep || p.roster.Leaving()) {
 		return batch.Moved{}
 	}
 	return p.local.Do(ctx, w)
--- a/internal/root/relay/hosts/roster.go
+++ b/internal/root/relay/hosts/roster.go
@@ -42,7 +42,7 @@
 
 const (
 	// probeEvery is how often a host that does not answer is probed.
-	probeEvery = 700 * time.Millisecond
+	probeEvery = 300 * time.Millisecond
 	// backAfter is how many probes in a row a host has to answer before it is used again.
 	backAfter = 2
 )
@@ -131,8 +131,9 @@
 	return nil
 }
 
+// put takes a host that tells of itself; one that was down has started again.
 func (r *Roster) put(h Host) {
-	if old, ok := r.states[h.Name]; ok && old.host == h {
+	if old, ok := r.states[h.Name]; ok && old.host == h && old.down != nil {
 		return
 	}
 	r.states[h.Name] = &state{
