--- a/internal/root/relay/flow/spans.go
+++ b/internal/root/relay/flow/spans.go
@@ -13,7 +13,7 @@
 	spanHead   = 100 * time.Millisecond
 )
 
-// spanKey names the work of one stage in one pool.
+// spanKey names the work of one stage in one pool, over all routes.
 type spanKey struct {
 	pool  string
 	stage int
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -82,6 +82,7 @@
 	}
 }
 
+// outcome returns what became of the work; an answer that names an owner is none.
 func (a answer) outcome() batch.Outcome {
 	switch {
 	case len(a.Handles) > 0:
@@ -89,8 +90,6 @@
 			Handles: a.Handles,
 			Domain:  a.Domain,
 		}
-	case a.Owner != nil:
-		return batch.Moved{}
 	case a.AfterMS > 0:
 		return batch.Refused{
 			After: time.Duration(a.AfterMS) * time.Millisecond,
