--- a/internal/root/relay/flow/spans.go
+++ b/internal/root/relay/flow/spans.go
@@ -70,12 +70,11 @@
 
 // path is about how long a stage and the longest chain of those that follow it take.
 func (g *graph) path(i int) time.Duration {
-	var after time.Duration
-	for j := i + 1; j < len(g.route.Stages); j++ {
-		if g.ask.pieces(j) > 0 && g.follows(j, i) {
-			after = max(after, g.path(j))
-		}
-	}
+	return g.usual(i) + g.longest(i, g.usual)
+}
+
+// usual is what a stage has been taking, or about a call while that is not known.
+func (g *graph) usual(i int) time.Duration {
 	pool := g.route.Stages[i].Pool
-	return g.spans.of(pool, i, g.callTime(pool)) + after
+	return g.spans.of(pool, i, g.callTime(pool))
 }
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -292,16 +292,23 @@
 	return kept, ok
 }
 
-// rest is about what the stages that follow a stage take.
+// rest is about what the stages that follow a stage take: what they have been taking, but no less than a call each.
 func (g *graph) rest(i int) time.Duration {
-	var longest time.Duration
+	return g.longest(i, func(j int) time.Duration {
+		pool := g.route.Stages[j].Pool
+		return max(g.callTime(pool), g.spans.of(pool, j, 0))
+	})
+}
+
+// longest is what the longest chain of the stages that follow a stage takes, by what each of them takes.
+func (g *graph) longest(i int, takes func(stage int) time.Duration) time.Duration {
+	var most time.Duration
 	for j := i + 1; j < len(g.route.Stages); j++ {
 		if g.ask.pieces(j) > 0 && g.follows(j, i) {
-			pool := g.route.Stages[j].Pool
-			longest = max(longest, max(g.callTime(pool), g.spans.of(pool, j, 0))+g.rest(j))
+			most = max(most, takes(j)+g.longest(j, takes))
 		}
 	}
-	return longest
+	return most
 }
 
 // follows reports whether a stage needs the results of another.
--- a/internal/root/relay/hosts/give.go
+++ b/internal/root/relay/hosts/give.go
@@ -113,7 +113,7 @@
 func (p *Peers) freeAt(owner Host, pool string, handles []string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	body := release{
+	body := batch.Spent{
 		Pool:    pool,
 		Handles: handles,
 	}
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -101,12 +101,6 @@
 	}
 }
 
-// release names results that are no longer needed.
-type release struct {
-	Pool    string   `json:"pool"`
-	Handles []string `json:"handles"`
-}
-
 // Peers sends work to the hosts that batch it, and takes work from others.
 type Peers struct {
 	common.Deps
@@ -233,7 +227,7 @@
 }
 
 func (p *Peers) free(w http.ResponseWriter, r *http.Request) {
-	var x release
+	var x batch.Spent
 	if read(w, r, &x) {
 		p.local.Free(x.Pool, x.Handles)
 	}
--- a/internal/root/relay/ready.go
+++ b/internal/root/relay/ready.go
@@ -17,7 +17,7 @@
 func (r *Relay) unready() string {
 	p := r.plans.Current()
 	switch {
-	case r.leaving.Load():
+	case r.roster.Leaving():
 		return "leaving"
 	case r.callers.Addr() == "":
 		return "no requests are taken yet"
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
@@ -83,7 +82,6 @@
 	flow     *flow.Service
 	callers  *serve.Graceful
 	meter    *meter.Meter
-	leaving  atomic.Bool
 }
 
 // New returns a daemon on the platform of the adapter.
@@ -233,7 +231,6 @@
 
 // leave takes this host out of the table of hosts, so that others stop to send it work.
 func (r *Relay) leave() {
-	r.leaving.Store(true)
 	r.roster.Leave()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
