--- a/internal/root/crash/guard.go
+++ b/internal/root/crash/guard.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 )
@@ -17,11 +19,12 @@
 	tracker *Tracker
 	alive   func(ctx context.Context, addr string) bool
 	mine    func(upstream string) bool
-	push    func(ctx context.Context)
+	push    func(ctx context.Context, m Mark)
+	probes  singleflight.Group
 }
 
-// NewGuard returns a guard; alive probes an upstream over a fresh connection, mine says which upstreams this host alone tries suspects on, and push tells the other hosts.
-func NewGuard(deps common.Deps, tracker *Tracker, alive func(ctx context.Context, addr string) bool, mine func(upstream string) bool, push func(ctx context.Context)) *Guard {
+// NewGuard returns a guard; alive probes an upstream over a fresh connection, mine says which upstreams this host alone tries suspects on, and push tells the other hosts of a new mark.
+func NewGuard(deps common.Deps, tracker *Tracker, alive func(ctx context.Context, addr string) bool, mine func(upstream string) bool, push func(ctx context.Context, m Mark)) *Guard {
 	return &Guard{
 		Deps:    deps.WithPart("crash"),
 		tracker: tracker,
@@ -34,7 +37,7 @@
 // Crashes returns how many crashes the request was in, and whether that is too many to run it again.
 func (g *Guard) Crashes(p Fingerprint) (int, bool) {
 	n := g.tracker.Count(p, g.Now())
-	return n, n >= blockAt
+	return n, n >= g.tracker.limit
 }
 
 // Mine reports whether this host alone may try suspects on the upstream.
@@ -52,10 +55,16 @@
 	g.tracker.Free(p, upstream)
 }
 
+// answers probes an upstream, once for all the requests that broke there together.
 func (g *Guard) answers(ctx context.Context, up route.Upstream) bool {
-	probe, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	return g.alive(probe, up.Addr)
+	// The probe goes on for the others where one caller has left.
+	ctx = context.WithoutCancel(ctx)
+	alive, _, _ := g.probes.Do(up.Name, func() (any, error) {
+		probe, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		return g.alive(probe, up.Addr), nil
+	})
+	return alive == true
 }
 
 // Broke marks the request and reports true if the upstream is really gone, and returns once the other hosts know.
@@ -64,14 +73,14 @@
 		return false
 	}
 	now := g.Now()
-	news := g.tracker.Add(Mark{
+	m := Mark{
 		Fingerprint: p,
 		Upstream:    up.Name,
 		At:          now.UnixMilli(),
-	}, now)
-	if news {
+	}
+	if g.tracker.Add(m, now) {
 		g.Log.Warnf("Upstream %s was lost while it ran request %x.", up.Name, uint64(p))
-		g.push(ctx)
+		g.push(ctx, m)
 	}
 	return true
 }
--- a/internal/root/crash/tracker.go
+++ b/internal/root/crash/tracker.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// blockAt is the number of crashes after which a request is stopped.
-	blockAt = 2
+	// defaultLimit is the number of crashes after which a request is stopped.
+	defaultLimit = 2
 	// keepFor is how long a mark counts.
 	keepFor = 15 * time.Minute
 	// sameCrash is how long the marks of one upstream belong to one crash.
@@ -23,13 +23,15 @@
 // Fingerprint is the fingerprint of a request: it is the same whenever the request is sent again, over whatever host.
 type Fingerprint uint64
 
-// FingerprintOf returns the fingerprint of a pipeline's input.
-func FingerprintOf(pipeline, input string) Fingerprint {
+// FingerprintOf returns the fingerprint of an input and of what it is sent to, such as a pipeline, or an account and a path.
+func FingerprintOf(input []byte, sentTo ...string) Fingerprint {
 	d := xxhash.New()
-	// A hash never fails to take bytes.
-	_, _ = d.WriteString(pipeline)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(input)
+	for _, s := range sentTo {
+		// A hash never fails to take bytes.
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(input)
 	return Fingerprint(d.Sum64())
 }
 
@@ -47,18 +49,35 @@
 
 // Tracker counts crashes for each request, and keeps suspects apart from each other.
 type Tracker struct {
+	limit int
+
 	mu    sync.Mutex
 	marks map[Fingerprint][]Mark
 	// held is the suspect that is on trial on an upstream.
 	held map[string]Fingerprint
 }
 
+// Option changes a Tracker under construction.
+type Option func(*Tracker)
+
+// WithLimit sets the number of crashes after which a request is stopped.
+func WithLimit(n int) Option {
+	return func(t *Tracker) {
+		t.limit = n
+	}
+}
+
 // NewTracker returns a tracker without marks.
-func NewTracker() *Tracker {
-	return &Tracker{
+func NewTracker(opts ...Option) *Tracker {
+	t := &Tracker{
+		limit: defaultLimit,
 		marks: map[Fingerprint][]Mark{},
 		held:  map[string]Fingerprint{},
 	}
+	for _, o := range opts {
+		o(t)
+	}
+	return t
 }
 
 // Count returns how many crashes the request was in at.
@@ -80,7 +99,7 @@
 
 // Blocked reports whether the request crashed too many upstreams to be run again.
 func (t *Tracker) Blocked(p Fingerprint, now time.Time) bool {
-	return t.Count(p, now) >= blockAt
+	return t.Count(p, now) >= t.limit
 }
 
 // Add takes a mark, and reports whether it tells of a crash that was not known.
@@ -113,6 +132,35 @@
 	}
 }
 
+// Clear forgets the crashes of a request that ran to its end, and reports whether there were any.
+func (t *Tracker) Clear(p Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.marks[p]
+	delete(t.marks, p)
+	return ok
+}
+
+// Of returns the marks of the request.
+func (t *Tracker) Of(p Fingerprint) []Mark {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.marks[p])
+}
+
+// Stopped returns the marks of the requests that are stopped, at most limit of them.
+func (t *Tracker) Stopped(now time.Time, limit int) []Mark {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Mark
+	for p, ms := range t.marks {
+		if t.count(p, now) >= t.limit && len(out)+len(ms) <= limit {
+			out = append(out, ms...)
+		}
+	}
+	return out
+}
+
 // Hold puts a suspect on trial on the upstream, and reports false if another suspect is on trial there.
 // Two suspects on one upstream could not be told apart by its crash.
 func (t *Tracker) Hold(p Fingerprint, upstream string) bool {
--- a/internal/root/front/chain/run.go
+++ b/internal/root/front/chain/run.go
@@ -37,7 +37,7 @@
 	u := &run{
 		Runner: r,
 		job:    job,
-		print:  crash.FingerprintOf(job.Pipeline.Name, job.Input),
+		print:  crash.FingerprintOf([]byte(job.Input), job.Pipeline.Name),
 		text:   job.Input,
 	}
 	for i := range job.Pipeline.Stages {
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -34,10 +34,11 @@
 		u.blame(CauseNotSent, res.Err.Error())
 		return retry.Unsent{}, false
 	case send.Broken:
+		u.lost(ctx, up)
 		return u.broke(up, began, res.Err), false
 	case send.Answer:
 		defer res.Body.Close()
-		return u.answer(up, began, res)
+		return u.answer(ctx, up, began, res)
 	default:
 		panic("unknown result")
 	}
@@ -77,6 +78,13 @@
 	}
 }
 
+// lost tells of a connection that an upstream, not this host, ended before its answer was whole.
+func (u *run) lost(ctx context.Context, up route.Upstream) {
+	if ctx.Err() == nil {
+		u.Crashes.Broke(ctx, u.print, up)
+	}
+}
+
 // broke records a send whose end is not known.
 func (u *run) broke(up route.Upstream, began time.Time, err error) retry.Event {
 	u.ran = true
@@ -91,7 +99,7 @@
 }
 
 // answer decides what the head of an answer is worth, and passes a good answer on.
-func (u *run) answer(up route.Upstream, began time.Time, a send.Answer) (retry.Event, bool) {
+func (u *run) answer(ctx context.Context, up route.Upstream, began time.Time, a send.Answer) (retry.Event, bool) {
 	head := u.Headers.Read(u.ask.ID, a.Status, a.Header)
 	if head.Load != nil {
 		u.Table.Report(up.Name, *head.Load, u.Now())
@@ -123,8 +131,10 @@
 		err = u.passWhole(a)
 	}
 	if err != nil {
+		u.lost(ctx, up)
 		return u.broke(up, began, err), u.abort
 	}
+	u.Crashes.Served(u.print)
 	u.Table.Done(u.Now(), up.Name, u.Now().Sub(began), true)
 	return nil, true
 }
--- a/internal/root/relay/flow/cause.go
+++ b/internal/root/relay/flow/cause.go
@@ -18,6 +18,8 @@
 	// CauseOverload is a stage that would not be done in time, CauseStage one that failed.
 	CauseOverload Cause = "overload"
 	CauseStage    Cause = "stage_failed"
+	// CauseCrashes is a request that has crashed too many upstreams.
+	CauseCrashes Cause = "crashes_upstreams"
 	// CauseNoUpstream is a pool without a usable upstream.
 	CauseNoUpstream Cause = "no_upstream"
 	// CauseNotSent, CauseNotRun, CauseBroken and CauseFailed are ends of a send to an upstream.
--- a/internal/root/relay/flow/run.go
+++ b/internal/root/relay/flow/run.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/crash"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
@@ -37,6 +38,7 @@
 	account plan.Account
 	keyed   bool
 	pool    string
+	print   crash.Fingerprint
 	arrived time.Time
 	// deadline is when the caller is told, answered or not.
 	deadline time.Time
@@ -93,6 +95,10 @@
 
 // prepare checks that a send may begin, once the stages have run.
 func (u *run) prepare(ctx context.Context) bool {
+	if u.Crashes.Stopped(u.print) {
+		u.giveUp(CauseCrashes, "request has crashed too many upstreams", crashRetry)
+		return false
+	}
 	if !u.runStages(ctx) {
 		return false
 	}
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/crash"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
@@ -22,6 +23,8 @@
 const (
 	// notReadyRetry is when to come back to a host that may serve nothing yet.
 	notReadyRetry = 500 * time.Millisecond
+	// crashRetry is when to come back with a request that crashes upstreams.
+	crashRetry = 30 * time.Second
 	// unsharedReserve is the reserve of retries of a host that doesn't know how many others there are.
 	unsharedReserve = 1.0
 )
@@ -37,6 +40,16 @@
 	Do(ctx context.Context, w batch.Work) (o batch.Outcome, free func())
 }
 
+// Crashes finds the requests that crash the upstreams that run them.
+type Crashes interface {
+	// Stopped reports whether the request crashed so many upstreams that it is sent to no more.
+	Stopped(p crash.Fingerprint) bool
+	// Broke tells that the connection to an upstream was lost while it ran the request.
+	Broke(ctx context.Context, p crash.Fingerprint, up route.Upstream)
+	// Served tells that an upstream ran the request to its end.
+	Served(p crash.Fingerprint)
+}
+
 // Budget tells how retries are bounded.
 type Budget struct {
 	// Ratio is how many retries each request adds, and Extra how many are allowed besides in a window.
@@ -51,6 +64,7 @@
 	Table   *route.Table
 	Sender  Sender
 	Workers Workers
+	Crashes Crashes
 	Lease   *grant.Lease
 	Headers Headers
 	Budget  Budget
@@ -100,6 +114,7 @@
 		wait = u.ask.Wait
 	}
 	u.deadline = u.arrived.Add(wait)
+	u.print = crash.FingerprintOf(u.body, u.r.Host, u.r.RequestURI, u.account.Name)
 	u.pool = u.route.Pool(rand.Float64())
 	if u.route.Affinity {
 		u.near = u.Table.Home(u.arrived, u.pool, u.ask.affinity())
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -108,6 +108,8 @@
 	local  Local
 	addr   string
 	http   *http.Client
+	// crashes takes what other hosts tell of crashes; it is set before the part runs.
+	crashes *Crashes
 }
 
 // NewPeers returns a part that listens to peers on the address.
@@ -198,6 +200,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathWork, p.work)
 	mux.HandleFunc("POST "+pathFree, p.free)
+	if p.crashes != nil {
+		mux.HandleFunc("POST "+pathCrashes, p.crashes.serve)
+	}
 	mux.HandleFunc("POST "+pathProbe, func(http.ResponseWriter, *http.Request) {})
 	return mux
 }
--- a/internal/root/relay/hosts/roster.go
+++ b/internal/root/relay/hosts/roster.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -67,8 +68,9 @@
 	// loaded says that the table of hosts was read, and leaving that this host is about to stop.
 	loaded  bool
 	leaving bool
-	// changed is called after each change, without the lock.
+	// changed is called after each change, and joined for each host that has started or is back, without the lock.
 	changed func()
+	joined  func(Host)
 }
 
 // NewRoster returns a roster that knows only the host itself.
@@ -78,6 +80,7 @@
 		self:    self,
 		states:  map[string]*state{},
 		changed: func() {},
+		joined:  func(Host) {},
 	}
 	r.put(self)
 	return r
@@ -88,6 +91,11 @@
 	r.changed = f
 }
 
+// OnJoin sets the function that is called for each other host that has started or is back; it is set before the roster is used.
+func (r *Roster) OnJoin(f func(Host)) {
+	r.joined = f
+}
+
 // Leave says that this host is about to stop: it owns nothing any more while there are others.
 func (r *Roster) Leave() {
 	r.mu.Lock()
@@ -136,6 +144,9 @@
 	if old, ok := r.states[h.Name]; ok && old.host == h && old.down != nil {
 		return
 	}
+	if h.Name != r.self.Name {
+		go r.joined(h)
+	}
 	r.states[h.Name] = &state{
 		host: h,
 		hash: xxhash.Sum64String(h.Name),
@@ -218,9 +229,51 @@
 	return best.host, best.down
 }
 
-// before orders hosts for a pool, the same way on every host.
-func (r *Roster) before(pool string, a, b *state) bool {
-	p := xxhash.Sum64String(pool)
+// Others returns the other hosts that live.
+func (r *Roster) Others() []Host {
+	return r.without(r.ranked("", math.MaxInt))
+}
+
+// Ranked returns those of the first n hosts for the key that are not this one, the same on every host that knows the same hosts.
+func (r *Roster) Ranked(key string, n int) []Host {
+	return r.without(r.ranked(key, n))
+}
+
+// first reports whether this host is among the first n for the key.
+func (r *Roster) first(key string, n int) bool {
+	return slices.ContainsFunc(r.ranked(key, n), func(h Host) bool { return h.Name == r.self.Name })
+}
+
+// ranked returns the first n of the hosts that live for the key.
+func (r *Roster) ranked(key string, n int) []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var live []*state
+	for _, s := range r.states {
+		if s.down != nil {
+			live = append(live, s)
+		}
+	}
+	slices.SortFunc(live, func(a, b *state) int {
+		if r.before(key, a, b) {
+			return -1
+		}
+		return 1
+	})
+	var out []Host
+	for _, s := range live[:min(n, len(live))] {
+		out = append(out, s.host)
+	}
+	return out
+}
+
+func (r *Roster) without(list []Host) []Host {
+	return slices.DeleteFunc(list, func(h Host) bool { return h.Name == r.self.Name })
+}
+
+// before orders hosts for a key, such as the name of a pool, the same way on every host.
+func (r *Roster) before(key string, a, b *state) bool {
+	p := xxhash.Sum64String(key)
 	return cmp.Or(cmp.Compare(common.Mix(a.hash^p), common.Mix(b.hash^p)), cmp.Compare(a.host.Name, b.host.Name)) > 0
 }
 
@@ -259,6 +312,7 @@
 		return
 	}
 	s.down = make(chan struct{})
+	go r.joined(h)
 	r.Log.WithField("host", h.Name).Info("Host is back.")
 }
 
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -106,6 +106,7 @@
 		Table:   r.table,
 		Sender:  send.New(),
 		Workers: r.peers,
+		Crashes: hosts.NewCrashes(deps, r.peers),
 		Lease:   r.lease,
 		Headers: a.Headers,
 		Budget: flow.Budget{
@@ -141,11 +142,11 @@
 		follow.NewFeed(r.Deps, "configurations", r.adapter.Configurations, plans, r.planWait(), follow.WithConfirm(r.confirm)),
 		follow.NewFeed(r.Deps, "upstreams", r.adapter.Upstreams, r.members, upstreamWait, follow.WithOutage(r.members.Lost, r.members.Back)),
 		follow.NewFeed(r.Deps, "hosts", r.adapter.Hosts, r.roster, hostsWait),
+		r.peers,
 		super.Func{
 			Label: "presence",
 			Body:  r.present,
 		},
-		r.peers,
 		super.Func{
 			Label: "ready",
 			Body:  r.plainServer("ready", r.settings.Listen.Ready, r.readyHandler()).Run,
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -112,7 +112,7 @@
 	r.admitter = front.NewAdmitter(r.Deps, r.table, r.hosts, r.members, s.Limits.QueueLimit)
 	r.buildPeers()
 	r.runner = chain.New(r.Deps, r.table, r.reach,
-		chain.WithSuspects(crash.NewGuard(r.Deps, r.tracker, r.alive, r.mine, r.push)),
+		chain.WithSuspects(crash.NewGuard(r.Deps, r.tracker, r.alive, r.mine, func(ctx context.Context, _ crash.Mark) { r.push(ctx) })),
 		chain.WithLeaving(r.leaving))
 	r.front = front.New(r.Deps, s.Listen.Callers, s.Limits, r.holder, r.admitter, r.keeper, r.runner, front.WithLeave(r.leave), front.WithReady(r.unready))
 	r.lease = lease.NewKeeper(r.Deps, r.platform, "orders", lease.New(s.Host.Name, lease.DefaultTerms(), nonce))
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -33,6 +33,8 @@
 	Hang
 	// Extra gives a second answer after the first.
 	Extra
+	// Crash begins to run the request and ends the server with all its connections.
+	Crash
 )
 
 // Run is one request that began to run.
@@ -56,7 +58,9 @@
 	addr string
 	http *http.Server
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// crashOn is the body that crashes the server, or "".
+	crashOn string
 	next    []Behavior
 	always  Behavior
 	runs    []Run
@@ -129,6 +133,13 @@
 	s.always = b
 }
 
+// CrashOn sets the body of the requests that crash the server.
+func (s *Server) CrashOn(body string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashOn = body
+}
+
 // Runs returns the requests that began to run.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -175,6 +186,12 @@
 	return b
 }
 
+func (s *Server) crashes(body string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashOn != "" && s.crashOn == body
+}
+
 // expected refuses a request that means another server.
 func (s *Server) expected(w http.ResponseWriter, r *http.Request) bool {
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != s.ID {
@@ -195,6 +212,9 @@
 	}
 	id := r.Header.Get("Request-Id")
 	b := s.behavior()
+	if s.crashes(string(body)) {
+		b = Crash
+	}
 	if id == "" || b == Full || (s.NeedsInputs && r.Header.Get("Inputs") == "") {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -220,6 +240,10 @@
 	switch b {
 	case Lose:
 		panic(http.ErrAbortHandler)
+	case Crash:
+		// The connections are cut off with the listener, this one among them.
+		_ = s.http.Close()
+		panic(http.ErrAbortHandler)
 	case Hang:
 		<-r.Context().Done()
 		s.mu.Lock()
