--- a/internal/root/relay/flow/run.go
+++ b/internal/root/relay/flow/run.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -179,12 +181,15 @@
 	if limit <= 0 {
 		limit = defaultBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(u.w, u.r.Body, limit))
+	body, err := u.readUntil(u.deadline, http.MaxBytesReader(u.w, u.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		u.fail(http.StatusRequestEntityTooLarge, CauseTooLarge, "body is too large")
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		u.fail(http.StatusRequestTimeout, CauseMalformed, "body did not arrive in time")
+		return false
 	case err != nil:
 		u.fail(http.StatusBadRequest, CauseMalformed, "body did not arrive whole")
 		return false
@@ -193,5 +198,24 @@
 	return true
 }
 
+// readUntil reads from the caller's connection until a deadline, which does not hold for what comes after.
+func (u *run) readUntil(deadline time.Time, r io.Reader) ([]byte, error) {
+	if u.r.ContentLength == 0 {
+		return nil, nil
+	}
+	rc := http.NewResponseController(u.w)
+	if err := rc.SetReadDeadline(deadline); err != nil {
+		return nil, fmt.Errorf("bound the wait for a body: %w", err)
+	}
+	body, err := io.ReadAll(r)
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	if err := rc.SetReadDeadline(time.Time{}); err != nil {
+		return nil, fmt.Errorf("end the wait for a body: %w", err)
+	}
+	return body, nil
+}
+
 // defaultBody bounds a body where the configuration does not, in bytes.
 const defaultBody = 1 << 20
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -106,7 +106,7 @@
 		u.refuse(notReadyRetry, CauseNotReady, "no configuration yet")
 		return false
 	}
-	if !u.match() || !u.identify() || !u.readBody() {
+	if !u.match() || !u.headFits() || !u.identify() {
 		return false
 	}
 	wait := u.route.Timeout
@@ -114,6 +114,9 @@
 		wait = u.ask.Wait
 	}
 	u.deadline = u.arrived.Add(wait)
+	if !u.readBody() {
+		return false
+	}
 	u.print = crash.FingerprintOf(u.body, u.r.Host, u.r.RequestURI, u.account.Name)
 	u.pool = u.route.Pool(rand.Float64())
 	if u.route.Affinity {
@@ -136,6 +139,28 @@
 	return true
 }
 
+// headFits refuses a request whose headers are larger than the configuration allows.
+func (u *run) headFits() bool {
+	limit := u.plan.Limits.HeaderBytes
+	if limit <= 0 || headBytes(u.r) <= limit {
+		return true
+	}
+	u.fail(http.StatusRequestHeaderFieldsTooLarge, CauseTooLarge, "headers are too large")
+	return false
+}
+
+// headBytes is about the size of a request's head as it was sent, in bytes.
+func headBytes(r *http.Request) int {
+	const perLine = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + perLine
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + perLine
+		}
+	}
+	return n
+}
+
 // identify finds the caller's account. A keyed request is served only while the configuration is known to be recent.
 func (u *run) identify() bool {
 	if u.route.Public || !u.plan.Closed() {
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -42,7 +42,9 @@
 	usualTime = 100 * time.Millisecond
 	// headerTimeout and idleTimeout bound a caller's connection.
 	headerTimeout = 10 * time.Second
-	idleTimeout   = 5 * time.Minute
+	// maxHeader bounds a caller's headers, in bytes, whatever the configuration allows, as each connection may hold as many.
+	maxHeader   = 256 << 10
+	idleTimeout = 5 * time.Minute
 )
 
 // Adapter is what the relay needs of a platform.
@@ -121,6 +123,7 @@
 	r.callers = serve.New(deps.WithPart("callers"), s.Listen.Callers, r.flow, serve.Limits{
 		HeaderTimeout: headerTimeout,
 		IdleTimeout:   idleTimeout,
+		HeaderBytes:   maxHeader,
 		DrainWait:     drain,
 		DrainTimeout:  time.Duration(graceShare*float64(grace)) - drain,
 	}, serve.WithLeave(r.leave))
--- a/internal/serve/graceful.go
+++ b/internal/serve/graceful.go
@@ -98,6 +98,8 @@
 		ReadHeaderTimeout: g.limits.HeaderTimeout,
 		IdleTimeout:       g.limits.IdleTimeout,
 		MaxHeaderBytes:    g.limits.HeaderBytes,
+		// The handler answers every request, as no success may be this host's own.
+		DisableGeneralOptionsHandler: true,
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(ln) }()
