--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -139,18 +139,10 @@
 
 // tell sends the news to the hosts, and returns once they know, or after a while.
 func (c *Crashes) tell(to []Host, news crashNews) {
-	var told sync.WaitGroup
-	for _, h := range to {
-		told.Go(func() {
-			if err := c.tellOne(h, news); err != nil {
-				c.Log.WithError(err).WithField("host", h.Name).Info("Host was not told of crashes.")
-			}
-		})
-	}
 	done := make(chan struct{})
 	go func() {
-		told.Wait()
-		close(done)
+		defer close(done)
+		c.tellAll(to, news)
 	}()
 	timer := time.NewTimer(tellWait)
 	defer timer.Stop()
@@ -160,6 +152,31 @@
 	}
 }
 
+func (c *Crashes) tellAll(to []Host, news crashNews) {
+	var (
+		told   sync.WaitGroup
+		mu     sync.Mutex
+		missed []string
+		last   error
+	)
+	for _, h := range to {
+		told.Go(func() {
+			err := c.tellOne(h, news)
+			if err == nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			missed = append(missed, h.Name)
+			last = err
+		})
+	}
+	told.Wait()
+	if len(missed) > 0 {
+		c.Log.WithError(last).WithField("hosts", missed).Info("Hosts were not told of crashes.")
+	}
+}
+
 func (c *Crashes) tellOne(h Host, news crashNews) error {
 	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
--- a/internal/root/relay/hosts/crashes_test.go
+++ b/internal/root/relay/hosts/crashes_test.go
@@ -3,11 +3,15 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/crash"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 )
 
 // rostersOf returns the rosters of hosts that all know each other.
@@ -58,3 +62,49 @@
 		})
 	}
 }
+
+// TestCrashesOfACutAreNotHeldAgainstRequests is a domain that is cut off and back again and again: every request that runs across the cut looks like one that crashes upstreams.
+func TestCrashesOfACutAreNotHeldAgainstRequests(t *testing.T) {
+	Convey("Given a host that loses its upstreams at every cut", t, func() {
+		deps := common.Quiet("h0", "d")
+		now := time.Unix(1000, 0)
+		deps.Now = func() time.Time { return now }
+		self := hostOf(0, "127.0.0.1:0")
+		peers := NewPeers(deps, self.Addr, NewRoster(deps, self), &fakeLocal{name: "h0"})
+		c := NewCrashes(deps, peers)
+		gone := func(i int) route.Upstream {
+			return route.Upstream{
+				Name: fmt.Sprintf("u%d", i),
+				Addr: "127.0.0.1:1",
+			}
+		}
+		popular := crash.FingerprintOf(nil, "h.example", "/popular", "account")
+		Convey("a request that many send is served between the cuts, and never stopped", func() {
+			for cut := range 20 {
+				now = now.Add(10 * time.Second)
+				c.Broke(t.Context(), popular, gone(2*cut))
+				c.Broke(t.Context(), popular, gone(2*cut+1))
+				So(c.Stopped(popular), ShouldBeFalse)
+				c.Served(popular)
+			}
+		})
+		Convey("one that is never served is stopped at the third upstream", func() {
+			for i := range 3 {
+				So(c.Stopped(popular), ShouldBeFalse)
+				c.Broke(t.Context(), popular, gone(i))
+			}
+			So(c.Stopped(popular), ShouldBeTrue)
+		})
+		Convey("an upstream that still takes connections has not crashed", func() {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			defer ln.Close()
+			for i := range 5 {
+				up := gone(i)
+				up.Addr = ln.Addr().String()
+				c.Broke(t.Context(), popular, up)
+			}
+			So(c.Stopped(popular), ShouldBeFalse)
+		})
+	})
+}
