--- a/internal/root/relay/batch/keeper.go
+++ b/internal/root/relay/batch/keeper.go
@@ -134,30 +134,34 @@
 	}
 	done := make(chan Outcome, 1)
 	k.waiters[job] = done
-	k.dispatch()
+	k.calls(w.Pool, q)
 	return job, done, nil
 }
 
-// dispatch makes the calls that can be made now; the lock is held.
+// dispatch looks after all queues and makes the calls that can be made now; the lock is held.
 func (k *Keeper) dispatch() {
 	now := k.Now()
-	waits := false
 	for name, q := range k.queues {
 		q.Hedge(now)
 		k.tell(q.Expire(now))
 		for pool, handles := range q.Spent(now) {
 			go k.onSpent(pool, handles)
 		}
-		for {
-			c, ok := q.Next(now)
-			if !ok {
-				break
-			}
-			go k.call(name, q, c)
+		k.calls(name, q)
+	}
+}
+
+// calls makes the calls of one queue that can be made now, and sees to it that the queue is looked at again; the lock is held.
+func (k *Keeper) calls(name string, q *Queue) {
+	now := k.Now()
+	for {
+		c, ok := q.Next(now)
+		if !ok {
+			break
 		}
-		waits = waits || q.Waiting() > 0 || len(q.running) > 0
+		go k.call(name, q, c)
 	}
-	if waits && !k.ticking {
+	if !k.ticking && q.busy() {
 		k.ticking = true
 		time.AfterFunc(tick, k.again)
 	}
@@ -230,7 +234,7 @@
 	}
 	k.free(pool, spare)
 	k.tell(over)
-	k.dispatch()
+	k.calls(pool, q)
 }
 
 // count returns how many results have the reason.
@@ -264,7 +268,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.free(pool, handles)
-	k.dispatch()
+	if q, ok := k.queues[pool]; ok {
+		k.calls(pool, q)
+	}
 }
 
 // free queues the results for the calls that free them, one at a time for each worker; the lock is held.
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -9,8 +9,11 @@
 // Next returns the next call to make, or false while no worker is idle or nothing waits.
 func (q *Queue) Next(now time.Time) (*Call, bool) {
 	q.forget(now)
+	if !q.canCall(now) || q.holds(now) {
+		return nil, false
+	}
 	order := q.order(now, "")
-	if len(order) == 0 || q.holds(now) {
+	if len(order) == 0 {
 		return nil, false
 	}
 	for _, w := range q.idle(now, order[0].Domain) {
@@ -21,6 +24,16 @@
 	return nil, false
 }
 
+// canCall reports whether some worker can take a call; while none can, a backlog costs nothing to look at.
+func (q *Queue) canCall(now time.Time) bool {
+	for _, w := range q.workers {
+		if w.idle(now, max(1, q.spec.Slots)) {
+			return true
+		}
+	}
+	return false
+}
+
 // holds reports whether the next call waits for more pieces, as workers that begin at once with few of them leave none for those that come just after.
 func (q *Queue) holds(now time.Time) bool {
 	workers := 0
@@ -122,8 +135,9 @@
 	room := w.room(now, q.spec.Room)
 	c.room = room
 	batch := max(1, q.spec.Batch)
+	ahead := q.aheadNear(order)
 	for _, j := range order {
-		if q.waitsNear(now, j, w) {
+		if q.waitsNear(now, j, w, ahead[j]) {
 			continue
 		}
 		n := len(j.waiting)
@@ -155,8 +169,8 @@
 	return c
 }
 
-// waitsNear reports whether work is left to a worker near its inputs rather than given to this one.
-func (q *Queue) waitsNear(now time.Time, j *Job, w *worker) bool {
+// waitsNear reports whether work is left to a worker near its inputs, for which so many pieces wait before it, rather than given to this one.
+func (q *Queue) waitsNear(now time.Time, j *Job, w *worker, ahead int) bool {
 	if j.Moves < worthWaiting || j.Domain == w.up.Domain {
 		return false
 	}
@@ -174,24 +188,23 @@
 	if workers == 0 {
 		return false
 	}
-	ahead := q.aheadNear(j)
 	calls := ahead / (workers * max(1, q.spec.Batch))
 	wait := soonest + time.Duration(calls)*q.callTime(j.Work)
 	return !now.Add(wait + q.callTime(j.Work) + nearSlack).After(j.onTime)
 }
 
-// aheadNear returns how many pieces wait for the same domain before this work.
-func (q *Queue) aheadNear(j *Job) int {
-	n := 0
-	for _, o := range q.jobs {
-		if o == j {
-			break
-		}
-		if o.Domain == j.Domain {
-			n += len(o.waiting)
-		}
+// aheadNear returns how many pieces wait for the same domain before each work that may wait for it.
+func (q *Queue) aheadNear(order []*Job) map[*Job]int {
+	if !slices.ContainsFunc(order, func(j *Job) bool { return j.Moves >= worthWaiting }) {
+		return nil
 	}
-	return n
+	out := make(map[*Job]int, len(order))
+	pieces := map[string]int{}
+	for _, j := range q.jobs {
+		out[j] = pieces[j.Domain]
+		pieces[j.Domain] += len(j.waiting)
+	}
+	return out
 }
 
 func (q *Queue) put(now time.Time, c *Call, j *Job, n int) {
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -119,6 +119,11 @@
 	}
 }
 
+// busy reports whether work waits or calls run.
+func (q *Queue) busy() bool {
+	return len(q.jobs) > 0 || len(q.running) > 0
+}
+
 // Waiting returns how many pieces wait.
 func (q *Queue) Waiting() int {
 	n := 0
