--- a/internal/root/relay/batch/keeper.go
+++ b/internal/root/relay/batch/keeper.go
@@ -38,14 +38,16 @@
 	common.Deps
 	caller Caller
 
-	mu      sync.Mutex
-	queues  map[string]*Queue
+	mu     sync.Mutex
+	queues map[string]*Queue
+	// shards are the queues of each pool.
+	shards  map[string][]Shard
 	waiters map[*Job]chan Outcome
 	ticking bool
 	frees   map[string][]string
 	freeing map[string]bool
-	// onSpent takes results of a pool that are no longer needed; this host need not be the one that keeps its queue.
-	onSpent func(pool string, handles []string)
+	// onSpent takes results of a queue that are no longer needed; this host need not be the one that keeps it.
+	onSpent func(queue string, handles []string)
 }
 
 // NewKeeper returns a keeper without queues.
@@ -54,6 +56,7 @@
 		Deps:    deps.WithPart("batch"),
 		caller:  caller,
 		queues:  map[string]*Queue{},
+		shards:  map[string][]Shard{},
 		waiters: map[*Job]chan Outcome{},
 		frees:   map[string][]string{},
 		freeing: map[string]bool{},
@@ -62,8 +65,8 @@
 	return k
 }
 
-// OnSpent sets the function that takes results of any pool that are no longer needed.
-func (k *Keeper) OnSpent(f func(pool string, handles []string)) {
+// OnSpent sets the function that takes results of any queue that are no longer needed.
+func (k *Keeper) OnSpent(f func(queue string, handles []string)) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.onSpent = f
@@ -77,21 +80,54 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	kept := map[string]bool{}
 	for name, pool := range p.Pools {
 		if pool.Worker == nil {
 			continue
 		}
-		q, ok := k.queues[name]
-		if !ok {
-			q = NewQueue(*pool.Worker)
-			k.queues[name] = q
+		shards := shardsOf(name, byPool[name])
+		k.shards[name] = sortedShards(shards)
+		for s, workers := range shards {
+			kept[s.Queue] = true
+			k.put(s.Queue, *pool.Worker, workers)
 		}
-		q.SetSpec(*pool.Worker)
-		q.SetWorkers(byPool[name])
 	}
+	k.retire(kept)
 	k.dispatch()
 }
 
+// put brings the workers of a queue up to date; the lock is held.
+func (k *Keeper) put(name string, spec plan.Worker, workers []route.Upstream) {
+	q, ok := k.queues[name]
+	if !ok {
+		q = NewQueue(spec)
+		k.queues[name] = q
+	}
+	q.SetSpec(spec)
+	q.SetWorkers(workers)
+}
+
+// retire takes the workers from the queues that are no more, hands over what waits there, and forgets them once they are empty; the lock is held.
+func (k *Keeper) retire(kept map[string]bool) {
+	for name, q := range k.queues {
+		if kept[name] {
+			continue
+		}
+		q.SetWorkers(nil)
+		k.tell(q.HandOver())
+		if !q.busy() {
+			delete(k.queues, name)
+		}
+	}
+}
+
+// Shards returns the queues of a pool.
+func (k *Keeper) Shards(pool string) []Shard {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.shards[pool]
+}
+
 // Do runs the work; where ctx ends first, it is given up.
 func (k *Keeper) Do(ctx context.Context, w Work) Outcome {
 	job, done, refused := k.add(w)
@@ -104,9 +140,10 @@
 	case <-ctx.Done():
 	}
 	k.mu.Lock()
-	spare := k.queues[w.Pool].Drop(job)
 	delete(k.waiters, job)
-	k.free(w.Pool, spare)
+	if q, ok := k.queues[w.Queue]; ok {
+		k.free(w.Queue, q.Drop(job))
+	}
 	k.mu.Unlock()
 	select {
 	case o := <-done:
@@ -121,7 +158,7 @@
 func (k *Keeper) add(w Work) (*Job, chan Outcome, *Refused) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	q, ok := k.queues[w.Pool]
+	q, ok := k.queues[w.Queue]
 	if !ok {
 		return nil, nil, &Refused{
 			After: maxAfter / 3,
@@ -134,7 +171,7 @@
 	}
 	done := make(chan Outcome, 1)
 	k.waiters[job] = done
-	k.calls(w.Pool, q)
+	k.calls(w.Queue, q)
 	return job, done, nil
 }
 
@@ -144,8 +181,8 @@
 	for name, q := range k.queues {
 		q.Hedge(now)
 		k.tell(q.Expire(now))
-		for pool, handles := range q.Spent(now) {
-			go k.onSpent(pool, handles)
+		for queue, handles := range q.Spent(now) {
+			go k.onSpent(queue, handles)
 		}
 		k.calls(name, q)
 	}
@@ -194,14 +231,14 @@
 	return map[string]any{
 		"request": w.Request,
 		"stage":   w.Stage,
-		"pool":    w.Pool,
+		"queue":   w.Queue,
 		"pieces":  len(w.Pieces),
 		"rank":    w.Rank,
 		"left_ms": w.Last.Milliseconds(),
 	}
 }
 
-func (k *Keeper) call(pool string, q *Queue, c *Call) {
+func (k *Keeper) call(queue string, q *Queue, c *Call) {
 	limit := time.Duration(callFactor*float64(c.Expected)) + callSlack
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
@@ -213,7 +250,7 @@
 	defer k.mu.Unlock()
 	now := k.Now()
 	log := k.Log.WithFields(map[string]any{
-		"pool":     pool,
+		"queue":    queue,
 		"upstream": c.Upstream.Name,
 		"items":    len(c.Items),
 		"took_ms":  now.Sub(c.began).Milliseconds(),
@@ -232,9 +269,9 @@
 		log.Info("Call done.")
 		over, spare = q.Finish(now, c, results)
 	}
-	k.free(pool, spare)
+	k.free(queue, spare)
 	k.tell(over)
-	k.calls(pool, q)
+	k.calls(queue, q)
 }
 
 // count returns how many results have the reason.
@@ -248,34 +285,34 @@
 	return n
 }
 
-// HandOver ends the work that has not begun, in pools that this host does not own.
-func (k *Keeper) HandOver(owns func(pool string) bool) {
+// HandOver ends the work that has not begun, in queues that this host does not own.
+func (k *Keeper) HandOver(owns func(queue string) bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for pool, q := range k.queues {
-		if owns(pool) {
+	for name, q := range k.queues {
+		if owns(name) {
 			continue
 		}
 		if over := q.HandOver(); len(over) > 0 {
-			k.Log.WithField("pool", pool).WithField("work", len(over)).Info("Work is handed to another host.")
+			k.Log.WithField("queue", name).WithField("work", len(over)).Info("Work is handed to another host.")
 			k.tell(over)
 		}
 	}
 }
 
-// Free gives up results.
-func (k *Keeper) Free(pool string, handles []string) {
+// Free gives up results of a queue.
+func (k *Keeper) Free(queue string, handles []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.free(pool, handles)
-	if q, ok := k.queues[pool]; ok {
-		k.calls(pool, q)
+	k.free(queue, handles)
+	if q, ok := k.queues[queue]; ok {
+		k.calls(queue, q)
 	}
 }
 
 // free queues the results for the calls that free them, one at a time for each worker; the lock is held.
-func (k *Keeper) free(pool string, handles []string) {
-	q, ok := k.queues[pool]
+func (k *Keeper) free(queue string, handles []string) {
+	q, ok := k.queues[queue]
 	if !ok || len(handles) == 0 {
 		return
 	}
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -34,7 +34,7 @@
 	running []*Call
 	held    map[string]held
 	item    map[kind]time.Duration
-	// spent holds results of other pools that are no longer needed, by their pools.
+	// spent holds results of other queues that are no longer needed, by their queues.
 	spent map[string][]string
 	// alone is from when on no other host is taken to use the workers.
 	alone time.Time
--- a/internal/root/relay/batch/spent.go
+++ b/internal/root/relay/batch/spent.go
@@ -15,7 +15,7 @@
 	quietFor  = 2 * time.Second
 )
 
-// Spent returns results of other pools that are no longer needed, by their pools: those that work was made from whose pieces are all in the making.
+// Spent returns results of other queues that are no longer needed, by their queues: those that work was made from whose pieces are all in the making.
 // Held until the work is done, they would leave the workers before it without room.
 // Nothing is given up early while another host may use the workers, since a call that waits for its turn has fetched nothing.
 func (q *Queue) Spent(now time.Time) map[string][]string {
@@ -62,6 +62,6 @@
 	}
 	j.freed = len(j.Work.Spent) > 0
 	for _, s := range j.Work.Spent {
-		q.spent[s.Pool] = append(q.spent[s.Pool], s.Handles...)
+		q.spent[s.Queue] = append(q.spent[s.Queue], s.Handles...)
 	}
 }
--- a/internal/root/relay/batch/stats.go
+++ b/internal/root/relay/batch/stats.go
@@ -15,7 +15,7 @@
 	Refused int64 `json:"refused"`
 }
 
-// Stats returns what the queues have done, by their pools, where they have done anything.
+// Stats returns what the queues have done, by their names, where they have done anything.
 func (k *Keeper) Stats() map[string]Stats {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/root/relay/batch/work.go
+++ b/internal/root/relay/batch/work.go
@@ -11,15 +11,17 @@
 	Inputs []string `json:"inputs,omitempty"`
 }
 
-// Spent names results of a pool that are no longer needed.
+// Spent names results of a queue that are no longer needed.
 type Spent struct {
-	Pool    string   `json:"pool"`
+	Queue   string   `json:"queue"`
 	Handles []string `json:"handles"`
 }
 
 // Work is what one request needs of one stage.
 type Work struct {
-	Pool    string `json:"pool"`
+	Pool string `json:"pool"`
+	// Queue is the one of the pool's queues that the work goes to.
+	Queue   string `json:"queue"`
 	Request string `json:"request"`
 	Stage   int    `json:"stage"`
 	// Key is what pieces of a stage without earlier stages are made from.
@@ -52,6 +54,8 @@
 	Handles []string
 	// Domain is the failure domain where most of the results are.
 	Domain string
+	// Queue is where the results are given up.
+	Queue string
 }
 
 // Refused says that nothing of the work was or will be done, and when to come back.
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -246,7 +246,7 @@
 	for _, a := range g.route.Stages[i].After {
 		if len(g.made[a].Handles) > 0 && g.onlyNeeds(i, a) {
 			out = append(out, batch.Spent{
-				Pool:    g.route.Stages[a].Pool,
+				Queue:   g.made[a].Queue,
 				Handles: g.made[a].Handles,
 			})
 		}
--- a/internal/root/relay/hosts/give.go
+++ b/internal/root/relay/hosts/give.go
@@ -15,14 +15,39 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 )
 
-// Do sends the work to the host that batches for its pool, and to another one where that is down or hands it over.
+// Do sends the work to one of its pool's queues, and to another one where that refuses it.
 func (p *Peers) Do(ctx context.Context, w batch.Work) (batch.Outcome, func()) {
 	began := p.Now()
-	owner, down := p.roster.Owner(w.Pool)
-	for i := range maxOwners {
+	onTime, last := w.OnTime, w.Last
+	var o batch.Outcome
+	for _, s := range p.picks.order(began, w, p.local.Shards(w.Pool), p.roster.self.Domain) {
+		now := p.Now()
+		w.Queue = s.Queue
+		w.OnTime = onTime - now.Sub(began)
+		w.Last = last - now.Sub(began)
+		var free func()
+		o, free = p.doIn(ctx, s, w)
+		switch made := o.(type) {
+		case batch.Made:
+			made.Queue = s.Queue
+			return made, free
+		case batch.Refused:
+			p.picks.refused(p.Now(), s, w.Rank)
+		default:
+			return o, nil
+		}
+	}
+	return o, nil
+}
+
+// doIn sends the work to the host that keeps the queue, and to another one where that is down or hands it over.
+func (p *Peers) doIn(ctx context.Context, s batch.Shard, w batch.Work) (batch.Outcome, func()) {
+	began := p.Now()
+	owner, down := p.roster.Owner(w.Queue)
+	for i := range p.owners(s) {
 		o, next := p.give(ctx, owner, down, w)
 		if next == nil {
-			return o, p.freer(owner, w.Pool, o)
+			return o, p.freer(owner, w.Queue, o)
 		}
 		if ctx.Err() != nil {
 			return batch.Failed{
@@ -41,13 +66,31 @@
 		w.OnTime -= spent
 		w.Last -= spent
 	}
+	if p.foreign(s) {
+		return batch.Refused{
+			After: foreignAfter,
+		}, nil
+	}
 	o := p.local.Do(ctx, w)
 	if _, ok := o.(batch.Moved); ok {
 		o = batch.Failed{
 			Reason: batch.NoWorker,
 		}
 	}
-	return o, p.freer(p.roster.self, w.Pool, o)
+	return o, p.freer(p.roster.self, w.Queue, o)
+}
+
+// owners is how many hosts are asked for the same work of a queue; in a domain that may be cut off no more than two.
+func (p *Peers) owners(s batch.Shard) int {
+	if p.foreign(s) {
+		return foreignOwners
+	}
+	return maxOwners
+}
+
+// foreign reports whether the queue's workers are all in another failure domain.
+func (p *Peers) foreign(s batch.Shard) bool {
+	return s.Domain != "" && s.Domain != p.roster.self.Domain
 }
 
 // give asks one host; next is the host to ask instead, or nil where the outcome counts.
@@ -57,7 +100,7 @@
 		if _, ok := o.(batch.Moved); !ok {
 			return o, nil
 		}
-		return nil, p.ownerOf(w.Pool)
+		return nil, p.ownerOf(w.Queue)
 	}
 	a, err := p.remote(ctx, owner, down, w)
 	switch {
@@ -70,51 +113,51 @@
 	case ctx.Err() == nil:
 		p.roster.Down(owner, err)
 	}
-	return nil, p.ownerOf(w.Pool)
+	return nil, p.ownerOf(w.Queue)
 }
 
-func (p *Peers) ownerOf(pool string) *Host {
-	owner, _ := p.roster.Owner(pool)
+func (p *Peers) ownerOf(queue string) *Host {
+	owner, _ := p.roster.Owner(queue)
 	return &owner
 }
 
 // freer returns the function that gives up what the work made, or nil.
-func (p *Peers) freer(owner Host, pool string, o batch.Outcome) func() {
+func (p *Peers) freer(owner Host, queue string, o batch.Outcome) func() {
 	made, ok := o.(batch.Made)
 	if !ok {
 		return nil
 	}
 	if owner.Name == p.Host {
-		return func() { p.local.Free(pool, made.Handles) }
+		return func() { p.local.Free(queue, made.Handles) }
 	}
 	return func() {
 		go func() {
-			if p.freeAt(owner, pool, made.Handles) == nil {
+			if p.freeAt(owner, queue, made.Handles) == nil {
 				return
 			}
 			// The host that has its place frees what it does not know as well.
-			p.Release(pool, made.Handles)
+			p.Release(queue, made.Handles)
 		}()
 	}
 }
 
-// Release gives up results of a pool at the host that batches for it.
-func (p *Peers) Release(pool string, handles []string) {
-	owner, _ := p.roster.Owner(pool)
+// Release gives up results of a queue at the host that keeps it.
+func (p *Peers) Release(queue string, handles []string) {
+	owner, _ := p.roster.Owner(queue)
 	if owner.Name == p.Host {
-		p.local.Free(pool, handles)
+		p.local.Free(queue, handles)
 		return
 	}
-	if err := p.freeAt(owner, pool, handles); err != nil {
+	if err := p.freeAt(owner, queue, handles); err != nil {
 		p.Log.WithError(err).WithField("host", owner.Name).Info("Results were not freed. They expire by themselves.")
 	}
 }
 
-func (p *Peers) freeAt(owner Host, pool string, handles []string) error {
+func (p *Peers) freeAt(owner Host, queue string, handles []string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	body := batch.Spent{
-		Pool:    pool,
+		Queue:   queue,
 		Handles: handles,
 	}
 	if err := p.post(ctx, owner, pathFree, body, nil); err != nil {
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -26,8 +26,11 @@
 	maxOwners  = 8
 	quickOwner = 3
 	ownerPause = 20 * time.Millisecond
-	maxBody    = 1 << 20
-	typeJSON   = "application/json"
+	// foreignOwners is the same for a queue of another failure domain, which may be cut off, and foreignAfter when to come back after that.
+	foreignOwners = 2
+	foreignAfter  = 200 * time.Millisecond
+	maxBody       = 1 << 20
+	typeJSON      = "application/json"
 )
 
 // Paths of the interface between hosts.
@@ -40,9 +43,11 @@
 // Local runs the queues of this host.
 type Local interface {
 	Do(ctx context.Context, w batch.Work) batch.Outcome
-	Free(pool string, handles []string)
-	// HandOver ends the work that has not begun, in pools that this host does not own, so that their owners are asked.
-	HandOver(owns func(pool string) bool)
+	Free(queue string, handles []string)
+	// HandOver ends the work that has not begun, in queues that this host does not own, so that their owners are asked.
+	HandOver(owns func(queue string) bool)
+	// Shards returns the queues of a pool.
+	Shards(pool string) []batch.Shard
 }
 
 // answer is what a host says of work, of which one field is set.
@@ -56,7 +61,7 @@
 	Leaving bool  `json:"leaving,omitempty"`
 }
 
-func (p *Peers) answerOf(pool string, o batch.Outcome) answer {
+func (p *Peers) answerOf(queue string, o batch.Outcome) answer {
 	switch o := o.(type) {
 	case batch.Made:
 		return answer{
@@ -72,7 +77,7 @@
 			Reason: o.Reason,
 		}
 	case batch.Moved:
-		owner, _ := p.roster.Owner(pool)
+		owner, _ := p.roster.Owner(queue)
 		return answer{
 			Owner:   &owner,
 			Leaving: p.roster.Leaving(),
@@ -108,6 +113,7 @@
 	local  Local
 	addr   string
 	http   *http.Client
+	picks  picker
 	// crashes takes what other hosts tell of crashes; it is set before the part runs.
 	crashes *Crashes
 }
@@ -136,8 +142,8 @@
 
 // handOver leaves to other hosts what is theirs to batch from now on.
 func (p *Peers) handOver() {
-	p.local.HandOver(func(pool string) bool {
-		owner, _ := p.roster.Owner(pool)
+	p.local.HandOver(func(queue string) bool {
+		owner, _ := p.roster.Owner(queue)
 		return owner.Name == p.Host
 	})
 }
@@ -214,17 +220,17 @@
 	}
 	o := p.take(r.Context(), work)
 	if made, ok := o.(batch.Made); ok && r.Context().Err() != nil {
-		p.local.Free(work.Pool, made.Handles)
+		p.local.Free(work.Queue, made.Handles)
 		return
 	}
 	w.Header().Set("Content-Type", typeJSON)
 	// A peer that has gone away needs no answer: its results expire.
-	_ = json.NewEncoder(w).Encode(p.answerOf(work.Pool, o))
+	_ = json.NewEncoder(w).Encode(p.answerOf(work.Queue, o))
 }
 
 // take runs a peer's work, unless another host is the owner as far as is known here.
 func (p *Peers) take(ctx context.Context, w batch.Work) batch.Outcome {
-	owner, _ := p.roster.Owner(w.Pool)
+	owner, _ := p.roster.Owner(w.Queue)
 	if owner.Name != p.Host && (!w.Keep || p.roster.Leaving()) {
 		return batch.Moved{}
 	}
@@ -234,7 +240,7 @@
 func (p *Peers) free(w http.ResponseWriter, r *http.Request) {
 	var x batch.Spent
 	if read(w, r, &x) {
-		p.local.Free(x.Pool, x.Handles)
+		p.local.Free(x.Queue, x.Handles)
 	}
 }
 
--- a/internal/root/relay/hosts/roster.go
+++ b/internal/root/relay/hosts/roster.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 )
 
@@ -25,8 +26,13 @@
 	// Addr is where its peers reach it.
 	Addr   string `json:"addr"`
 	Domain string `json:"domain"`
+	// Power is the part of a core that the host has, or 0 where it does not say; the more, the more queues it keeps.
+	Power float64 `json:"power,omitempty"`
 }
 
+// usualPower is the power of a host that tells none, in cores.
+const usualPower = 1
+
 // UnmarshalJSON decodes a host and checks that it can be reached.
 func (h *Host) UnmarshalJSON(b []byte) error {
 	type plain Host
@@ -210,16 +216,21 @@
 	return len(r.states)
 }
 
-// Owner returns the host that batches for the pool, and a channel that closes when it goes down.
-func (r *Roster) Owner(pool string) (Host, <-chan struct{}) {
+// Owner returns the host that keeps the queue, one of the queue's failure domain if any lives there, and a channel that closes when it goes down.
+func (r *Roster) Owner(queue string) (Host, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	domain := batch.DomainOf(queue)
+	away := func(s *state) bool { return domain != "" && s.host.Domain != domain }
 	var best *state
 	for _, s := range r.states {
 		if s.down == nil || (r.leaving && s.host.Name == r.self.Name) {
 			continue
 		}
-		if best == nil || r.before(pool, s, best) {
+		switch {
+		case best == nil, away(best) && !away(s):
+			best = s
+		case away(best) == away(s) && r.before(queue, s, best):
 			best = s
 		}
 	}
@@ -271,10 +282,21 @@
 	return slices.DeleteFunc(list, func(h Host) bool { return h.Name == r.self.Name })
 }
 
-// before orders hosts for a key, such as the name of a pool, the same way on every host.
+// before orders hosts for a key, such as the name of a queue, the same way on every host; a host is first as often as its power says.
 func (r *Roster) before(key string, a, b *state) bool {
 	p := xxhash.Sum64String(key)
-	return cmp.Or(cmp.Compare(common.Mix(a.hash^p), common.Mix(b.hash^p)), cmp.Compare(a.host.Name, b.host.Name)) > 0
+	return cmp.Or(cmp.Compare(a.score(p), b.score(p)), cmp.Compare(a.host.Name, b.host.Name)) > 0
+}
+
+// score is the host's weight in rendezvous hashing for the hash of a key.
+func (s *state) score(key uint64) float64 {
+	const steps = 1 << 53
+	power := s.host.Power
+	if power <= 0 {
+		power = usualPower
+	}
+	draw := (float64(common.Mix(s.hash^key)>>11) + 1) / (steps + 1)
+	return power / -math.Log(draw)
 }
 
 // Down takes a host out of use until it answers probes again.
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -135,6 +135,7 @@
 		Name:   r.settings.Host.Name,
 		Addr:   r.settings.Listen.Peers,
 		Domain: r.settings.Host.Domain,
+		Power:  r.settings.Host.Power,
 	}
 }
 
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -11,7 +11,7 @@
 
 // Relay is what a daemon has to know that passes callers' requests on unchanged.
 type Relay struct {
-	Host      Host        `yaml:"host"`
+	Host      RelayHost   `yaml:"host"`
 	Listen    RelayListen `yaml:"listen"`
 	Store     Store       `yaml:"store"`
 	Upstreams Upstreams   `yaml:"upstreams"`
@@ -21,6 +21,13 @@
 	Log       Log         `yaml:"log"`
 }
 
+// RelayHost says which host this is and what it can do.
+type RelayHost struct {
+	Name   string  `yaml:"name" help:"name of this host, unique among all"`
+	Domain string  `yaml:"domain" help:"failure domain of this host"`
+	Power  float64 `yaml:"power" help:"part of a core that this host has; the more, the more queues of workers it keeps"`
+}
+
 // RelayListen holds the addresses, an IP number and a port each.
 type RelayListen struct {
 	Callers string `yaml:"callers" help:"address for callers (TCP)"`
@@ -58,6 +65,9 @@
 // RelayDefaults returns the settings that hold where the file names none.
 func RelayDefaults() Relay {
 	return Relay{
+		Host: RelayHost{
+			Power: 1,
+		},
 		Upstreams: Upstreams{
 			Forget: config.Span(2 * time.Second),
 		},
@@ -83,7 +93,12 @@
 // Faults returns everything that is wrong with the settings.
 func (s *Relay) Faults() []strict.Fault {
 	var c strict.Check
-	s.Host.check(&c)
+	named := Host{
+		Name:   s.Host.Name,
+		Domain: s.Host.Domain,
+	}
+	named.check(&c)
+	c.That(s.Host.Power > 0, "host.power", "%g is not above 0", s.Host.Power)
 	checkAddr(&c, "listen.callers", s.Listen.Callers)
 	checkAddr(&c, "listen.ready", s.Listen.Ready)
 	checkAddr(&c, "listen.peers", s.Listen.Peers)
