--- a/internal/root/relay/follow/follow_test.go
+++ b/internal/root/relay/follow/follow_test.go
@@ -285,3 +285,58 @@
 		})
 	}
 }
+
+// counted counts the calls for changes.
+type counted struct {
+	*flaky
+	calls int
+}
+
+func (c *counted) Changes(ctx context.Context, after int64, wait time.Duration) ([]Row, int64, error) {
+	c.calls++
+	return c.flaky.Changes(ctx, after, wait)
+}
+
+// TestReleaseOfAPoolCostsFewCalls answers a rolling release: an entry changes every 20 ms, and every host follows.
+func TestReleaseOfAPoolCostsFewCalls(t *testing.T) {
+	const (
+		pause    = 300 * time.Millisecond
+		lasts    = 6 * time.Second
+		everyOne = 20 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		src := &counted{
+			flaky: &flaky{
+				rng:  rand.New(rand.NewPCG(1, 1)),
+				rows: map[string]string{},
+				base: 1,
+			},
+		}
+		m := mirror{}
+		f := NewFeed(common.Quiet("h", "d"), "t", src, m, 2*time.Second, WithGather(pause))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = f.Run(ctx, func() {})
+		}()
+		for i := range int(lasts / everyOne) {
+			src.write(fmt.Sprint(i), "x")
+			time.Sleep(everyOne)
+		}
+		if most := int(lasts/pause) + 1; src.calls > most {
+			t.Errorf("%d calls for changes in %s, more than %d", src.calls, lasts, most)
+		}
+		time.Sleep(3 * time.Second)
+		src.write("alone", "x")
+		time.Sleep(10 * time.Millisecond)
+		cancel()
+		<-done
+		if m["alone"] != "x" {
+			t.Error("a change that came alone was not told at once")
+		}
+		if fmt.Sprint(map[string]string(m)) != fmt.Sprint(src.rows) {
+			t.Errorf("mirror has %d rows, the table %d", len(m), len(src.rows))
+		}
+	})
+}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -25,6 +25,8 @@
 const (
 	// upstreamWait is how long a call for changes of the upstreams waits; it bounds how late a connection that fell silent is noticed.
 	upstreamWait = 2 * time.Second
+	// gatherShare is the part of the time in which a gone upstream has to be forgotten for which changes of the upstreams are gathered.
+	gatherShare = 0.15
 	// planShare is the part of the lease on keys for which a call for changes of the configuration waits, so that most of the lease is left when the platform falls silent.
 	planShare = 0.3
 	// hostsWait is the same for the table of hosts, which may be old.
@@ -144,7 +146,8 @@
 	plans := follow.NewPlans(r.Deps, r.adapter.ConfigKey, r.adapter.Plan, r.plans, r.sync)
 	tree := super.New(r.WithPart("root"), super.WithParts(
 		follow.NewFeed(r.Deps, "configurations", r.adapter.Configurations, plans, r.planWait(), follow.WithConfirm(r.confirm)),
-		follow.NewFeed(r.Deps, "upstreams", r.adapter.Upstreams, r.members, upstreamWait, follow.WithOutage(r.members.Lost, r.members.Back)),
+		follow.NewFeed(r.Deps, "upstreams", r.adapter.Upstreams, r.members, upstreamWait,
+			follow.WithOutage(r.members.Lost, r.members.Back), follow.WithGather(r.gather())),
 		follow.NewFeed(r.Deps, "hosts", r.adapter.Hosts, r.roster, hostsWait),
 		r.peers,
 		super.Func{
@@ -174,6 +177,10 @@
 	return time.Duration(planShare * float64(r.settings.Keys.Revoke.D()))
 }
 
+func (r *Relay) gather() time.Duration {
+	return time.Duration(gatherShare * float64(r.settings.Upstreams.Forget.D()))
+}
+
 // plainServer returns a server that has nothing to drain.
 func (r *Relay) plainServer(part, addr string, h http.Handler) *serve.Graceful {
 	return serve.New(r.WithPart(part), addr, h, serve.Limits{
