--- a/internal/root/relay/follow/feed.go
+++ b/internal/root/relay/follow/feed.go
@@ -60,6 +60,8 @@
 	// version is 0 while the table has to be read whole.
 	version int64
 	fails   int
+	// heard is when the last good answer came.
+	heard time.Time
 }
 
 // Option changes a Feed under construction.
@@ -121,6 +123,7 @@
 		}
 		if err == nil {
 			confirm()
+			f.heard = f.Now()
 			f.succeeded()
 			if changes > 0 {
 				common.Sleep(ctx, f.gather)
@@ -170,7 +173,11 @@
 // failed returns the pause before the next call.
 func (f *Feed) failed(err error) time.Duration {
 	if f.fails == 0 {
-		f.Log.WithError(err).WithField("table", f.name).Warn("Platform is lost.")
+		log := f.Log.WithError(err).WithField("table", f.name)
+		if !f.heard.IsZero() {
+			log = log.WithField("heard_ms", f.Now().Sub(f.heard).Milliseconds())
+		}
+		log.Warn("Platform is lost.")
 		f.lost()
 	}
 	pause := min(minPause<<min(f.fails, 8), maxPause)
