--- a/internal/opcli/command_test.go
+++ b/internal/opcli/command_test.go
@@ -3,6 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -56,3 +60,52 @@
 		}
 	}
 }
+
+// metricsOf serves the metrics of one host.
+func metricsOf(t *testing.T, body string) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, body)
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+func TestBurnOverHosts(t *testing.T) {
+	const window = `{"minutes":%d,"good":%d,"bad":%d,"rate":0}`
+	host := func(good, bad int) string {
+		var windows []string
+		for _, m := range []int{5, 60, 30, 360} {
+			windows = append(windows, fmt.Sprintf(window, m, good, bad))
+		}
+		return metricsOf(t, `{"host":"h","burn":{"objective":0.99,"severity":"calm","windows":[`+strings.Join(windows, ",")+`]}}`)
+	}
+	calm, bad := host(1000, 0), host(100, 900)
+	scenarios := []struct {
+		name string
+		urls []string
+		code int
+		want []string
+	}{
+		{name: "calm", urls: []string{calm}, code: 0, want: []string{"Alert: calm", "1000"}},
+		{name: "one host that misses all beside nine that do not", urls: []string{calm, calm, calm, calm, calm, calm, calm, calm, calm, bad}, code: 0, want: []string{"Alert: ticket", "9100", "9.00"}},
+		{name: "half of the hosts", urls: []string{calm, bad}, code: 0, want: []string{"Alert: page", "45.00"}},
+		{name: "a host that can't be read", urls: []string{calm, "http://127.0.0.1:1/metrics"}, code: 5, want: []string{"missing: http://127.0.0.1:1/metrics", "Alert: calm", "1 of 2 hosts"}},
+		{name: "metrics of something else", urls: []string{metricsOf(t, `{}`)}, code: 5, want: []string{"metrics tell no burn"}},
+		{name: "no host", code: 2, want: []string{"metrics of at least one host"}},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			var out bytes.Buffer
+			code := Run(context.Background(), append([]string{"burn"}, sc.urls...), &out, &out)
+			if code != sc.code {
+				t.Errorf("exit %d, want %d: %s", code, sc.code, out.String())
+			}
+			for _, want := range sc.want {
+				if !strings.Contains(out.String(), want) {
+					t.Errorf("said %q without %q", out.String(), want)
+				}
+			}
+		})
+	}
+}
--- a/internal/opcli/commands.go
+++ b/internal/opcli/commands.go
@@ -119,6 +119,13 @@
 			run:   runReport,
 			flags: reportFlags,
 		},
+		{
+			Name:  "burn",
+			Args:  "URL ...",
+			Short: "show how fast the objective is missed over hosts of the users' platform",
+			Long:  "Reads the metrics of each host that is named, such as http://10.1.0.41:9464/metrics, and shows the burn of the objective over all of them. A host that can't be read is named, and the exit code is 5.",
+			run:   runBurn,
+		},
 		{
 			Name:  "orders",
 			Short: "show how far the engines have come to what is wanted",
--- a/internal/root/front/tally/burn/alert.go
+++ b/internal/root/front/tally/burn/alert.go
@@ -54,13 +54,46 @@
 
 // Over returns the report at now.
 func (m *Meter) Over(now time.Time, objective float64) Report {
+	return reportOf(objective, func(length time.Duration) (good, bad int64) { return m.Sum(now, length) })
+}
+
+// Joined returns the report over several hosts, by the objective of the first.
+func Joined(hosts []Report) Report {
+	if len(hosts) == 0 {
+		return Report{
+			Severity: Calm,
+		}
+	}
+	return reportOf(hosts[0].Objective, func(length time.Duration) (good, bad int64) {
+		for _, h := range hosts {
+			for _, w := range h.Windows {
+				if w.Minutes == minutes(length) {
+					good += w.Good
+					bad += w.Bad
+				}
+			}
+		}
+		return good, bad
+	})
+}
+
+// reportOf applies the rules to what was counted in the windows.
+func reportOf(objective float64, counted func(length time.Duration) (good, bad int64)) Report {
 	r := Report{
 		Objective: objective,
 		Severity:  Calm,
 	}
+	window := func(length time.Duration) Window {
+		good, bad := counted(length)
+		return Window{
+			Minutes: minutes(length),
+			Good:    good,
+			Bad:     bad,
+			Rate:    Rate(good, bad, objective),
+		}
+	}
 	for _, u := range rules() {
-		short := m.window(now, u.short, objective)
-		long := m.window(now, u.long, objective)
+		short, long := window(u.short), window(u.long)
 		r.Windows = append(r.Windows, short, long)
 		if r.Severity == Calm && short.Rate > u.rate && long.Rate > u.rate {
 			r.Severity = u.severity
@@ -69,12 +102,6 @@
 	return r
 }
 
-func (m *Meter) window(now time.Time, length time.Duration, objective float64) Window {
-	good, bad := m.Sum(now, length)
-	return Window{
-		Minutes: int(length / time.Minute),
-		Good:    good,
-		Bad:     bad,
-		Rate:    Rate(good, bad, objective),
-	}
+func minutes(d time.Duration) int {
+	return int(d / time.Minute)
 }
--- a/internal/root/relay/flow/answer.go
+++ b/internal/root/relay/flow/answer.go
@@ -73,16 +73,24 @@
 
 // record counts the outcome.
 func (u *run) record() {
-	u.Meter.Add(meter.Entry{
+	u.Meter.Add(u.Now(), meter.Entry{
 		Route:   u.route.Name,
 		Outcome: u.outcome(),
 		Cause:   string(u.cause),
 		Took:    u.Now().Sub(u.arrived),
 		Sends:   u.sends,
 		Begun:   u.first,
+		Owed:    u.outcome() != meter.Rejected && u.cause != CauseCaller,
+		OnTime:  u.onTime(),
 	})
 }
 
+// onTime reports whether the caller got a whole answer that is no failure and began within the objective.
+func (u *run) onTime() bool {
+	whole := u.begun && !u.abort && u.status < http.StatusInternalServerError
+	return whole && (u.route.Objective <= 0 || u.first <= u.route.Objective)
+}
+
 func (u *run) outcome() meter.Outcome {
 	switch {
 	case u.abort:
--- a/internal/root/relay/meter/meter.go
+++ b/internal/root/relay/meter/meter.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cornelwing/cornelwing/internal/root/front/tally/burn"
 )
 
 const (
@@ -42,6 +44,10 @@
 	Begun time.Duration
 	// Sends is how many upstreams it was sent to.
 	Sends int
+	// OnTime says that its answer was whole and began within the route's objective.
+	OnTime bool
+	// Owed says that it counts for the service-level objective: it was proper, and its caller waited.
+	Owed bool
 }
 
 // route is what is counted for one route.
@@ -49,6 +55,8 @@
 	outcomes map[Outcome]int64
 	causes   map[string]int64
 	sends    int64
+	owed     int64
+	onTime   int64
 	took     *hdrhistogram.Histogram
 	begun    *hdrhistogram.Histogram
 }
@@ -57,6 +65,7 @@
 type Meter struct {
 	mu     sync.Mutex
 	routes map[string]*route
+	burn   burn.Meter
 }
 
 // New returns a meter that has counted nothing.
@@ -66,8 +75,16 @@
 	}
 }
 
-// Add counts an entry.
-func (m *Meter) Add(e Entry) {
+// Burn returns how fast the objective, the part of what is owed that is to be on time, is missed.
+func (m *Meter) Burn(now time.Time, objective float64) burn.Report {
+	return m.burn.Over(now, objective)
+}
+
+// Add counts an entry that ended at now.
+func (m *Meter) Add(now time.Time, e Entry) {
+	if e.Owed {
+		m.burn.Add(now, e.OnTime)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r := m.route(e.Route)
@@ -76,6 +93,12 @@
 		r.causes[e.Cause]++
 	}
 	r.sends += int64(e.Sends)
+	if e.Owed {
+		r.owed++
+	}
+	if e.Owed && e.OnTime {
+		r.onTime++
+	}
 	record(r.took, e.Took)
 	if e.Begun > 0 {
 		record(r.begun, e.Begun)
@@ -129,9 +152,12 @@
 	Outcomes map[Outcome]int64 `json:"outcomes"`
 	Causes   map[string]int64  `json:"causes"`
 	// Sends counts sends to upstreams, those of retries among them.
-	Sends int64   `json:"sends"`
-	Took  Latency `json:"took"`
-	Begun Latency `json:"begun"`
+	Sends int64 `json:"sends"`
+	// Owed counts the proper requests whose callers waited, and OnTime those of them whose answers were whole and on time.
+	Owed   int64   `json:"owed"`
+	OnTime int64   `json:"on_time"`
+	Took   Latency `json:"took"`
+	Begun  Latency `json:"begun"`
 }
 
 // Routes returns what was counted so far, by the names of the routes.
@@ -144,6 +170,8 @@
 			Outcomes: map[Outcome]int64{},
 			Causes:   map[string]int64{},
 			Sends:    r.sends,
+			Owed:     r.owed,
+			OnTime:   r.onTime,
 			Took:     latencyOf(r.took),
 			Begun:    latencyOf(r.begun),
 		}
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime"
 
+	"github.com/cornelwing/cornelwing/internal/root/front/tally/burn"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
 )
@@ -22,6 +23,8 @@
 	Hosts     int                    `json:"hosts"`
 	Upstreams int                    `json:"upstreams"`
 	Routes    map[string]meter.Route `json:"routes"`
+	// Burn is how fast the objective is missed on this host.
+	Burn burn.Report `json:"burn"`
 	// Queues are those of the pools that this host batches for.
 	Queues     map[string]batch.Stats `json:"queues"`
 	Goroutines int                    `json:"goroutines"`
@@ -46,6 +49,7 @@
 		Hosts:      r.roster.Count(),
 		Upstreams:  len(r.members.List()),
 		Routes:     r.meter.Routes(),
+		Burn:       r.meter.Burn(r.Now(), r.settings.Objective.Attainment),
 		Queues:     r.keeper.Stats(),
 		Goroutines: runtime.NumGoroutine(),
 		HeapBytes:  mem.HeapAlloc,
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -18,6 +18,7 @@
 	Stop      Stop        `yaml:"stop"`
 	Keys      Keys        `yaml:"keys"`
 	Retry     Retry       `yaml:"retry"`
+	Objective Objective   `yaml:"objective"`
 	Log       Log         `yaml:"log"`
 }
 
@@ -62,6 +63,11 @@
 	Extra float64 `yaml:"extra" help:"retries of a pool that are allowed besides in a window"`
 }
 
+// Objective is the service-level objective whose burn the metrics tell.
+type Objective struct {
+	Attainment float64 `yaml:"attainment" help:"part of the requests that are to be answered whole and on time"`
+}
+
 // RelayDefaults returns the settings that hold where the file names none.
 func RelayDefaults() Relay {
 	return Relay{
@@ -71,6 +77,9 @@
 		Upstreams: Upstreams{
 			Forget: config.Span(2 * time.Second),
 		},
+		Objective: Objective{
+			Attainment: 0.95,
+		},
 		Log: Log{
 			Level: "info",
 		},
@@ -109,6 +118,7 @@
 	c.That(s.Keys.Revoke.D() >= time.Second, "keys.revoke", "%s is less than 1s", s.Keys.Revoke)
 	c.That(s.Retry.Ratio >= 0, "retry.ratio", "%g is below 0", s.Retry.Ratio)
 	c.That(s.Retry.Extra >= 0, "retry.extra", "%g is below 0", s.Retry.Extra)
+	c.That(s.Objective.Attainment > 0 && s.Objective.Attainment < 1, "objective.attainment", "%g is not above 0 and below 1", s.Objective.Attainment)
 	s.Log.check(&c)
 	return c.Faults()
 }
