--- a/internal/root/relay/follow/feed.go
+++ b/internal/root/relay/follow/feed.go
@@ -51,7 +51,7 @@
 	sink   Sink
 	wait   time.Duration
 	// gather is the pause after a call that brought changes.
-	gather time.Duration
+	gather func() time.Duration
 	// ask is called before each call, and what it returns after a good answer.
 	ask func() (confirm func())
 	// lost is called when calls begin to fail, and back when they succeed again.
@@ -75,7 +75,7 @@
 }
 
 // WithGather sets a pause after each call that brought changes, so that those which come close together cost one call.
-func WithGather(pause time.Duration) Option {
+func WithGather(pause func() time.Duration) Option {
 	return func(f *Feed) {
 		f.gather = pause
 	}
@@ -97,6 +97,7 @@
 		source: source,
 		sink:   sink,
 		wait:   wait,
+		gather: func() time.Duration { return 0 },
 		ask:    func() func() { return func() {} },
 		lost:   func() {},
 		back:   func() {},
@@ -126,7 +127,7 @@
 			f.heard = f.Now()
 			f.succeeded()
 			if changes > 0 {
-				common.Sleep(ctx, f.gather)
+				common.Sleep(ctx, f.gather())
 			}
 			continue
 		}
--- /dev/null
+++ b/internal/root/relay/gather_test.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
+	"github.com/cornelwing/cornelwing/internal/root/relay/hosts"
+	"github.com/cornelwing/cornelwing/internal/setup"
+	"github.com/cornelwing/cornelwing/pkg/config"
+)
+
+// TestNewsOfUpstreamsByTheNumberOfHosts answers a rolling release: a few hosts hear of each change at once, and many do not call the store more often together.
+func TestNewsOfUpstreamsByTheNumberOfHosts(t *testing.T) {
+	scenarios := []struct {
+		hosts int
+		most  time.Duration
+		least time.Duration
+	}{
+		{hosts: 1, most: 10 * time.Millisecond},
+		{hosts: 9, most: 50 * time.Millisecond},
+		{hosts: 81, least: 81 * time.Second / 300, most: 300 * time.Millisecond},
+		{hosts: 360, least: 81 * time.Second / 300, most: 300 * time.Millisecond},
+	}
+	for _, sc := range scenarios {
+		Convey(fmt.Sprintf("With %d hosts", sc.hosts), t, func() {
+			r := New(common.Quiet("h0", "d"), setup.Relay{
+				Host:      setup.RelayHost{Name: "h0", Domain: "d"},
+				Listen:    setup.RelayListen{Peers: "127.0.0.1:0"},
+				Upstreams: setup.Upstreams{Forget: config.Span(2 * time.Second)},
+			}, Adapter{})
+			var rows []follow.Row
+			for i := range sc.hosts {
+				value, err := json.Marshal(hosts.Host{Name: fmt.Sprintf("h%d", i), Addr: "127.0.0.1:1"})
+				So(err, ShouldBeNil)
+				rows = append(rows, follow.Row{Key: fmt.Sprintf("h%d", i), Value: value})
+			}
+			r.roster.Reset(rows)
+			So(r.gather(), ShouldBeBetweenOrEqual, sc.least, sc.most)
+		})
+	}
+}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -25,7 +25,9 @@
 const (
 	// upstreamWait is how long a call for changes of the upstreams waits; it bounds how late a connection that fell silent is noticed.
 	upstreamWait = 2 * time.Second
-	// gatherShare is the part of the time in which a gone upstream has to be forgotten for which changes of the upstreams are gathered.
+	// readRate is how many calls a second all hosts together make for changes of the upstreams that come one after the other.
+	readRate = 250
+	// gatherShare is the part of the time in which a gone upstream has to be forgotten for which changes are gathered at the most.
 	gatherShare = 0.15
 	// planShare is the part of the lease on keys for which a call for changes of the configuration waits, so that most of the lease is left when the platform falls silent.
 	planShare = 0.3
@@ -147,7 +149,7 @@
 	tree := super.New(r.WithPart("root"), super.WithParts(
 		follow.NewFeed(r.Deps, "configurations", r.adapter.Configurations, plans, r.planWait(), follow.WithConfirm(r.confirm)),
 		follow.NewFeed(r.Deps, "upstreams", r.adapter.Upstreams, r.members, upstreamWait,
-			follow.WithOutage(r.members.Lost, r.members.Back), follow.WithGather(r.gather())),
+			follow.WithOutage(r.members.Lost, r.members.Back), follow.WithGather(r.gather)),
 		follow.NewFeed(r.Deps, "hosts", r.adapter.Hosts, r.roster, hostsWait),
 		r.peers,
 		super.Func{
@@ -177,8 +179,10 @@
 	return time.Duration(planShare * float64(r.settings.Keys.Revoke.D()))
 }
 
+// gather is how long changes of the upstreams are gathered: the more hosts there are, the longer.
 func (r *Relay) gather() time.Duration {
-	return time.Duration(gatherShare * float64(r.settings.Upstreams.Forget.D()))
+	most := time.Duration(gatherShare * float64(r.settings.Upstreams.Forget.D()))
+	return min(most, time.Duration(r.roster.Count())*time.Second/readRate)
 }
 
 // plainServer returns a server that has nothing to drain.
