--- /dev/null
+++ b/internal/jhttp/call_test.go
@@ -0,0 +1,60 @@
+package jhttp
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestDo(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if r.URL.Path == "/hang" {
+			<-r.Context().Done()
+			return
+		}
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = io.WriteString(w, `{"said":"`+r.Method+" "+r.Header.Get("X-A")+" "+r.Header.Get("Content-Type")+" "+strings.ReplaceAll(string(body), `"`, "'")+`"}`)
+	}))
+	defer s.Close()
+	scenarios := []struct {
+		name string
+		call Call
+		want string
+		err  string
+	}{
+		{name: "with a body", call: Call{Method: "POST", URL: s.URL, Body: map[string]int{"n": 1}, Header: http.Header{"X-A": {"b"}}, Limit: 1000}, want: "POST b application/json {'n':1}"},
+		{name: "without", call: Call{Method: "GET", URL: s.URL, Limit: 1000}, want: "GET   "},
+		{name: "answer beyond the limit", call: Call{Method: "GET", URL: s.URL, Limit: 5}, err: "decode answer"},
+		{name: "body that can't be encoded", call: Call{Method: "POST", URL: s.URL, Body: func() {}}, err: "encode call"},
+		{name: "no address", call: Call{Method: "GET", URL: "::"}, err: "make call"},
+		{name: "nobody there", call: Call{Method: "GET", URL: "http://127.0.0.1:1"}, err: "send call"},
+		{name: "no answer", call: Call{Method: "GET", URL: s.URL + "/hang"}, err: "send call"},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			var got struct {
+				Said string `json:"said"`
+			}
+			status, answer, err := Do(ctx, http.DefaultTransport, sc.call)
+			if err == nil {
+				err = Decode(answer, &got)
+			}
+			if sc.err != "" {
+				if err == nil || !strings.Contains(err.Error(), sc.err) {
+					t.Fatalf("error %v, want %q", err, sc.err)
+				}
+				return
+			}
+			if err != nil || status != http.StatusAccepted || got.Said != sc.want {
+				t.Errorf("status %d, said %q, error %v; want %q", status, got.Said, err, sc.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/jhttp/doc.go
@@ -0,0 +1,2 @@
+// Package jhttp sends calls whose bodies and answers are JSON.
+package jhttp
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/jhttp"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 )
@@ -30,7 +31,6 @@
 	foreignOwners = 2
 	foreignAfter  = 200 * time.Millisecond
 	maxBody       = 1 << 20
-	typeJSON      = "application/json"
 )
 
 // Paths of the interface between hosts.
@@ -112,7 +112,7 @@
 	roster *Roster
 	local  Local
 	addr   string
-	http   *http.Client
+	http   *http.Transport
 	picks  picker
 	// crashes takes what other hosts tell of crashes; it is set before the part runs.
 	crashes *Crashes
@@ -125,14 +125,12 @@
 		roster: roster,
 		local:  local,
 		addr:   addr,
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext: send.Dialer(dialTimeout).DialContext,
-				Protocols:   onlyHTTP2(),
-				HTTP2: &http.HTTP2Config{
-					SendPingTimeout: pingEvery,
-					PingTimeout:     pingTimeout,
-				},
+		http: &http.Transport{
+			DialContext: send.Dialer(dialTimeout).DialContext,
+			Protocols:   onlyHTTP2(),
+			HTTP2: &http.HTTP2Config{
+				SendPingTimeout: pingEvery,
+				PingTimeout:     pingTimeout,
 			},
 		},
 	}
@@ -223,7 +221,7 @@
 		p.local.Free(work.Queue, made.Handles)
 		return
 	}
-	w.Header().Set("Content-Type", typeJSON)
+	w.Header().Set("Content-Type", jhttp.Type)
 	// A peer that has gone away needs no answer: its results expire.
 	_ = json.NewEncoder(w).Encode(p.answerOf(work.Queue, o))
 }
