--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -25,7 +25,7 @@
 const (
 	// upstreamWait is how long a call for changes of the upstreams waits; it bounds how late a connection that fell silent is noticed.
 	upstreamWait = 2 * time.Second
-	// readRate is how many calls a second all hosts together make for changes of the upstreams that come one after the other.
+	// readRate is how many calls a second all hosts together make for changes of one table that come one after the other.
 	readRate = 250
 	// gatherShare is the part of the time in which a gone upstream has to be forgotten for which changes are gathered at the most.
 	gatherShare = 0.15
@@ -147,10 +147,10 @@
 func (r *Relay) Run(ctx context.Context) error {
 	plans := follow.NewPlans(r.Deps, r.adapter.ConfigKey, r.adapter.Plan, r.plans, r.sync)
 	tree := super.New(r.WithPart("root"), super.WithParts(
-		follow.NewFeed(r.Deps, "configurations", r.adapter.Configurations, plans, r.planWait(), follow.WithConfirm(r.confirm)),
+		follow.NewFeed(r.Deps, "configurations", r.adapter.Configurations, plans, r.planWait(), follow.WithConfirm(r.confirm), follow.WithGather(r.gather)),
 		follow.NewFeed(r.Deps, "upstreams", r.adapter.Upstreams, r.members, upstreamWait,
 			follow.WithOutage(r.members.Lost, r.members.Back), follow.WithGather(r.gather)),
-		follow.NewFeed(r.Deps, "hosts", r.adapter.Hosts, r.roster, hostsWait),
+		follow.NewFeed(r.Deps, "hosts", r.adapter.Hosts, r.roster, hostsWait, follow.WithGather(r.gather)),
 		r.peers,
 		super.Func{
 			Label: "presence",
@@ -179,7 +179,7 @@
 	return time.Duration(planShare * float64(r.settings.Keys.Revoke.D()))
 }
 
-// gather is how long changes of the upstreams are gathered: the more hosts there are, the longer.
+// gather is how long changes of a table are gathered: the more hosts there are, the longer, as each change is told to all of them.
 func (r *Relay) gather() time.Duration {
 	most := time.Duration(gatherShare * float64(r.settings.Upstreams.Forget.D()))
 	return min(most, time.Duration(r.roster.Count())*time.Second/readRate)
