--- a/internal/root/relay/ready.go
+++ b/internal/root/relay/ready.go
@@ -25,6 +25,8 @@
 		return "no configuration yet"
 	case !r.members.Loaded():
 		return "no upstreams are known yet"
+	case !r.synced.Load():
+		return "upstreams are not in use yet"
 	case !r.roster.Loaded():
 		return "no other hosts are known yet"
 	case p.Closed() && !r.lease.Valid():
--- a/internal/root/relay/ready_test.go
+++ b/internal/root/relay/ready_test.go
@@ -26,6 +26,29 @@
 	return nil
 }
 
+// TestReadyOnlyOnceUpstreamsAreUsed is the moment between reading the upstreams and giving them to the routing table and the queues, which can be long on a busy host.
+func TestReadyOnlyOnceUpstreamsAreUsed(t *testing.T) {
+	Convey("Given a host that has read its upstreams and its configuration, and has not brought them together", t, func() {
+		r := New(common.Quiet("host-1", "d"), setup.Relay{
+			Listen: setup.RelayListen{Callers: "127.0.0.1:0"},
+			Stop:   setup.Stop{Grace: 1},
+		}, Adapter{Hosts: noHosts{}})
+		r.members.Reset(nil)
+		r.roster.Reset(nil)
+		r.plans.Offer(&plan.Plan{Version: 1})
+		ctx, cancel := context.WithCancel(t.Context())
+		up := make(chan struct{})
+		done := make(chan error, 1)
+		go func() { done <- r.callers.Run(ctx, func() { close(up) }) }()
+		<-up
+		So(r.unready(), ShouldEqual, "upstreams are not in use yet")
+		r.sync()
+		So(r.unready(), ShouldEqual, "")
+		cancel()
+		<-done
+	})
+}
+
 func TestReadyOnlyOnceCallersAreServed(t *testing.T) {
 	Convey("Given a host that knows its configuration and its upstreams", t, func() {
 		r := New(common.Quiet("host-1", "d"), setup.Relay{
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
@@ -88,6 +89,8 @@
 	flow     *flow.Service
 	callers  *serve.Graceful
 	meter    *meter.Meter
+	// synced says that the routing table and the queues have the upstreams of a configuration.
+	synced atomic.Bool
 }
 
 // New returns a daemon on the platform of the adapter.
@@ -208,6 +211,7 @@
 	if p == nil {
 		return
 	}
+	loaded := r.members.Loaded()
 	ups := r.members.List()
 	specs := make([]route.PoolSpec, 0, len(p.Pools))
 	for _, pool := range p.Pools {
@@ -223,6 +227,9 @@
 	}
 	r.table.Sync(specs, ups, r.roster.Count())
 	r.keeper.Sync(p, ups)
+	if loaded {
+		r.synced.Store(true)
+	}
 }
 
 // present tells the other hosts of this one, and takes it back as the host stops.
