--- a/internal/opcli/burn.go
+++ b/internal/opcli/burn.go
@@ -40,8 +40,8 @@
 		hosts = append(hosts, r)
 	}
 	if len(hosts) > 0 {
-		err := c.show(burn.Joined(hosts), func(t *tabwriter.Writer) { printBurn(t, burn.Joined(hosts)) })
-		if err != nil {
+		joined := burn.Joined(hosts)
+		if err := c.show(joined, func(t *tabwriter.Writer) { printBurn(t, joined) }); err != nil {
 			return fmt.Errorf("burn: %w", err)
 		}
 	}
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cornelwing/cornelwing/internal/common"
 )
 
 // Next returns the next call to make, or false while no worker is idle or nothing waits.
@@ -53,20 +55,14 @@
 			out = append(out, j)
 		}
 	}
-	late := func(j *Job) int {
-		if now.Add(q.callTime(j.Work)).After(j.onTime) {
-			return 1
-		}
-		return 0
-	}
-	away := func(j *Job) int {
-		if j.Domain == domain {
-			return 0
-		}
-		return 1
-	}
+	late := func(j *Job) bool { return now.Add(q.callTime(j.Work)).After(j.onTime) }
 	slices.SortStableFunc(out, func(a, b *Job) int {
-		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(a.Rank, b.Rank), cmp.Compare(away(a), away(b)), a.onTime.Compare(b.onTime))
+		return cmp.Or(
+			common.CompareBool(late(a), late(b)),
+			cmp.Compare(a.Rank, b.Rank),
+			common.CompareBool(a.Domain != domain, b.Domain != domain),
+			a.onTime.Compare(b.onTime),
+		)
 	})
 	return out
 }
@@ -79,20 +75,14 @@
 			out = append(out, w)
 		}
 	}
-	far := func(w *worker) int {
-		if w.up.Domain == domain {
-			return 0
-		}
-		return 1
-	}
-	slow := func(w *worker) int {
-		if w.slowness(now) > slowLimit {
-			return 1
-		}
-		return 0
-	}
+	slow := func(w *worker) bool { return w.slowness(now) > slowLimit }
 	slices.SortFunc(out, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(slow(a), slow(b)), cmp.Compare(far(a), far(b)), cmp.Compare(a.used, b.used), cmp.Compare(a.up.Name, b.up.Name))
+		return cmp.Or(
+			common.CompareBool(slow(a), slow(b)),
+			common.CompareBool(a.up.Domain != domain, b.up.Domain != domain),
+			cmp.Compare(a.used, b.used),
+			cmp.Compare(a.up.Name, b.up.Name),
+		)
 	})
 	return out
 }
--- a/internal/root/relay/batch/shard.go
+++ b/internal/root/relay/batch/shard.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -48,10 +49,5 @@
 
 // sortedShards returns the shards by their names.
 func sortedShards(of map[Shard][]route.Upstream) []Shard {
-	out := make([]Shard, 0, len(of))
-	for s := range of {
-		out = append(out, s)
-	}
-	slices.SortFunc(out, func(a, b Shard) int { return strings.Compare(a.Queue, b.Queue) })
-	return out
+	return slices.SortedFunc(maps.Keys(of), func(a, b Shard) int { return strings.Compare(a.Queue, b.Queue) })
 }
--- a/internal/root/relay/flow/answer.go
+++ b/internal/root/relay/flow/answer.go
@@ -73,14 +73,16 @@
 
 // record counts the outcome.
 func (u *run) record() {
-	u.Meter.Add(u.Now(), meter.Entry{
+	now := u.Now()
+	outcome := u.outcome()
+	u.Meter.Add(now, meter.Entry{
 		Route:   u.route.Name,
-		Outcome: u.outcome(),
+		Outcome: outcome,
 		Cause:   string(u.cause),
-		Took:    u.Now().Sub(u.arrived),
+		Took:    now.Sub(u.arrived),
 		Sends:   u.sends,
 		Begun:   u.first,
-		Owed:    u.outcome() != meter.Rejected && u.cause != CauseCaller,
+		Owed:    outcome != meter.Rejected && u.cause != CauseCaller,
 		OnTime:  u.onTime(),
 	})
 }
--- a/internal/root/relay/hosts/pick.go
+++ b/internal/root/relay/hosts/pick.go
@@ -73,19 +73,11 @@
 	salt := xxhash.Sum64String(w.Request)
 	slices.SortFunc(out, func(a, b batch.Shard) int {
 		return cmp.Or(
-			cmp.Compare(rankOf(p.refuses(now, a.Queue, w.Rank)), rankOf(p.refuses(now, b.Queue, w.Rank))),
-			cmp.Compare(rankOf(a.Domain != w.Domain), rankOf(b.Domain != w.Domain)),
-			cmp.Compare(rankOf(a.Domain != home), rankOf(b.Domain != home)),
+			common.CompareBool(p.refuses(now, a.Queue, w.Rank), p.refuses(now, b.Queue, w.Rank)),
+			common.CompareBool(a.Domain != w.Domain, b.Domain != w.Domain),
+			common.CompareBool(a.Domain != home, b.Domain != home),
 			cmp.Compare(common.Mix(salt^xxhash.Sum64String(a.Queue)), common.Mix(salt^xxhash.Sum64String(b.Queue))),
 		)
 	})
 	return out[:min(queueTries, len(out))]
 }
-
-// rankOf orders what holds after what does not.
-func rankOf(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/internal/root/relay/hosts/roster.go
+++ b/internal/root/relay/hosts/roster.go
@@ -230,7 +230,7 @@
 		switch {
 		case best == nil, away(best) && !away(s):
 			best = s
-		case away(best) == away(s) && r.before(queue, s, best):
+		case away(best) == away(s) && compare(queue, s, best) < 0:
 			best = s
 		}
 	}
@@ -265,12 +265,7 @@
 			live = append(live, s)
 		}
 	}
-	slices.SortFunc(live, func(a, b *state) int {
-		if r.before(key, a, b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(live, func(a, b *state) int { return compare(key, a, b) })
 	var out []Host
 	for _, s := range live[:min(n, len(live))] {
 		out = append(out, s.host)
@@ -282,10 +277,10 @@
 	return slices.DeleteFunc(list, func(h Host) bool { return h.Name == r.self.Name })
 }
 
-// before orders hosts for a key, such as the name of a queue, the same way on every host; a host is first as often as its power says.
-func (r *Roster) before(key string, a, b *state) bool {
+// compare orders hosts for a key, such as the name of a queue, the same way on every host; a host is first as often as its power says.
+func compare(key string, a, b *state) int {
 	p := xxhash.Sum64String(key)
-	return cmp.Or(cmp.Compare(a.score(p), b.score(p)), cmp.Compare(a.host.Name, b.host.Name)) > 0
+	return cmp.Or(cmp.Compare(b.score(p), a.score(p)), cmp.Compare(b.host.Name, a.host.Name))
 }
 
 // score is the host's weight in rendezvous hashing for the hash of a key.
--- a/internal/setup/reference.go
+++ b/internal/setup/reference.go
@@ -38,6 +38,9 @@
 		field := v.Type().Field(i)
 		path := prefix + field.Tag.Get("yaml")
 		switch {
+		case field.Anonymous:
+			// Its fields stand among those of the struct that embeds it.
+			writeFields(b, prefix, v.Field(i))
 		case field.Type.Kind() == reflect.Struct:
 			writeFields(b, path+".", v.Field(i))
 		case field.Type.Kind() == reflect.Slice && field.Type.Elem().Kind() == reflect.Struct:
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -24,9 +24,8 @@
 
 // RelayHost says which host this is and what it can do.
 type RelayHost struct {
-	Name   string  `yaml:"name" help:"name of this host, unique among all"`
-	Domain string  `yaml:"domain" help:"failure domain of this host"`
-	Power  float64 `yaml:"power" help:"part of a core that this host has; the more, the more queues of workers it keeps"`
+	Host  `yaml:",inline"`
+	Power float64 `yaml:"power" help:"part of a core that this host has; the more, the more queues of workers it keeps"`
 }
 
 // RelayListen holds the addresses, an IP number and a port each.
@@ -102,11 +101,7 @@
 // Faults returns everything that is wrong with the settings.
 func (s *Relay) Faults() []strict.Fault {
 	var c strict.Check
-	named := Host{
-		Name:   s.Host.Name,
-		Domain: s.Host.Domain,
-	}
-	named.check(&c)
+	s.Host.check(&c)
 	c.That(s.Host.Power > 0, "host.power", "%g is not above 0", s.Host.Power)
 	checkAddr(&c, "listen.callers", s.Listen.Callers)
 	checkAddr(&c, "listen.ready", s.Listen.Ready)
