--- a/internal/root/relay/batch/keeper.go
+++ b/internal/root/relay/batch/keeper.go
@@ -160,6 +160,7 @@
 	defer k.mu.Unlock()
 	q, ok := k.queues[w.Queue]
 	if !ok {
+		k.Log.WithFields(fieldsOf(w)).Info("Work refused: its queue is not known here.")
 		return nil, nil, &Refused{
 			After: maxAfter / 3,
 		}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -244,6 +244,7 @@
 		if err == nil {
 			break
 		}
+		r.Log.WithError(err).Info("Other hosts were not told of this one. Trying again.")
 		if !common.Sleep(ctx, hostRetry) {
 			return nil
 		}
