--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -89,6 +90,8 @@
 	flow     *flow.Service
 	callers  *serve.Graceful
 	meter    *meter.Meter
+	// syncing is held while the routing table and the queues are brought up to date.
+	syncing sync.Mutex
 	// synced says that the routing table and the queues have the upstreams of a configuration.
 	synced atomic.Bool
 }
@@ -207,6 +210,9 @@
 
 // sync brings the plan and the upstreams into the routing table and the queues.
 func (r *Relay) sync() {
+	// What was read last has to be brought in last, whichever change comes from where.
+	r.syncing.Lock()
+	defer r.syncing.Unlock()
 	p := r.plans.Current()
 	if p == nil {
 		return
