--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -24,8 +24,12 @@
 	Fail
 	// DropResponse runs the request and closes the connection without a response.
 	DropResponse
-	// Truncate runs the request and closes the connection in the middle of the response.
+	// Truncate runs the request and closes the connection in the middle of the response. In a stream, it does so in the middle of an event.
 	Truncate
+	// TruncateHead runs the request and closes the connection after the head of the response.
+	TruncateHead
+	// Reset runs the request and resets the connection in the middle of the response. In a stream, it does so between two events.
+	Reset
 	// OtherRequestID responds with the ID of another request, and NoStamp without the server's stamp.
 	OtherRequestID
 	NoStamp
@@ -54,6 +58,8 @@
 	Events int
 	// NeedsInputs rejects requests without an Inputs header, which carries the results of stages.
 	NeedsInputs bool
+	// Unframed sends responses with neither a length nor chunks, so that only the end of the connection marks their end.
+	Unframed bool
 
 	addr string
 	http *http.Server
@@ -239,6 +245,10 @@
 	h.Set("Request-Id", id)
 	h.Set("Server-Stamp", "stamp."+s.ID)
 	h.Set("Server-Load", "1,0,8")
+	if s.Unframed {
+		// net/http then neither adds a length nor uses chunks.
+		h.Set("Transfer-Encoding", "identity")
+	}
 	switch b {
 	case DropResponse:
 		panic(http.ErrAbortHandler)
@@ -262,9 +272,12 @@
 	case RespondTwice:
 		s.writeTwoResponses(w, id)
 		return
+	case TruncateHead:
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
 	}
 	if s.Events > 0 {
-		s.writeStream(w, r, b == Truncate)
+		s.writeStream(w, r, b)
 		return
 	}
 	if b == Truncate {
@@ -291,8 +304,8 @@
 	_ = buf.Flush()
 }
 
-// writeStream sends the events after the one named by the Last-Event-Id header. If cut is true, it sends half of them, truncates the next event and closes the connection.
-func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, cut bool) {
+// writeStream sends the events after the one named by the Last-Event-Id header. With the behaviors Truncate and Reset, it ends the connection after half of them.
+func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, b Behavior) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	if err != nil {
@@ -300,10 +313,15 @@
 	}
 	rc := http.NewResponseController(w)
 	for i := last + 1; i <= s.Events; i++ {
-		if cut && i == (last+s.Events+1)/2 {
+		middle := i == (last+s.Events+1)/2
+		switch {
+		case b == Truncate && middle:
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: pie", i)
 			_ = rc.Flush()
 			panic(http.ErrAbortHandler)
+		case b == Reset && middle:
+			resetConn(rc)
+			return
 		}
 		// A write error means that the client has disconnected and needs no response.
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
@@ -311,6 +329,19 @@
 	}
 }
 
+// resetConn closes the connection of a response with a TCP reset.
+func resetConn(rc *http.ResponseController) {
+	conn, _, err := rc.Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// Without lingering, closing sends a reset.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 type result struct {
 	Handle string `json:"handle,omitempty"`
 	Reason string `json:"reason,omitempty"`
