Test that a response cut off anywhere does not pass for a whole one

Change: tests only, with a stand-in that pads bodies, cuts them before the last byte and resets connections.

--- a/internal/jhttp/call_test.go
+++ b/internal/jhttp/call_test.go
@@ -58,3 +58,24 @@
 		})
 	}
 }
+
+// A peer that dies can close its connection in order, so the end of the connection must not pass for the end of a response.
+func TestResponseIsDecodedOnlyWithItsLastByte(t *testing.T) {
+	const doc = `{"items":[{"handle":"a"},{"reason":"gone"}],"ver":7}`
+	sent := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		// net/http then neither adds a length nor uses chunks.
+		w.Header().Set("Transfer-Encoding", "identity")
+		_, _ = io.WriteString(w, doc[:sent])
+	}))
+	defer s.Close()
+	for sent = range len(doc) + 1 {
+		_, body, err := Do(t.Context(), http.DefaultTransport, Call{Method: http.MethodGet, URL: s.URL, Limit: 1000})
+		if err == nil {
+			err = Decode(body, &struct{}{})
+		}
+		if (err == nil) != (sent == len(doc)) {
+			t.Fatalf("after %d of %d bytes the error is %v", sent, len(doc), err)
+		}
+	}
+}
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -60,6 +61,8 @@
 	Events int
 	// NeedsInputs rejects requests without an Inputs header, which carries the results of stages.
 	NeedsInputs bool
+	// BodyBytes is the minimum size of a plain body, which is padded to it.
+	BodyBytes int
 	// Unframed sends responses with neither a length nor chunks, so that only the end of the connection marks their end.
 	Unframed bool
 
@@ -282,13 +285,33 @@
 		s.writeStream(w, r, b)
 		return
 	}
+	s.writePlain(w, id, b)
+}
+
+// Body returns the plain body of the response to the request with the id.
+func (s *Server) Body(id string) string {
+	body := "body of " + id
+	return body + strings.Repeat(".", max(0, s.BodyBytes-len(body)))
+}
+
+// writePlain sends a plain body. With the behaviors Truncate and Reset, it ends the connection before the last byte. Truncate states the length of the whole body first, even if responses are unframed, as nothing else would show that a part is missing.
+func (s *Server) writePlain(w http.ResponseWriter, id string, b Behavior) {
+	body := s.Body(id)
 	if b == Truncate {
-		h.Set("Content-Length", "100")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	if b == Truncate || b == Reset {
+		body = body[:len(body)-1]
 	}
 	// A write error means that the client has disconnected and needs no response.
-	_, _ = io.WriteString(w, "body of "+id)
-	if b == Truncate {
+	_, _ = io.WriteString(w, body)
+	switch b {
+	case Truncate:
 		panic(http.ErrAbortHandler)
+	case Reset:
+		_ = http.NewResponseController(w).Flush()
+		// If the client has disconnected, there is no connection left to reset.
+		_ = serve.ResetConn(w)
 	}
 }
 
--- /dev/null
+++ b/pkg/client/client_test.go
@@ -0,0 +1,57 @@
+package client
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/pkg/wire"
+)
+
+// A host that dies can close its connection in order, so the end of the connection must not pass for the end of an answer.
+func TestAnswerIsCompleteOnlyWithItsLastByte(t *testing.T) {
+	const doc = `{"request_id":"r","outcome":"answered","output":"x","stages":[]}`
+	scenarios := []struct {
+		name        string
+		contentType string
+		status      int
+		body        string
+		complete    func(err error) bool
+	}{
+		{name: "plain answer", contentType: wire.TypeJSON, status: http.StatusOK, body: doc, complete: func(err error) bool { return err == nil }},
+		{name: "stream", contentType: wire.TypeStream, status: http.StatusOK, body: "event: token\ndata: {\"index\":0,\"text\":\"x\"}\n\nevent: done\ndata: " + doc + "\n\n", complete: func(err error) bool { return err == nil }},
+		{name: "refusal", contentType: wire.TypeProblem, status: http.StatusServiceUnavailable, body: `{"type":"overload","outcome":"not_run"}`, complete: isProblem},
+		{name: "refusal in a stream", contentType: wire.TypeStream, status: http.StatusOK, body: "event: problem\ndata: {\"type\":\"overload\",\"outcome\":\"not_run\"}\n\n", complete: isProblem},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			sent := 0
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", sc.contentType)
+				// net/http then neither adds a length nor uses chunks.
+				w.Header().Set("Transfer-Encoding", "identity")
+				w.WriteHeader(sc.status)
+				_, _ = io.WriteString(w, sc.body[:sent])
+			}))
+			defer s.Close()
+			c := New([]string{s.URL}, "token")
+			for sent = range len(sc.body) + 1 {
+				_, err := c.Send(t.Context(), Call{Pipeline: "p", OnToken: func(wire.Token) {}}, 0)
+				if sc.complete(err) != (sent == len(sc.body)) {
+					t.Fatalf("after %d of %d bytes the error is %v", sent, len(sc.body), err)
+				}
+				if sent < len(sc.body) && !errors.Is(err, ErrIncompleteResponse) {
+					t.Fatalf("after %d of %d bytes the error is %v, want ErrIncompleteResponse", sent, len(sc.body), err)
+				}
+			}
+		})
+	}
+}
+
+func isProblem(err error) bool {
+	var p wire.Problem
+	return errors.As(err, &p)
+}
