Keep the outcome of a send when the caller's deadline cuts its retry

Change: the earlier problem is kept, with the outcome 'unknown', as the last send may have run. Why not to stop sooner: the client can't know how long a send takes, and most retries of that kind are answered. Measured: TestErrorOfSeveralSends (nine rows) fails for two rows on the code before and passes.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -142,20 +142,30 @@
 }
 
 // mergeErrors returns the error to report for a call that was sent more than once. If no stage ran for the latest
-// send, the outcome of the earlier send still applies, because stages may have run for the earlier send.
+// send, the outcome of the earlier send still applies, because stages may have run for the earlier send. If the
+// latest send had no response, the host's explanation for the earlier one is kept, with an unknown outcome.
 func mergeErrors(earlier, now error) error {
-	if earlier != nil && errors.Is(now, ErrUnreachable) {
+	if earlier == nil {
+		return now
+	}
+	if errors.Is(now, ErrUnreachable) {
 		return earlier
 	}
-	var p wire.Problem
-	if earlier == nil || !errors.As(now, &p) || p.Outcome != wire.NotRun {
+	var earlierProblem, problem wire.Problem
+	hasEarlierProblem := errors.As(earlier, &earlierProblem)
+	switch {
+	case !errors.As(now, &problem):
+		if hasEarlierProblem {
+			return earlierProblem.WithOutcome(wire.Unknown)
+		}
 		return now
+	case problem.Outcome != wire.NotRun:
+		return now
+	case hasEarlierProblem:
+		return problem.WithOutcome(earlierProblem.Outcome)
+	default:
+		return problem.WithOutcome(wire.Unknown)
 	}
-	var earlierProblem wire.Problem
-	if !errors.As(earlier, &earlierProblem) {
-		return p.WithOutcome(wire.Unknown)
-	}
-	return p.WithOutcome(earlierProblem.Outcome)
 }
 
 // skipDelivered returns a callback that passes each token index to onToken once and in order. It drops the tokens that
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -55,3 +56,33 @@
 	var p wire.Problem
 	return errors.As(err, &p)
 }
+
+// A retry that is cut off by the caller's deadline must not hide the outcome that the send before it has brought.
+func TestErrorOfSeveralSends(t *testing.T) {
+	incomplete := fmt.Errorf("send request: %w", ErrIncompleteResponse)
+	problem := func(o wire.Outcome) error {
+		return wire.NewProblem(wire.KindStoreUnavailable, o, "")
+	}
+	scenarios := []struct {
+		name         string
+		earlier, now error
+		want         error
+	}{
+		{name: "only one send", now: incomplete, want: incomplete},
+		{name: "no response after an unknown outcome", earlier: problem(wire.Unknown), now: incomplete, want: problem(wire.Unknown)},
+		{name: "no response after a refusal", earlier: problem(wire.NotRun), now: incomplete, want: problem(wire.Unknown)},
+		{name: "no response twice", earlier: incomplete, now: incomplete, want: incomplete},
+		{name: "a refusal after no response", earlier: incomplete, now: problem(wire.NotRun), want: problem(wire.Unknown)},
+		{name: "a refusal after an unknown outcome", earlier: problem(wire.Unknown), now: problem(wire.NotRun), want: problem(wire.Unknown)},
+		{name: "two refusals", earlier: problem(wire.NotRun), now: problem(wire.NotRun), want: problem(wire.NotRun)},
+		{name: "a failure after a refusal", earlier: problem(wire.NotRun), now: problem(wire.Failed), want: problem(wire.Failed)},
+		{name: "an unreachable host after a refusal", earlier: problem(wire.NotRun), now: ErrUnreachable, want: problem(wire.NotRun)},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			if got := mergeErrors(sc.earlier, sc.now); got != sc.want {
+				t.Errorf("got %v, want %v", got, sc.want)
+			}
+		})
+	}
+}
