--- a/internal/stand/rows/listen.go
+++ b/internal/stand/rows/listen.go
@@ -84,7 +84,7 @@
 func (l *Listener) withFault(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		l.store.mu.Lock()
-		l.store.calls++
+		l.store.calls[r.URL.Path]++
 		if era := l.store.era; era != "" {
 			w.Header().Set("Store-Era", era)
 		}
--- a/internal/stand/rows/store.go
+++ b/internal/stand/rows/store.go
@@ -42,7 +42,8 @@
 	// changed is closed and replaced at every change.
 	changed chan struct{}
 	start   time.Time
-	calls   int
+	// calls counts the calls by path.
+	calls map[string]int
 }
 
 // Copy is a copy of the rows of a store.
@@ -95,6 +96,7 @@
 	return &Store{
 		changed: make(chan struct{}),
 		start:   time.Now(),
+		calls:   map[string]int{},
 	}
 }
 
@@ -102,7 +104,18 @@
 func (s *Store) Calls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.calls
+	n := 0
+	for _, c := range s.calls {
+		n += c
+	}
+	return n
+}
+
+// CallsTo returns the number of calls to a path that all listeners together have received.
+func (s *Store) CallsTo(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
 }
 
 // Put writes a row unconditionally.
