--- a/internal/stand/rows/listen.go
+++ b/internal/stand/rows/listen.go
@@ -127,8 +127,16 @@
 	a.Now = time.Since(l.store.start).Milliseconds()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
+	body, err := json.Marshal(a)
+	if err != nil {
+		// A response consists of rows and numbers only.
+		panic(err)
+	}
+	l.store.mu.Lock()
+	l.store.sentBytes += len(body)
+	l.store.mu.Unlock()
 	// A write error means that the client has disconnected and needs no response.
-	_ = json.NewEncoder(w).Encode(a)
+	_, _ = w.Write(body)
 }
 
 // tx runs the transaction in the request body. It rejects writes to the tables op and servers, which belong to the platform.
--- a/internal/stand/rows/store.go
+++ b/internal/stand/rows/store.go
@@ -42,8 +42,9 @@
 	// changed is closed and replaced at every change.
 	changed chan struct{}
 	start   time.Time
-	// calls counts the calls by path.
-	calls map[string]int
+	// calls counts the calls by path, and sentBytes the bytes of the bodies of all responses.
+	calls     map[string]int
+	sentBytes int
 }
 
 // Copy is a copy of the rows of a store.
@@ -111,6 +112,13 @@
 	return n
 }
 
+// SentBytes returns the number of bytes in the bodies of all responses that all listeners together have sent.
+func (s *Store) SentBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sentBytes
+}
+
 // CallsTo returns the number of calls to a path that all listeners together have received.
 func (s *Store) CallsTo(path string) int {
 	s.mu.Lock()
