--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -100,6 +100,7 @@
 
 // handleResponse evaluates the head of a response. It then forwards the response and returns true if the exchange has ended, or returns the event for the retry decision and false.
 func (x *exchange) handleResponse(ctx context.Context, up route.Upstream, began time.Time, resp send.Response) (retry.Event, bool) {
+	x.framing = resp.Framing
 	head := x.HeaderCodec.ParseResponse(x.requestHead.ID, resp.Status, resp.Header)
 	if head.Load != nil {
 		x.Table.Report(up.Name, *head.Load, x.Now())
@@ -220,6 +221,7 @@
 			x.eventsSent++
 		}
 		if atEnd {
+			x.partialBytes = len(raw)
 			return nil
 		}
 		if id != "" {
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 )
 
 const (
@@ -60,6 +61,10 @@
 	// headSent reports that the caller has received the start of its response.
 	headSent   bool
 	eventsSent int
+	// framing is how the last upstream's response marks the end of its body, or "" if there was no response.
+	framing send.Framing
+	// partialBytes is how many bytes followed the last complete event of a stream that ended without an error.
+	partialBytes int
 
 	status   int
 	cause    Cause
--- a/internal/root/relay/flow/response.go
+++ b/internal/root/relay/flow/response.go
@@ -7,6 +7,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
+	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 )
 
 // hopHeaders lists the hop-by-hop headers, which apply to a single connection.
@@ -81,6 +82,7 @@
 		Cause:     string(x.cause),
 		Latency:   now.Sub(x.arrived),
 		Sends:     x.sends,
+		Unframed:  x.framing == send.FramedByClose,
 		FirstByte: x.firstByte,
 		Eligible:  outcome != meter.Rejected && x.cause != CauseCallerLeft,
 		OnTime:    x.onTime(),
@@ -128,6 +130,12 @@
 		fields["events"] = x.eventsSent
 		fields["first_ms"] = int64(common.Millis(x.firstByte))
 	}
+	if x.framing != "" {
+		fields["framing"] = x.framing
+	}
+	if x.partialBytes > 0 {
+		fields["partial_bytes"] = x.partialBytes
+	}
 	if x.stageTime > 0 {
 		fields["stages_ms"] = int64(common.Millis(x.stageTime))
 	}
--- a/internal/root/relay/meter/meter.go
+++ b/internal/root/relay/meter/meter.go
@@ -44,6 +44,8 @@
 	FirstByte time.Duration
 	// Sends is the number of upstreams that the request was sent to.
 	Sends int
+	// Unframed reports that the last upstream's response had neither a length nor chunks, so that its body ended with its connection.
+	Unframed bool
 	// OnTime reports that the response was complete, was no server error, and started within the route's objective.
 	OnTime bool
 	// Eligible reports that the request counts for the service-level objective: it was not rejected, and its caller did not disconnect while waiting.
@@ -55,6 +57,7 @@
 	outcomes  map[Outcome]int64
 	causes    map[string]int64
 	sends     int64
+	unframed  int64
 	eligible  int64
 	onTime    int64
 	latency   *hdrhistogram.Histogram
@@ -93,6 +96,9 @@
 		r.causes[e.Cause]++
 	}
 	r.sends += int64(e.Sends)
+	if e.Unframed {
+		r.unframed++
+	}
 	if e.Eligible {
 		r.eligible++
 	}
@@ -153,6 +159,8 @@
 	Causes   map[string]int64  `json:"causes"`
 	// Sends counts sends to upstreams, including retries.
 	Sends int64 `json:"sends"`
+	// Unframed counts requests whose last response from an upstream had neither a length nor chunks.
+	Unframed int64 `json:"unframed"`
 	// Eligible counts the requests that count for the service-level objective, and OnTime those of them that met it.
 	Eligible  int64          `json:"owed"`
 	OnTime    int64          `json:"on_time"`
@@ -170,6 +178,7 @@
 			Outcomes:  map[Outcome]int64{},
 			Causes:    map[string]int64{},
 			Sends:     r.sends,
+			Unframed:  r.unframed,
 			Eligible:  r.eligible,
 			OnTime:    r.onTime,
 			Latency:   summarize(r.latency),
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -38,6 +38,8 @@
 	Body   io.ReadCloser
 	// Length is the length of the body in bytes, or negative if it is unknown.
 	Length int64
+	// Framing is how the response marks the end of its body.
+	Framing Framing
 }
 
 // Unsent reports that no connection was made, so that no byte of the request left this host.
@@ -98,10 +100,11 @@
 	resp, err := c.transport.RoundTrip(req)
 	if err == nil {
 		return Response{
-			Status: resp.StatusCode,
-			Header: resp.Header,
-			Body:   resp.Body,
-			Length: resp.ContentLength,
+			Status:  resp.StatusCode,
+			Header:  resp.Header,
+			Body:    resp.Body,
+			Length:  resp.ContentLength,
+			Framing: framingOf(resp),
 		}
 	}
 	if !connected.Load() {
