--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -214,16 +214,13 @@
 		resp.Header.Del("Content-Length")
 		x.sendHead(resp)
 		x.freeAllResults()
-		if len(raw) > 0 {
-			if err := x.writeBody(raw); err != nil {
-				return err
-			}
-			x.eventsSent++
-		}
 		if atEnd {
-			x.partialBytes = len(raw)
 			return nil
 		}
+		if err := x.writeBody(raw); err != nil {
+			return err
+		}
+		x.eventsSent++
 		if id != "" {
 			x.requestHead.LastEvent = id
 		}
--- a/internal/root/relay/flow/events.go
+++ b/internal/root/relay/flow/events.go
@@ -16,10 +16,13 @@
 	readBufferBytes = 2 << 10
 )
 
-// errEventTooLong reports an event longer than maxEventBytes.
-var errEventTooLong = errors.New("event is too long")
+// errEventTooLong reports an event longer than maxEventBytes, and errPartialEvent a stream that ended inside an event.
+var (
+	errEventTooLong = errors.New("event is too long")
+	errPartialEvent = errors.New("stream ended inside an event")
+)
 
-// eventReader reads a stream of server-sent events, one complete event at a time.
+// eventReader reads a stream of server-sent events, whose lines end in LF or CRLF. It returns only complete events.
 type eventReader struct {
 	r *bufio.Reader
 }
@@ -30,7 +33,7 @@
 	}
 }
 
-// next returns the bytes of the next event and its id, or "" if it has none. At the end of the stream it returns the remaining bytes with io.EOF.
+// next returns the bytes of the next event and its id, or "" if it has none. The error is io.EOF only if the stream ended after a complete event.
 func (e *eventReader) next() (raw []byte, id string, err error) {
 	for {
 		line, err := e.r.ReadSlice('\n')
@@ -41,8 +44,11 @@
 			}
 			continue
 		}
+		if errors.Is(err, io.EOF) && len(raw) > 0 {
+			return nil, "", fmt.Errorf("read event, got %d bytes: %w", len(raw), errPartialEvent)
+		}
 		if errors.Is(err, io.EOF) {
-			return raw, id, io.EOF
+			return nil, "", io.EOF
 		}
 		if err != nil {
 			return nil, "", fmt.Errorf("read event: %w", err)
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -63,8 +63,6 @@
 	eventsSent int
 	// framing is how the last upstream's response marks the end of its body, or "" if there was no response.
 	framing send.Framing
-	// partialBytes is how many bytes followed the last complete event of a stream that ended without an error.
-	partialBytes int
 
 	status   int
 	cause    Cause
--- a/internal/root/relay/flow/response.go
+++ b/internal/root/relay/flow/response.go
@@ -133,9 +133,6 @@
 	if x.framing != "" {
 		fields["framing"] = x.framing
 	}
-	if x.partialBytes > 0 {
-		fields["partial_bytes"] = x.partialBytes
-	}
 	if x.stageTime > 0 {
 		fields["stages_ms"] = int64(common.Millis(x.stageTime))
 	}
