--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -203,7 +203,7 @@
 // forwardEvents forwards complete events as they arrive. If the stream breaks and can be resumed, the caller's response stays open and another upstream continues after the last event that the caller received.
 func (x *exchange) forwardEvents(resp send.Response) error {
 	rc := http.NewResponseController(x.w)
-	ev := newEventReader(resp.Body)
+	ev := newEventReader(resp.Body, resp.Framing)
 	for {
 		raw, id, err := ev.next()
 		atEnd := errors.Is(err, io.EOF)
