--- a/internal/root/relay/flow/response.go
+++ b/internal/root/relay/flow/response.go
@@ -8,6 +8,7 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
+	"github.com/cornelwing/cornelwing/internal/serve"
 )
 
 // hopHeaders lists the hop-by-hop headers, which apply to a single connection.
@@ -68,10 +69,21 @@
 	x.record()
 	x.log()
 	if x.abort {
-		panic(http.ErrAbortHandler)
+		x.abortResponse()
 	}
 }
 
+// abortResponse closes the caller's connection so that the response does not look complete, and ends the handler by a panic.
+func (x *exchange) abortResponse() {
+	// The body of an HTTP/1.0 response can end with its connection, so only a reset shows that it is incomplete.
+	if !x.r.ProtoAtLeast(1, 1) {
+		if err := serve.ResetConn(x.w); err != nil {
+			x.Log.WithError(err).Warn("Failed to reset the connection of an incomplete response.")
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // record adds the request to the meter.
 func (x *exchange) record() {
 	now := x.Now()
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/cornelwing/cornelwing/internal/serve"
 )
 
 // Behavior is how a server handles one request.
@@ -320,7 +322,8 @@
 			_ = rc.Flush()
 			panic(http.ErrAbortHandler)
 		case b == Reset && middle:
-			resetConn(rc)
+			// If the client has disconnected, there is no connection left to reset.
+			_ = serve.ResetConn(w)
 			return
 		}
 		// A write error means that the client has disconnected and needs no response.
@@ -329,19 +332,6 @@
 	}
 }
 
-// resetConn closes the connection of a response with a TCP reset.
-func resetConn(rc *http.ResponseController) {
-	conn, _, err := rc.Hijack()
-	if err != nil {
-		return
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		// Without lingering, closing sends a reset.
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 type result struct {
 	Handle string `json:"handle,omitempty"`
 	Reason string `json:"reason,omitempty"`
