--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -36,8 +36,6 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	// Length is the length of the body in bytes, or negative if it is unknown.
-	Length int64
 	// Framing is how the response marks the end of its body.
 	Framing Framing
 }
@@ -103,7 +101,6 @@
 			Status:  resp.StatusCode,
 			Header:  resp.Header,
 			Body:    resp.Body,
-			Length:  resp.ContentLength,
 			Framing: framingOf(resp),
 		}
 	}
