--- a/internal/root/relay/follow/feed.go
+++ b/internal/root/relay/follow/feed.go
@@ -17,6 +17,9 @@
 	maxPause = 500 * time.Millisecond
 )
 
+// errReadAgain reports that the sink may lack changes, so that the whole table must be read.
+var errReadAgain = errors.New("whole table must be read")
+
 // ErrHistoryTruncated reports that the source no longer has the requested changes, so the whole table must be read again.
 var ErrHistoryTruncated = errors.New("history is gone")
 
@@ -122,21 +125,24 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err == nil {
+		switch {
+		case errors.Is(err, errReadAgain):
+			// The next call reads the whole table. Only then is the sink known to be recent.
+		case err != nil:
+			common.Sleep(ctx, f.recordFailure(err))
+		default:
 			confirm()
 			f.lastSuccess = f.Now()
 			f.recordSuccess()
 			if changes > 0 {
 				common.Sleep(ctx, f.batchPause())
 			}
-			continue
 		}
-		common.Sleep(ctx, f.recordFailure(err))
 	}
 	return nil
 }
 
-// poll makes one call to the source and returns how many changes were applied. It returns 0 after reading the whole table.
+// poll makes one call to the source and returns how many changes were applied. It returns 0 after reading the whole table, and errReadAgain if that has become necessary.
 func (f *Feed) poll(ctx context.Context) (int, error) {
 	if f.version == 0 {
 		rows, version, err := f.source.ReadAll(ctx)
@@ -151,7 +157,7 @@
 	if errors.Is(err, ErrHistoryTruncated) {
 		f.Log.WithField("table", f.name).WithField("version", f.version).Info("Platform no longer has the changes since this version. Reading the whole table.")
 		f.version = 0
-		return 0, nil
+		return 0, errReadAgain
 	}
 	if err != nil {
 		return 0, fmt.Errorf("read changes of %s: %w", f.name, err)
--- a/internal/root/relay/follow/follow_test.go
+++ b/internal/root/relay/follow/follow_test.go
@@ -341,3 +341,43 @@
 		}
 	})
 }
+
+// truncatedSource serves the whole table once. After that it has no history, and the whole table cannot be read either.
+type truncatedSource struct {
+	*faultySource
+	reads atomic.Int64
+}
+
+func (s *truncatedSource) ReadAll(ctx context.Context) ([]Row, int64, error) {
+	if s.reads.Add(1) > 1 {
+		return nil, 0, errors.New("refused")
+	}
+	return s.faultySource.ReadAll(ctx)
+}
+
+func (s *truncatedSource) WaitForChanges(context.Context, int64, time.Duration) ([]Row, int64, error) {
+	return nil, 0, ErrHistoryTruncated
+}
+
+// A response without the changes must not confirm that the sink is recent, as a revoked key could be among them.
+func TestTruncatedHistoryDoesNotConfirmSink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &truncatedSource{
+			faultySource: &faultySource{
+				rng:  rand.New(rand.NewPCG(1, 1)),
+				rows: map[string]string{},
+				base: 1,
+			},
+		}
+		confirmations := 0
+		f := NewFeed(common.NewQuietDeps("h", "d"), "t", src, copySink{}, time.Second, WithConfirmation(func() func() {
+			return func() { confirmations++ }
+		}))
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_ = f.Run(ctx, func() {})
+		if confirmations != 1 {
+			t.Errorf("sink was confirmed %d times, want only once by the first read", confirmations)
+		}
+	})
+}
