--- a/cmd/entryd/main.go
+++ b/cmd/entryd/main.go
@@ -49,7 +49,7 @@
 	}()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := relay.New(deps, s, platform.New(s.Store.Address)).Run(ctx); err != nil {
+	if err := relay.New(deps, s, platform.New(deps, s.Store.Address)).Run(ctx); err != nil {
 		deps.Log.WithError(err).Error("Daemon stopped with an error.")
 		fmt.Fprintln(os.Stderr, err)
 		return common.ExitFailure
--- a/internal/root/front/chain/route/entry.go
+++ b/internal/root/front/chain/route/entry.go
@@ -1,9 +1,12 @@
 package route
 
 import (
+	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/stage"
 )
@@ -22,6 +25,39 @@
 	Probe bool
 }
 
+// Incarnation identifies one start of an upstream.
+type Incarnation struct {
+	Name        string `json:"name"`
+	Addr        string `json:"addr"`
+	StartedAtMS int64  `json:"started_at_ms,omitempty"`
+}
+
+// ErrInvalidIncarnation is returned for an incarnation without a name or an address.
+var ErrInvalidIncarnation = errors.New("incarnation needs a name and an address")
+
+// UnmarshalJSON decodes an incarnation and checks that it has a name and an address.
+func (i *Incarnation) UnmarshalJSON(b []byte) error {
+	type plain Incarnation
+	var p plain
+	if err := json.Unmarshal(b, &p); err != nil {
+		return fmt.Errorf("decode incarnation: %w", err)
+	}
+	if p.Name == "" || p.Addr == "" {
+		return fmt.Errorf("check incarnation: %w", ErrInvalidIncarnation)
+	}
+	*i = Incarnation(p)
+	return nil
+}
+
+// Incarnation returns the incarnation that the upstream was at.
+func (u Upstream) Incarnation() Incarnation {
+	return Incarnation{
+		Name:        u.Name,
+		Addr:        u.Addr,
+		StartedAtMS: u.StartedAtMS,
+	}
+}
+
 const (
 	// historySize is the number of changes of the in-flight count that are stored to correct load reports, which lag behind.
 	historySize = 64
--- a/internal/root/relay/follow/plansink.go
+++ b/internal/root/relay/follow/plansink.go
@@ -1,6 +1,8 @@
 package follow
 
 import (
+	"sync"
+
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 )
@@ -12,6 +14,10 @@
 	key     string
 	active  *plan.Active
 	changed func()
+
+	mu sync.Mutex
+	// value is the encoded form of the active configuration.
+	value []byte
 }
 
 // NewPlanSink returns a sink that decodes the row with the key and activates it if it is newer. It calls changed after each activation.
@@ -30,22 +36,59 @@
 	s.Apply(rows)
 }
 
+// Restore applies the rows of a restored table. An older configuration in it is ignored, as the operator will write the newest one again.
+func (s *PlanSink) Restore(rows []Row) {
+	s.Apply(rows)
+}
+
+// Newest returns the version and the encoded form of the active configuration, or 0 if there is none.
+func (s *PlanSink) Newest() (version int64, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.active.Current(); p != nil {
+		version = p.Version
+	}
+	return version, s.value
+}
+
+// Offer activates a configuration of another host if it is newer.
+func (s *PlanSink) Offer(value []byte) {
+	s.Apply([]Row{{
+		Key:   s.key,
+		Value: value,
+	}})
+}
+
 // Apply applies changed rows.
 func (s *PlanSink) Apply(rows []Row) {
 	for _, r := range rows {
-		if r.Key != s.key || r.Deleted {
-			continue
+		if r.Key == s.key && !r.Deleted {
+			s.activate(r.Value)
 		}
-		p, err := s.decode(r.Value)
-		if err != nil {
-			s.Log.WithError(err).Error("Failed to decode the configuration. The previous one stays active.")
-			continue
-		}
-		if !s.active.ReplaceIfNewer(p) {
-			s.Log.WithField("version", p.Version).Info("Ignored a configuration that is not newer than the active one.")
-			continue
-		}
-		s.Log.WithField("version", p.Version).WithField("routes", p.RouteCount()).WithField("pools", len(p.Pools)).Info("Configuration activated.")
-		s.changed()
 	}
 }
+
+func (s *PlanSink) activate(value []byte) {
+	p, err := s.decode(value)
+	if err != nil {
+		s.Log.WithError(err).Error("Failed to decode the configuration. The previous one stays active.")
+		return
+	}
+	if !s.replace(p, value) {
+		s.Log.WithField("version", p.Version).Info("Ignored a configuration that is not newer than the active one.")
+		return
+	}
+	s.Log.WithField("version", p.Version).WithField("routes", p.RouteCount()).WithField("pools", len(p.Pools)).Info("Configuration activated.")
+	s.changed()
+}
+
+// replace activates the plan, whose encoded form is value, if it is newer.
+func (s *PlanSink) replace(p *plan.Plan, value []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.active.ReplaceIfNewer(p) {
+		return false
+	}
+	s.value = value
+	return true
+}
--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -28,6 +28,8 @@
 	ups map[string]route.Upstream
 	// retainedUntil holds the end of the retention of each upstream whose row disappeared in this way.
 	retainedUntil map[string]time.Time
+	// leavers are the incarnations that are leaving or have left, whatever an outdated row says.
+	leavers leavers
 	// outage reports that the platform cannot be read. recoveredAt is the end of the last outage.
 	outage      bool
 	recoveredAt time.Time
@@ -43,27 +45,58 @@
 		retention:     time.Duration(retentionShare * float64(forget)),
 		ups:           map[string]route.Upstream{},
 		retainedUntil: map[string]time.Time{},
+		leavers:       leavers{},
 	}
 }
 
 // Reset applies the rows of the whole table, and removes the upstreams that have no row in it.
 func (m *Upstreams) Reset(rows []Row) {
 	m.mu.Lock()
-	seen := map[string]bool{}
 	for _, r := range rows {
-		seen[r.Key] = true
 		m.applyRow(r)
 	}
-	for name := range m.ups {
-		if !seen[name] {
-			m.remove(name)
+	m.removeAbsent(rows)
+	m.loaded = true
+	m.mu.Unlock()
+	m.changed()
+}
+
+// Restore merges the rows of a restored table. An upstream that has no row there is retained until it had time to register again. A row cannot revoke that an upstream is leaving or has left, nor replace a later start of it.
+func (m *Upstreams) Restore(rows []Row) {
+	m.mu.Lock()
+	m.recoveredAt = m.Now()
+	outdated := 0
+	for _, r := range rows {
+		up, ok := m.decodeRow(r)
+		if !ok {
+			continue
+		}
+		if up.StartedAtMS < m.ups[up.Name].StartedAtMS {
+			outdated++
+			continue
 		}
+		m.put(up)
 	}
+	m.removeAbsent(rows)
 	m.loaded = true
+	m.Log.WithField("rows", len(rows)).WithField("outdated", outdated).WithField("retained", len(m.retainedUntil)).Info("Merged the upstreams of a restored table.")
 	m.mu.Unlock()
 	m.changed()
 }
 
+// removeAbsent removes the upstreams that have none of the rows.
+func (m *Upstreams) removeAbsent(rows []Row) {
+	seen := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		seen[r.Key] = true
+	}
+	for name := range m.ups {
+		if !seen[name] {
+			m.remove(name)
+		}
+	}
+}
+
 // Apply applies changed rows.
 func (m *Upstreams) Apply(rows []Row) {
 	m.mu.Lock()
@@ -74,22 +107,86 @@
 	m.changed()
 }
 
+// applyRow applies the current row of an upstream.
 func (m *Upstreams) applyRow(r Row) {
 	if r.Deleted {
 		m.remove(r.Key)
 		return
 	}
+	up, ok := m.decodeRow(r)
+	if !ok {
+		return
+	}
+	if !up.Leaving {
+		m.leavers.revoke(up.Incarnation())
+	}
+	m.put(up)
+}
+
+// decodeRow decodes a row. If that fails, it removes the upstream and returns false.
+func (m *Upstreams) decodeRow(r Row) (route.Upstream, bool) {
 	up, err := m.decode(r.Key, r.Value)
 	if err != nil {
 		m.Log.WithError(err).WithField("upstream", r.Key).Warn("Failed to decode the row of an upstream. The upstream is not used.")
 		delete(m.ups, r.Key)
-		return
+		delete(m.retainedUntil, r.Key)
+		return route.Upstream{}, false
 	}
-	if old, ok := m.ups[r.Key]; !ok || old != up {
+	return up, true
+}
+
+// put adds or replaces an upstream.
+func (m *Upstreams) put(up route.Upstream) {
+	if old, ok := m.ups[up.Name]; !ok || old != up {
 		m.Log.WithField("upstream", up.Name).WithField("pool", up.Pool).WithField("leaving", up.Leaving).Info("Upstream added or changed.")
 	}
-	delete(m.retainedUntil, r.Key)
-	m.ups[r.Key] = up
+	if up.Leaving {
+		m.addLeaver(up.Incarnation(), false)
+	}
+	delete(m.retainedUntil, up.Name)
+	m.ups[up.Name] = up
+}
+
+// MarkLeaving records that an upstream announced in a response that it is leaving. The mark belongs to the incarnation, and goes with it.
+func (m *Upstreams) MarkLeaving(i route.Incarnation) {
+	m.markLeaving(i, true)
+}
+
+// MarkLeft records that the incarnation is leaving or has left according to another host. A row that the upstream writes later revokes it.
+func (m *Upstreams) MarkLeft(i route.Incarnation) {
+	m.markLeaving(i, false)
+}
+
+func (m *Upstreams) markLeaving(i route.Incarnation, announced bool) {
+	m.mu.Lock()
+	added := m.addLeaver(i, announced)
+	up, used := m.ups[i.Name]
+	used = used && up.Incarnation() == i
+	m.mu.Unlock()
+	if added && used {
+		m.Log.WithField("upstream", i.Name).WithField("announced", announced).Info("Upstream is leaving. No further requests are sent to it.")
+		m.changed()
+	}
+}
+
+// addLeaver remembers an incarnation as leaving, and reports whether it is new. The caller holds the lock.
+func (m *Upstreams) addLeaver(i route.Incarnation, announced bool) bool {
+	now := m.Now()
+	added := m.leavers.add(now, i, announced)
+	if added {
+		m.leavers.prune(now, func(i route.Incarnation) bool {
+			up, ok := m.ups[i.Name]
+			return ok && up.Incarnation() == i
+		})
+	}
+	return added
+}
+
+// Leavers returns the incarnations that are leaving or have recently left.
+func (m *Upstreams) Leavers() []route.Incarnation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leavers.list()
 }
 
 // remove removes an upstream: at once, or after the retention if an outage of the platform may have expired its row.
@@ -99,7 +196,8 @@
 		return
 	}
 	now := m.Now()
-	if !up.Leaving && (m.outage || now.Sub(m.recoveredAt) < m.retention) {
+	leaving := up.Leaving || m.leavers.has(now, up.Incarnation())
+	if !leaving && (m.outage || now.Sub(m.recoveredAt) < m.retention) {
 		if _, known := m.retainedUntil[name]; !known {
 			m.retainedUntil[name] = now.Add(m.retention)
 			m.Log.WithField("upstream", name).Info("Row of an upstream disappeared during an outage of the platform or soon after it. The upstream is retained for now.")
@@ -107,9 +205,15 @@
 		}
 		return
 	}
-	delete(m.ups, name)
-	delete(m.retainedUntil, name)
-	m.Log.WithField("upstream", name).Info("Upstream removed.")
+	m.drop(up)
+}
+
+// drop removes an upstream and remembers that its incarnation has left.
+func (m *Upstreams) drop(up route.Upstream) {
+	delete(m.ups, up.Name)
+	delete(m.retainedUntil, up.Name)
+	m.addLeaver(up.Incarnation(), false)
+	m.Log.WithField("upstream", up.Name).Info("Upstream removed.")
 }
 
 // OutageStarted records that the platform cannot be read.
@@ -141,13 +245,12 @@
 	now := m.Now()
 	for name, until := range m.retainedUntil {
 		if !now.Before(until) {
-			delete(m.retainedUntil, name)
-			delete(m.ups, name)
-			m.Log.WithField("upstream", name).Info("Upstream removed.")
+			m.drop(m.ups[name])
 		}
 	}
 	out := make([]route.Upstream, 0, len(m.ups))
 	for _, u := range m.ups {
+		u.Leaving = u.Leaving || m.leavers.has(now, u.Incarnation())
 		out = append(out, u)
 	}
 	slices.SortFunc(out, func(a, b route.Upstream) int { return strings.Compare(a.Name, b.Name) })
--- a/internal/root/relay/grant/grant.go
+++ b/internal/root/relay/grant/grant.go
@@ -16,6 +16,12 @@
 	mu        sync.Mutex
 	expiresAt time.Duration
 	confirmed bool
+	// pauses counts the calls of Pause, and paused reports that the last one is in effect.
+	pauses int
+	paused bool
+	// pendingAt is the request time of the newest confirmation since the lease was paused, if hasPending is set.
+	pendingAt  time.Duration
+	hasPending bool
 }
 
 // New returns a lease that is not valid yet. Each confirmation is valid for term.
@@ -31,10 +37,50 @@
 	return l.clock()
 }
 
-// Confirm extends the lease to one term after requestedAt, the time before the confirmation was requested. It never shortens the lease.
+// Confirm extends the lease to one term after requestedAt, the time before the confirmation was requested. It never shortens the lease. While the lease is paused, the confirmation takes effect at the next Resume.
 func (l *Lease) Confirm(requestedAt time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.paused {
+		l.pendingAt = max(l.pendingAt, requestedAt)
+		l.hasPending = true
+		return
+	}
+	l.extend(requestedAt)
+}
+
+// Pause holds back further confirmations until Resume is called, and drops those held back before. The lease remains valid until it expires.
+func (l *Lease) Pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pauses++
+	l.paused = true
+	l.hasPending = false
+	l.pendingAt = 0
+}
+
+// Pauses returns how often Pause has been called.
+func (l *Lease) Pauses() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pauses
+}
+
+// Resume lets confirmations extend the lease again, including those that were held back. It does nothing if Pause has been called again since Pauses returned the given count.
+func (l *Lease) Resume(pauses int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if pauses != l.pauses {
+		return
+	}
+	l.paused = false
+	if l.hasPending {
+		l.extend(l.pendingAt)
+	}
+	l.hasPending = false
+}
+
+func (l *Lease) extend(requestedAt time.Duration) {
 	l.expiresAt = max(l.expiresAt, requestedAt+l.term)
 	l.confirmed = true
 }
--- a/internal/root/relay/grant/grant_test.go
+++ b/internal/root/relay/grant/grant_test.go
@@ -31,6 +31,30 @@
 			now = 5900 * time.Millisecond
 			So(l.Valid(), ShouldBeTrue)
 		})
+		Convey("while it is paused, confirmations do not extend it before it is resumed", func() {
+			l.Confirm(l.RequestTime())
+			l.Pause()
+			now = 2 * time.Second
+			l.Confirm(l.RequestTime())
+			now = 5 * time.Second
+			So(l.Valid(), ShouldBeFalse)
+			l.Resume(l.Pauses())
+			So(l.Valid(), ShouldBeTrue)
+			now = 7 * time.Second
+			So(l.Valid(), ShouldBeFalse)
+		})
+		Convey("a pause drops the confirmations that an earlier pause held back, and outlasts its end", func() {
+			l.Pause()
+			first := l.Pauses()
+			l.Confirm(l.RequestTime())
+			l.Pause()
+			l.Resume(first)
+			l.Confirm(l.RequestTime())
+			So(l.Valid(), ShouldBeFalse)
+			l.Pause()
+			l.Resume(l.Pauses())
+			So(l.Valid(), ShouldBeFalse)
+		})
 		Convey("the lease expires while the host is suspended", func() {
 			l.Confirm(l.RequestTime())
 			now += time.Minute
--- /dev/null
+++ b/internal/root/relay/hosts/catchup.go
@@ -0,0 +1,148 @@
+package hosts
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/jhttp"
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+)
+
+const (
+	pathCatchUp = "/catch-up"
+	// maxCatchUpHosts is how many hosts are asked at once, so that a large number of hosts does not ask each other all at the same time.
+	maxCatchUpHosts = 8
+	// catchUpTimeout is the timeout of one call.
+	catchUpTimeout = 500 * time.Millisecond
+)
+
+// Knowledge is what a restored store can have lost, and what the hosts therefore tell each other.
+type Knowledge interface {
+	// Newest returns the version and the encoded form of the active configuration, or 0 if there is none.
+	Newest() (version int64, configuration []byte)
+	// Offer activates a configuration if it is newer than the active one.
+	Offer(configuration []byte)
+	// Leavers returns the incarnations of upstreams that are leaving or have recently left.
+	Leavers() []route.Incarnation
+	// MarkLeft records that an incarnation is leaving or has left.
+	MarkLeft(i route.Incarnation)
+}
+
+// catchUpRequest asks for what is newer than the sender's configuration.
+type catchUpRequest struct {
+	Version int64 `json:"version"`
+}
+
+// catchUpResponse holds the version of the responding host's configuration, the configuration if it is newer than the sender's, and the upstreams that are leaving or have left.
+type catchUpResponse struct {
+	Version       int64               `json:"version"`
+	Configuration []byte              `json:"configuration,omitempty"`
+	Leavers       []route.Incarnation `json:"leavers,omitempty"`
+}
+
+// errInvalidCatchUp is returned for a response whose configuration has no version.
+var errInvalidCatchUp = errors.New("configuration has no version")
+
+// UnmarshalJSON decodes a response and checks that a configuration has a version.
+func (c *catchUpResponse) UnmarshalJSON(b []byte) error {
+	type plain catchUpResponse
+	var p plain
+	if err := json.Unmarshal(b, &p); err != nil {
+		return fmt.Errorf("decode response: %w", err)
+	}
+	if len(p.Configuration) > 0 && p.Version <= 0 {
+		return fmt.Errorf("check response: %w", errInvalidCatchUp)
+	}
+	*c = catchUpResponse(p)
+	return nil
+}
+
+// CatchUp counts the hosts that were asked for newer knowledge.
+type CatchUp struct {
+	Asked    int
+	Answered int
+	// Stopped counts the hosts on which no process accepted the connection, so that nothing can be learned from them.
+	Stopped int
+}
+
+// Complete reports whether there is nothing more to learn: a host answered, or none could.
+func (c CatchUp) Complete() bool {
+	return c.Answered > 0 || c.Stopped == c.Asked
+}
+
+// ShareKnowledge sets what this host tells others and learns from them. It must be called before Run.
+func (p *Peers) ShareKnowledge(k Knowledge) {
+	p.knowledge = k
+}
+
+// CatchUp asks some other hosts for what they know, and takes over what is newer than this host's knowledge.
+func (p *Peers) CatchUp(ctx context.Context) CatchUp {
+	others := p.roster.LiveOthers()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), maxCatchUpHosts)]
+	result := CatchUp{
+		Asked: len(others),
+	}
+	errs := make([]error, len(others))
+	var wg sync.WaitGroup
+	for i, h := range others {
+		wg.Go(func() { errs[i] = p.learnFrom(ctx, h) })
+	}
+	wg.Wait()
+	for i, err := range errs {
+		switch {
+		case err == nil:
+			result.Answered++
+		case errors.Is(err, syscall.ECONNREFUSED):
+			result.Stopped++
+		default:
+			p.Log.WithError(err).WithField("host", others[i].Name).Info("Failed to ask a host for newer knowledge.")
+		}
+	}
+	return result
+}
+
+// learnFrom asks one host.
+func (p *Peers) learnFrom(ctx context.Context, h Host) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	version, _ := p.knowledge.Newest()
+	var resp catchUpResponse
+	if err := p.post(ctx, h, pathCatchUp, catchUpRequest{Version: version}, &resp); err != nil {
+		return fmt.Errorf("ask for newer knowledge: %w", err)
+	}
+	if len(resp.Configuration) > 0 {
+		p.Log.WithField("host", h.Name).WithField("version", resp.Version).WithField("known", version).Info("Another host has a newer configuration.")
+		p.knowledge.Offer(resp.Configuration)
+	}
+	for _, i := range resp.Leavers {
+		p.knowledge.MarkLeft(i)
+	}
+	return nil
+}
+
+// tellNewer answers another host that asks for newer knowledge.
+func (p *Peers) tellNewer(w http.ResponseWriter, r *http.Request) {
+	var req catchUpRequest
+	if !decodeBody(w, r, &req) {
+		return
+	}
+	resp := catchUpResponse{
+		Leavers: p.knowledge.Leavers(),
+	}
+	var configuration []byte
+	if resp.Version, configuration = p.knowledge.Newest(); resp.Version > req.Version {
+		resp.Configuration = configuration
+	}
+	w.Header().Set("Content-Type", jhttp.ContentType)
+	// A failed write needs no handling: the host that asked is gone or asks again.
+	_ = json.NewEncoder(w).Encode(resp)
+}
--- a/internal/root/relay/hosts/forward.go
+++ b/internal/root/relay/hosts/forward.go
@@ -182,19 +182,19 @@
 }
 
 func (p *Peers) post(ctx context.Context, h Host, path string, body, into any) error {
-	status, response, err := jhttp.Do(ctx, p.http, jhttp.Call{
+	resp, err := jhttp.Do(ctx, p.http, jhttp.Call{
 		Method: http.MethodPost,
 		URL:    "http://" + h.Addr + path,
 		Body:   body,
-		Limit:  maxBody,
+		Limit:  maxResponse,
 	})
 	if err != nil {
 		return fmt.Errorf("call host %s: %w", h.Name, err)
 	}
-	if status != http.StatusOK {
-		return errors.Errorf("host %s answered with status %d", h.Name, status)
+	if resp.Status != http.StatusOK {
+		return errors.Errorf("host %s answered with status %d", h.Name, resp.Status)
 	}
-	if err := jhttp.Decode(response, into); err != nil {
+	if err := jhttp.Decode(resp.Body, into); err != nil {
 		return fmt.Errorf("decode response of host %s: %w", h.Name, err)
 	}
 	return nil
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -30,7 +30,9 @@
 	// remoteDomainAttempts is how many hosts are tried for a queue of another failure domain, which may be unreachable. If all of them fail, the work is refused, to be retried after remoteDomainRetryAfter.
 	remoteDomainAttempts   = 2
 	remoteDomainRetryAfter = 200 * time.Millisecond
-	maxBody                = 1 << 20
+	// maxBody and maxResponse bound a request and a response between hosts, in bytes. A response can hold a configuration.
+	maxBody     = 1 << 20
+	maxResponse = 8 << 20
 )
 
 // Paths of the HTTP interface between hosts.
@@ -114,6 +116,8 @@
 	addr   string
 	http   *http.Transport
 	picker queuePicker
+	// knowledge is what this host and the others tell each other after the store was restored; it is set before Run is called.
+	knowledge Knowledge
 	// crashes handles crash updates from other hosts; it is set before Run is called.
 	crashes *Crashes
 }
@@ -185,6 +189,7 @@
 		case <-ctx.Done():
 			return srv.Close()
 		case <-ticker.C:
+			p.roster.forgetUnwritten()
 			p.probeDown(ctx)
 		}
 	}
@@ -204,6 +209,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathWork, p.work)
 	mux.HandleFunc("POST "+pathFree, p.free)
+	if p.knowledge != nil {
+		mux.HandleFunc("POST "+pathCatchUp, p.tellNewer)
+	}
 	if p.crashes != nil {
 		mux.HandleFunc("POST "+pathCrashes, p.crashes.handleUpdate)
 	}
--- a/internal/root/relay/hosts/roster.go
+++ b/internal/root/relay/hosts/roster.go
@@ -50,6 +50,8 @@
 const (
 	// probeInterval is the time between two probes of a host that is down.
 	probeInterval = 300 * time.Millisecond
+	// restoreRetention is how long a host that has no row in a restored table stays known, so that it has time to write its row again.
+	restoreRetention = 10 * time.Second
 	// probesToRecover is how many successive probes a host must answer before it is used again.
 	probesToRecover = 2
 )
@@ -62,6 +64,8 @@
 	down       chan struct{}
 	nextProbe  time.Time
 	goodProbes int
+	// forgetAt is when the host is forgotten unless it writes its row again, or zero if it has a row.
+	forgetAt time.Time
 }
 
 // Roster is this host's view of the entry hosts, including itself.
@@ -148,6 +152,7 @@
 // add adds or updates a host that announces itself. A host that was down counts as up again. The caller holds the lock.
 func (r *Roster) add(h Host) {
 	if old, ok := r.states[h.Name]; ok && old.host == h && old.down != nil {
+		old.forgetAt = time.Time{}
 		return
 	}
 	if h.Name != r.self.Name {
@@ -178,6 +183,40 @@
 	}
 }
 
+// Restore adds the hosts in rows, the complete table of a restored store. Other hosts stay known for a while, as they will write their rows again.
+func (r *Roster) Restore(rows []follow.Row) {
+	defer r.onChange()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	forgetAt := r.Now().Add(restoreRetention)
+	for name, s := range r.states {
+		if name != r.self.Name {
+			s.forgetAt = forgetAt
+		}
+	}
+	r.apply(rows)
+	r.loaded = true
+}
+
+// forgetUnwritten removes the hosts that have not written their rows again after a restore.
+func (r *Roster) forgetUnwritten() {
+	r.mu.Lock()
+	removed := 0
+	now := r.Now()
+	for name, s := range r.states {
+		if s.forgetAt.IsZero() || now.Before(s.forgetAt) {
+			continue
+		}
+		delete(r.states, name)
+		removed++
+		r.Log.WithField("host", name).Info("Host has not written its row again since the store was restored. It is removed.")
+	}
+	r.mu.Unlock()
+	if removed > 0 {
+		r.onChange()
+	}
+}
+
 // Apply adds, updates and removes hosts according to changed rows of the table of hosts.
 func (r *Roster) Apply(rows []follow.Row) {
 	defer r.onChange()
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -19,10 +19,13 @@
 	// Unready is the reason why the load balancer should send no requests to this host, or "" if the host is ready.
 	Unready string `json:"unready"`
 	// KeyAge is the time since the platform last confirmed the configuration, in milliseconds, or negative if it never did.
-	KeyAge    int64                       `json:"key_age_ms"`
-	Hosts     int                         `json:"hosts"`
-	Upstreams int                         `json:"upstreams"`
-	Routes    map[string]meter.RouteStats `json:"routes"`
+	KeyAge int64 `json:"key_age_ms"`
+	// StoreEra is the number of the store's era, or "unknown". RowsRewritten counts how often this host wrote its row again because the store had been restored.
+	StoreEra      string                      `json:"store_era"`
+	RowsRewritten int64                       `json:"rows_rewritten"`
+	Hosts         int                         `json:"hosts"`
+	Upstreams     int                         `json:"upstreams"`
+	Routes        map[string]meter.RouteStats `json:"routes"`
 	// BurnRates reports the rates at which this host uses up the error budget of the service-level objective.
 	BurnRates burn.Report `json:"burn"`
 	// Queues holds the statistics of the worker queues that this host runs.
@@ -54,6 +57,9 @@
 		Goroutines: runtime.NumGoroutine(),
 		HeapBytes:  mem.HeapAlloc,
 	}
+	era, _ := r.adapter.Eras.Current()
+	s.StoreEra = era.String()
+	s.RowsRewritten = r.rowsRewritten.Load()
 	if p := r.plans.Current(); p != nil {
 		s.Version = p.Version
 	}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -55,6 +55,8 @@
 
 // Adapter provides the platform-specific parts of a relay.
 type Adapter struct {
+	// Eras tracks the era of the platform's store.
+	Eras *follow.Eras
 	// Configurations, Upstreams and Hosts are tables of the platform's store. ConfigKey is the key of the row with the newest configuration.
 	Configurations follow.Source
 	ConfigKey      string
@@ -82,6 +84,7 @@
 	settings   setup.Relay
 	adapter    Adapter
 	plans      *plan.Active
+	planSink   *follow.PlanSink
 	upstreams  *follow.Upstreams
 	lease      *grant.Lease
 	table      *route.Table
@@ -91,6 +94,8 @@
 	flow       *flow.Service
 	callers    *serve.Graceful
 	meter      *meter.Meter
+	// rowsRewritten counts how often this host wrote its row again after the store was restored.
+	rowsRewritten atomic.Int64
 	// syncMu serializes updates of the routing table and the queues.
 	syncMu sync.Mutex
 	// synced is set once the routing table and the queues have been updated with a configuration and the upstreams.
@@ -109,9 +114,15 @@
 		dispatcher: batch.NewDispatcher(deps, a.Workers),
 		meter:      meter.New(),
 	}
+	a.Eras.OnEnter(r.lease.Pause)
+	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync)
 	r.upstreams = follow.NewUpstreams(deps, a.Upstream, s.Upstreams.Forget.D(), r.sync)
 	r.roster = hosts.NewRoster(deps, r.localHost())
 	r.peers = hosts.NewPeers(deps, s.Listen.Peers, r.roster, r.dispatcher)
+	r.peers.ShareKnowledge(knowledge{
+		PlanSink:  r.planSink,
+		Upstreams: r.upstreams,
+	})
 	r.dispatcher.OnReleased(r.peers.Release)
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
@@ -152,17 +163,22 @@
 
 // Run runs the daemon until ctx is done.
 func (r *Relay) Run(ctx context.Context) error {
-	plans := follow.NewPlanSink(r.Deps, r.adapter.ConfigKey, r.adapter.Plan, r.plans, r.sync)
+	eras := r.adapter.Eras
+	restorePause := follow.WithRestorePause(r.restorePause)
 	tree := super.New(r.WithPart("root"), super.WithParts(
-		follow.NewFeed(r.Deps, "configurations", r.adapter.Configurations, plans, r.configPollTimeout(), follow.WithConfirmation(r.startConfirmation), follow.WithBatchPause(r.batchPause)),
-		follow.NewFeed(r.Deps, "upstreams", r.adapter.Upstreams, r.upstreams, upstreamPollTimeout,
-			follow.WithOutage(r.upstreams.OutageStarted, r.upstreams.OutageEnded), follow.WithBatchPause(r.batchPause)),
-		follow.NewFeed(r.Deps, "hosts", r.adapter.Hosts, r.roster, hostPollTimeout, follow.WithBatchPause(r.batchPause)),
+		follow.NewFeed(r.Deps, eras, "configurations", r.adapter.Configurations, r.planSink, r.configPollTimeout(), follow.WithConfirmation(r.startConfirmation), follow.WithBatchPause(r.batchPause), restorePause),
+		follow.NewFeed(r.Deps, eras, "upstreams", r.adapter.Upstreams, r.upstreams, upstreamPollTimeout,
+			follow.WithOutage(r.upstreams.OutageStarted, r.upstreams.OutageEnded), follow.WithBatchPause(r.batchPause), restorePause),
+		follow.NewFeed(r.Deps, eras, "hosts", r.adapter.Hosts, r.roster, hostPollTimeout, follow.WithBatchPause(r.batchPause), restorePause),
 		r.peers,
 		super.Func{
 			Label: "presence",
 			Body:  r.register,
 		},
+		super.Func{
+			Label: "eras",
+			Body:  r.followEras,
+		},
 		super.Func{
 			Label: "ready",
 			Body:  r.plainServer("ready", r.settings.Listen.Ready, r.readyHandler()).Run,
@@ -239,25 +255,35 @@
 	}
 }
 
-// register adds this host to the host table, retrying until it succeeds, and returns when ctx is done.
+// register adds this host to the host table, and again whenever the store has been restored, until ctx is done.
 func (r *Relay) register(ctx context.Context, up func()) error {
 	up()
 	value, err := json.Marshal(r.localHost())
 	if err != nil {
 		return fmt.Errorf("encode host row: %w", err)
 	}
+	for {
+		era, _ := r.adapter.Eras.Current()
+		if !r.writeHostRow(ctx, value) || !r.writeAgain(ctx, era) {
+			return nil
+		}
+		r.rowsRewritten.Add(1)
+		r.Log.Info("Writing this host to the host table again, as the store has been restored.")
+	}
+}
+
+// writeHostRow writes the row of this host, retrying until that succeeds. It returns false once ctx is done.
+func (r *Relay) writeHostRow(ctx context.Context, value []byte) bool {
 	for {
 		err := r.adapter.Hosts.Put(ctx, r.Host, value)
 		if err == nil {
-			break
+			return true
 		}
 		r.Log.WithError(err).Info("Failed to write this host to the host table. Retrying.")
 		if !common.Sleep(ctx, registrationRetry) {
-			return nil
+			return false
 		}
 	}
-	<-ctx.Done()
-	return nil
 }
 
 // deregister removes this host from the host table in the background, so that other hosts stop sending it work.
--- a/internal/stand/rows/listen.go
+++ b/internal/stand/rows/listen.go
@@ -85,6 +85,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		l.store.mu.Lock()
 		l.store.calls++
+		if era := l.store.era; era != "" {
+			w.Header().Set("Store-Era", era)
+		}
 		l.store.mu.Unlock()
 		switch Fault(l.fault.Load()) {
 		case Busy:
--- a/internal/stand/rows/store.go
+++ b/internal/stand/rows/store.go
@@ -35,6 +35,8 @@
 	rows    []Row
 	history []Row
 	ver     int64
+	// era is the text of the header that states how often the store was restored. Without text there is no header.
+	era string
 	// compactedVer is the newest version whose changes were dropped from the history.
 	compactedVer int64
 	// changed is closed and replaced at every change.
@@ -43,6 +45,51 @@
 	calls   int
 }
 
+// Copy is a copy of the rows of a store.
+type Copy struct {
+	rows []Row
+	ver  int64
+}
+
+// Copy returns a copy from which the store can be restored.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{
+		rows: slices.Clone(s.rows),
+		ver:  s.ver,
+	}
+}
+
+// Restore replaces the rows with those of the copy and loses everything written since. Versions given out since are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows = slices.Clone(c.rows)
+	s.ver = c.ver
+	s.history = slices.DeleteFunc(s.history, func(r Row) bool { return r.Ver > c.ver })
+	s.compactedVer = min(s.compactedVer, c.ver)
+	s.notifyLocked()
+}
+
+// SetEra sets the text of the Store-Era header in all responses. An empty text removes the header.
+func (s *Store) SetEra(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = text
+}
+
+// Row returns the value of a row, or false if the row does not exist.
+func (s *Store) Row(table, key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.rows, Row{Table: table, Key: key}.sameKey)
+	if i < 0 {
+		return nil, false
+	}
+	return s.rows[i].Value, true
+}
+
 // New returns an empty store.
 func New() *Store {
 	return &Store{
@@ -154,7 +201,7 @@
 func (s *Store) changesSince(table string, after int64) (out []Row, ver int64, changed <-chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compactedVer {
+	if after < s.compactedVer || after > s.ver {
 		return nil, s.ver, s.changed, false
 	}
 	for _, r := range s.history {
