--- a/internal/root/relay/batch/dispatcher.go
+++ b/internal/root/relay/batch/dispatcher.go
@@ -25,14 +25,21 @@
 
 // WorkerClient sends calls to workers.
 type WorkerClient interface {
-	// Run runs the items at the worker and returns one result for each of them, in their order.
-	Run(ctx context.Context, up route.Upstream, items []Item) ([]Result, error)
+	// Run runs the items at the worker. Without an error, the response has one result for each of them, in their order.
+	Run(ctx context.Context, up route.Upstream, items []Item) (Response, error)
 	// Free frees results at the worker with the address.
 	Free(ctx context.Context, addr string, handles []string) error
 	// WorkerAddr returns the address of the worker that holds a result, or "" if the handle does not contain it.
 	WorkerAddr(handle string) string
 }
 
+// Response is the response of a worker to a call. After an error it holds what the worker stated all the same.
+type Response struct {
+	Results []Result
+	// Leaving reports that the worker announced that it is leaving.
+	Leaving bool
+}
+
 // Dispatcher runs the queues of all worker pools on this host.
 type Dispatcher struct {
 	common.Deps
@@ -48,6 +55,8 @@
 	freeRunning   map[string]bool
 	// onReleasable is called with results of a queue that are no longer needed; the queue may belong to another host.
 	onReleasable func(queue string, handles []string)
+	// onLeaving is called with workers that announced that they are leaving.
+	onLeaving func(i route.Incarnation)
 }
 
 // NewDispatcher returns a Dispatcher without queues.
@@ -60,6 +69,7 @@
 		waiters:      map[*Job]chan Outcome{},
 		pendingFrees: map[string][]string{},
 		freeRunning:  map[string]bool{},
+		onLeaving:    func(route.Incarnation) {},
 	}
 	d.onReleasable = d.Free
 	return d
@@ -72,6 +82,11 @@
 	d.onReleasable = f
 }
 
+// OnLeaving sets the function that is called with workers that announced that they are leaving. It must be called before the dispatcher is used.
+func (d *Dispatcher) OnLeaving(f func(i route.Incarnation)) {
+	d.onLeaving = f
+}
+
 // Sync updates the queues and their workers to match the worker pools of the plan and the upstreams in members.
 func (d *Dispatcher) Sync(p *plan.Plan, members []route.Upstream) {
 	byPool := map[string][]route.Upstream{}
@@ -243,7 +258,11 @@
 	timeout := time.Duration(callTimeoutFactor*float64(c.Expected)) + callTimeoutSlack
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	results, err := d.client.Run(ctx, c.Upstream, c.Items)
+	resp, err := d.client.Run(ctx, c.Upstream, c.Items)
+	if resp.Leaving {
+		d.onLeaving(c.Upstream.Incarnation())
+	}
+	results := resp.Results
 	if err == nil && len(results) != len(c.Items) {
 		err = errors.Errorf("worker returned %d results for %d items", len(results), len(c.Items))
 	}
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -102,6 +102,9 @@
 func (x *exchange) handleResponse(ctx context.Context, up route.Upstream, began time.Time, resp send.Response) (retry.Event, bool) {
 	x.framing = resp.Framing
 	head := x.HeaderCodec.ParseResponse(x.requestHead.ID, resp.Status, resp.Header)
+	if head.Leaving {
+		x.Upstreams.MarkLeaving(up.Incarnation())
+	}
 	if head.Load != nil {
 		x.Table.Report(up.Name, *head.Load, x.Now())
 	}
--- a/internal/root/relay/flow/headers.go
+++ b/internal/root/relay/flow/headers.go
@@ -98,6 +98,8 @@
 	OtherRequest bool
 	// Signed reports that the upstream marked the response as its own response to this request.
 	Signed bool
+	// Leaving reports that the upstream announced that it is leaving.
+	Leaving bool
 	// Load is the upstream's load, or nil if the response does not report it.
 	Load *stage.Load
 }
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -50,6 +50,12 @@
 	RecordCompleted(p crash.Fingerprint)
 }
 
+// Upstreams tracks which upstreams may be used.
+type Upstreams interface {
+	// MarkLeaving records that an upstream announced in a response that it is leaving.
+	MarkLeaving(i route.Incarnation)
+}
+
 // Budget configures the retry budget of a pool.
 type Budget struct {
 	// Ratio is how many retries each request adds to the budget. ExtraRetries is how many more retries are allowed within a window on all hosts together. Each host gets an equal part of ExtraRetries.
@@ -62,6 +68,7 @@
 	common.Deps
 	Plans         *plan.Active
 	Table         *route.Table
+	Upstreams     Upstreams
 	Sender        Sender
 	Workers       Workers
 	CrashDetector CrashDetector
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -21,11 +21,13 @@
 	// KeyAge is the time since the platform last confirmed the configuration, in milliseconds, or negative if it never did.
 	KeyAge int64 `json:"key_age_ms"`
 	// StoreEra is the number of the store's era, or "unknown". RowsRewritten counts how often this host wrote its row again because the store had been restored.
-	StoreEra      string                      `json:"store_era"`
-	RowsRewritten int64                       `json:"rows_rewritten"`
-	Hosts         int                         `json:"hosts"`
-	Upstreams     int                         `json:"upstreams"`
-	Routes        map[string]meter.RouteStats `json:"routes"`
+	StoreEra      string `json:"store_era"`
+	RowsRewritten int64  `json:"rows_rewritten"`
+	// Leavers counts the incarnations of upstreams that are remembered as leaving or gone.
+	Leavers   int                         `json:"leavers"`
+	Hosts     int                         `json:"hosts"`
+	Upstreams int                         `json:"upstreams"`
+	Routes    map[string]meter.RouteStats `json:"routes"`
 	// BurnRates reports the rates at which this host uses up the error budget of the service-level objective.
 	BurnRates burn.Report `json:"burn"`
 	// Queues holds the statistics of the worker queues that this host runs.
@@ -60,6 +62,7 @@
 	era, _ := r.adapter.Eras.Current()
 	s.StoreEra = era.String()
 	s.RowsRewritten = r.rowsRewritten.Load()
+	s.Leavers = len(r.upstreams.Leavers())
 	if p := r.plans.Current(); p != nil {
 		s.Version = p.Version
 	}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -123,11 +123,13 @@
 		PlanSink:  r.planSink,
 		Upstreams: r.upstreams,
 	})
+	r.dispatcher.OnLeaving(r.upstreams.MarkLeaving)
 	r.dispatcher.OnReleased(r.peers.Release)
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
 		Plans:         r.plans,
 		Table:         r.table,
+		Upstreams:     r.upstreams,
 		Sender:        send.New(),
 		Workers:       r.peers,
 		CrashDetector: hosts.NewCrashes(deps, r.peers),
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -71,7 +71,9 @@
 
 	mu sync.Mutex
 	// crashOn is the request body that crashes the server. If crashOn is empty, no request crashes the server.
-	crashOn         string
+	crashOn string
+	// leaving adds the header Server-Leaving to all responses.
+	leaving         bool
 	nextBehaviors   []Behavior
 	defaultBehavior Behavior
 	runs            []Run
@@ -104,7 +106,7 @@
 	mux.HandleFunc("POST /v1/stage-free", s.freeResults)
 	mux.HandleFunc("/", s.serveRequest)
 	s.http = &http.Server{
-		Handler:           mux,
+		Handler:           s.withServerHeaders(mux),
 		ReadHeaderTimeout: time.Second,
 	}
 	// Serve ends when the server is closed.
@@ -144,6 +146,25 @@
 	s.defaultBehavior = b
 }
 
+// SetLeaving sets whether the server states in all its responses that it is leaving.
+func (s *Server) SetLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+// withServerHeaders adds the headers that all responses of the server have.
+func (s *Server) withServerHeaders(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		if s.leaving {
+			w.Header().Set("Server-Leaving", "1")
+		}
+		s.mu.Unlock()
+		h.ServeHTTP(w, r)
+	})
+}
+
 // CrashOn sets the request body that crashes the server.
 func (s *Server) CrashOn(body string) {
 	s.mu.Lock()
@@ -305,11 +326,14 @@
 	}
 	// A write error means that the client has disconnected and needs no response.
 	_, _ = io.WriteString(w, body)
+	if b == Truncate || b == Reset {
+		// Without a flush, a short body and the head before it would not be sent at all.
+		_ = http.NewResponseController(w).Flush()
+	}
 	switch b {
 	case Truncate:
 		panic(http.ErrAbortHandler)
 	case Reset:
-		_ = http.NewResponseController(w).Flush()
 		// If the client has disconnected, there is no connection left to reset.
 		_ = serve.ResetConn(w)
 	}
