--- /dev/null
+++ b/internal/root/front/chain/retry/returns_test.go
@@ -0,0 +1,36 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestPausedCallersReturnInOrderAndSpread(t *testing.T) {
+	Convey("Given callers that are refused until a pause of 2 s ends", t, func() {
+		now := time.Unix(1000, 0)
+		end := now.Add(2 * time.Second)
+		var r Returns
+		Convey("they return in the order in which they were refused, one per spacing, whenever each was refused", func() {
+			for i := range 10 {
+				at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+				So(at.Add(r.Next(at, end, 50*time.Millisecond)), ShouldEqual, end.Add(time.Duration(i)*50*time.Millisecond))
+			}
+		})
+		Convey("the spread is bounded", func() {
+			for range 1000 {
+				So(r.Next(now, end, 50*time.Millisecond), ShouldBeLessThanOrEqualTo, 2*time.Second+maxReturnSpread)
+			}
+		})
+		Convey("the next pause begins a new order", func() {
+			r.Next(now, end, time.Second)
+			r.Next(now, end, time.Second)
+			So(r.Next(now, end.Add(time.Second), time.Second), ShouldEqual, 3*time.Second)
+		})
+		Convey("a pause that has ended leaves only the spread", func() {
+			So(r.Next(end.Add(time.Second), end, time.Second), ShouldEqual, 0)
+			So(r.Next(end.Add(time.Second), end, time.Second), ShouldEqual, time.Second)
+		})
+	})
+}
--- a/internal/root/front/chain/route/entry.go
+++ b/internal/root/front/chain/route/entry.go
@@ -106,6 +106,8 @@
 	ejections           int
 	ejectedUntil        time.Time
 	readmittedAt        time.Time
+	// pausedUntil is the end of the pause that the upstream has asked for.
+	pausedUntil time.Time
 }
 
 func newEntry(up Upstream) *entry {
@@ -195,12 +197,24 @@
 
 // usable reports whether the upstream may be sent a request. After an ejection it gets one request at a time until one succeeds.
 func (e *entry) usable(now time.Time) bool {
-	if e.up.Leaving || now.Before(e.ejectedUntil) {
+	if e.up.Leaving || e.isEjected(now) || e.isPaused(now) {
 		return false
 	}
 	return e.ejections == 0 || e.inFlight == 0
 }
 
+func (e *entry) isPaused(now time.Time) bool {
+	return now.Before(e.pausedUntil)
+}
+
+// usableAt returns the earliest time at which the upstream may be usable, if it is not leaving.
+func (e *entry) usableAt() time.Time {
+	if e.pausedUntil.After(e.ejectedUntil) {
+		return e.pausedUntil
+	}
+	return e.ejectedUntil
+}
+
 func (e *entry) isEjected(now time.Time) bool {
 	return now.Before(e.ejectedUntil)
 }
--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -16,6 +16,11 @@
 	}
 	if expectedWait+q.callTime(w) > w.HardTimeout {
 		q.stats.Refused++
+		if returnsAt, ok := q.pauseEnd(now); ok {
+			return nil, &Refused{
+				After: q.returns.Next(now, returnsAt, q.returnSpacing(w)),
+			}
+		}
 		return nil, &Refused{
 			After: min(max(expectedWait/2, minRetryAfter), maxRetryAfter),
 		}
@@ -45,9 +50,9 @@
 			continue
 		}
 		speed += 1 / w.slowness(now)
-		free := max(0, w.expectedEnd.Sub(now))
+		free := max(0, w.expectedEnd.Sub(now), w.pausedUntil.Sub(now))
 		if w.calls == 0 {
-			free = max(0, w.backoffUntil.Sub(now))
+			free = w.freeIn(now)
 		}
 		if soonest < 0 || free < soonest {
 			soonest = free
@@ -70,6 +75,29 @@
 	return soonest + time.Duration(ahead/speed), true
 }
 
+// pauseEnd returns when the first worker can be used again if all workers that are not leaving are in a pause that they have asked for.
+func (q *Queue) pauseEnd(now time.Time) (first time.Time, ok bool) {
+	for _, w := range q.workers {
+		if w.upstream.Leaving {
+			continue
+		}
+		if !now.Before(w.pausedUntil) {
+			return time.Time{}, false
+		}
+		if !ok || w.pausedUntil.Before(first) {
+			first = w.pausedUntil
+		}
+		ok = true
+	}
+	return first, ok
+}
+
+// returnSpacing returns the time in which all workers together finish one work of this size.
+func (q *Queue) returnSpacing(w Work) time.Duration {
+	pieces := len(q.workers) * max(1, q.spec.Batch)
+	return q.callTime(w) * time.Duration(len(w.Pieces)) / time.Duration(max(1, pieces))
+}
+
 func (q *Queue) itemTime(w Work) time.Duration {
 	if t, ok := q.itemTimes[w.costClass()]; ok {
 		return t
@@ -81,13 +109,22 @@
 	return q.spec.Call + time.Duration(min(len(w.Pieces), max(1, q.spec.Batch)))*q.itemTime(w)
 }
 
-// Expire ends and returns the jobs that can no longer be finished in time. It ends only jobs whose remaining pieces all wait for a call.
+// Expire ends and returns the jobs that can no longer be finished in time, also because all workers are paused. It ends only jobs whose remaining pieces all wait for a call.
 func (q *Queue) Expire(now time.Time) []*Job {
 	var ended []*Job
+	earliest := now
+	returnsAt, paused := q.pauseEnd(now)
+	if paused {
+		earliest = returnsAt
+	}
 	for _, j := range slices.Clone(q.jobs) {
-		if len(j.waiting) == j.remaining && now.Add(q.callTime(j.Work)).After(j.hardDeadline) {
+		if len(j.waiting) == j.remaining && earliest.Add(q.callTime(j.Work)).After(j.hardDeadline) {
+			after := minRetryAfter
+			if paused {
+				after = q.returns.Next(now, returnsAt, q.returnSpacing(j.Work))
+			}
 			q.endJob(j, Refused{
-				After: minRetryAfter,
+				After: after,
 			})
 			ended = append(ended, j)
 		}
--- a/internal/root/relay/batch/dispatcher.go
+++ b/internal/root/relay/batch/dispatcher.go
@@ -38,6 +38,8 @@
 	Results []Result
 	// Leaving reports that the worker announced that it is leaving.
 	Leaving bool
+	// PauseFor is how long the worker, which ran nothing of the call, wants no further calls, or 0.
+	PauseFor time.Duration
 }
 
 // Dispatcher runs the queues of all worker pools on this host.
@@ -282,10 +284,14 @@
 	})
 	var ended []*Job
 	var unused []string
-	if err != nil {
+	switch {
+	case err != nil && resp.PauseFor > 0:
+		log.WithField("pause_ms", resp.PauseFor.Milliseconds()).Info("Worker asked for a pause.")
+		ended, unused = q.PauseCall(now, c, resp.PauseFor)
+	case err != nil:
 		log.WithError(err).Warn("Call to worker failed.")
 		ended, unused = q.FailCall(now, c)
-	} else {
+	default:
 		log.Info("Call to worker completed.")
 		ended, unused = q.CompleteCall(now, c, results)
 	}
--- a/internal/root/relay/batch/finish.go
+++ b/internal/root/relay/batch/finish.go
@@ -123,6 +123,26 @@
 	return ended, unused
 }
 
+// PauseCall records that the worker ran nothing of a call and asked for a pause. It returns the jobs that have ended, and their earlier results, which are to be freed. The pieces wait for another call, which is no further attempt.
+func (q *Queue) PauseCall(now time.Time, c *Call, pause time.Duration) (ended []*Job, unused []string) {
+	q.removeCall(c)
+	q.stats.Pauses++
+	c.worker.recordPause(now, pause)
+	counted := map[*Job]bool{}
+	for _, p := range c.pieces {
+		c.worker.usedBytes -= p.job.ResultBytes
+		if !counted[p.job] && !c.hedged {
+			p.job.attempts--
+		}
+		counted[p.job] = true
+		if q.retryOrFail(now, c, p, ReasonPaused) {
+			ended = append(ended, p.job)
+			unused = append(unused, q.partialResults(p.job)...)
+		}
+	}
+	return ended, unused
+}
+
 func (q *Queue) updateItemTimes(c *Call, took time.Duration) {
 	var items time.Duration
 	for _, p := range c.pieces {
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -171,7 +171,7 @@
 			continue
 		}
 		workers++
-		if free := max(0, o.expectedEnd.Sub(now), o.backoffUntil.Sub(now)); earliest < 0 || free < earliest {
+		if free := max(o.expectedEnd.Sub(now), o.freeIn(now)); earliest < 0 || free < earliest {
 			earliest = free
 		}
 	}
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 )
@@ -40,7 +41,9 @@
 	exclusiveFrom time.Time
 	// pacer keeps calls from starting too close together.
 	pacer pacer
-	stats Stats
+	// returns spreads the callers that come back when a paused worker can be used again.
+	returns retry.Returns
+	stats   Stats
 }
 
 // NewQueue returns an empty queue for workers with the properties in spec.
--- a/internal/root/relay/batch/stats.go
+++ b/internal/root/relay/batch/stats.go
@@ -6,7 +6,9 @@
 	Waiting     int   `json:"waiting"`
 	Calls       int64 `json:"calls"`
 	FailedCalls int64 `json:"broken"`
-	Pieces      int64 `json:"pieces"`
+	// Pauses counts the calls in place of which a worker asked for a pause.
+	Pauses int64 `json:"pauses"`
+	Pieces int64 `json:"pieces"`
 	// Hedged counts the pieces that were queued again because their call took too long.
 	Hedged int64 `json:"hedged"`
 	// Missed counts the pieces that got no result from a call, by reason.
--- a/internal/root/relay/batch/work.go
+++ b/internal/root/relay/batch/work.go
@@ -87,6 +87,8 @@
 	ReasonInputLost Reason = "gone"
 	// ReasonNoRoom means that the worker has no room for the result.
 	ReasonNoRoom Reason = "full"
+	// ReasonPaused means that the worker ran nothing and asked for a pause.
+	ReasonPaused Reason = "paused"
 	// ReasonWorkerFailed means that the worker failed.
 	ReasonWorkerFailed Reason = "fault"
 	// ReasonNoWorker means that no worker could be reached.
--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 )
 
@@ -39,15 +40,22 @@
 	faultCount     int
 	backoffUntil   time.Time
 	expectedEnd    time.Time
+	// pausedUntil is the end of the pause that the worker has asked for.
+	pausedUntil time.Time
 }
 
 func (w *worker) available(now time.Time, slots int) bool {
-	return !w.upstream.Leaving && w.calls < slots && !now.Before(w.backoffUntil)
+	return !w.upstream.Leaving && w.calls < slots && w.freeIn(now) == 0
+}
+
+// freeIn returns how long the worker gets no calls because of failures or a pause.
+func (w *worker) freeIn(now time.Time) time.Duration {
+	return max(0, w.backoffUntil.Sub(now), w.pausedUntil.Sub(now))
 }
 
 // healthy reports whether the worker is not leaving, has no recent failures and works at about normal speed.
 func (w *worker) healthy(now time.Time) bool {
-	return !w.upstream.Leaving && w.faultCount == 0 && w.slowness(now) <= slowThreshold
+	return !w.upstream.Leaving && w.faultCount == 0 && !now.Before(w.pausedUntil) && w.slowness(now) <= slowThreshold
 }
 
 // slowness returns how many times longer than expected a call is predicted to take. It decays to 1 while there are no new calls.
@@ -87,6 +95,13 @@
 	w.backoffUntil = now.Add(backoff)
 }
 
+// recordPause records that the worker asked for a pause. It never shortens an earlier one.
+func (w *worker) recordPause(now time.Time, d time.Duration) {
+	if until := now.Add(min(d, retry.MaxPause)); until.After(w.pausedUntil) {
+		w.pausedUntil = until
+	}
+}
+
 // recordFull records that the worker had no room for a result.
 func (w *worker) recordFull(now time.Time, room int64) {
 	w.untrackedBytes = max(0, room-w.usedBytes)
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -105,6 +105,10 @@
 	if head.Leaving {
 		x.Upstreams.MarkLeaving(up.Incarnation())
 	}
+	if head.PauseFor > 0 {
+		x.Table.Pause(x.Now(), up.Incarnation(), head.PauseFor)
+		x.Log.WithField("upstream", up.Name).WithField("pause_ms", head.PauseFor.Milliseconds()).Info("Upstream asked for a pause.")
+	}
 	if head.Load != nil {
 		x.Table.Report(up.Name, *head.Load, x.Now())
 	}
@@ -121,7 +125,11 @@
 	}
 	x.mayHaveRun = true
 	if resp.Status >= 500 && x.spendFailureRetry() {
-		x.Table.Done(x.Now(), up.Name, x.Now().Sub(began), false)
+		if head.PauseFor > 0 {
+			x.Table.Release(x.Now(), up.Name)
+		} else {
+			x.Table.Done(x.Now(), up.Name, x.Now().Sub(began), false)
+		}
 		x.excluded = append(x.excluded, up.Name)
 		x.setCause(CauseUpstreamFailed, http.StatusText(resp.Status))
 		return retry.Broken{
--- a/internal/root/relay/flow/cause.go
+++ b/internal/root/relay/flow/cause.go
@@ -28,6 +28,8 @@
 	CauseUpstreamRefused Cause = "upstream_refused"
 	CauseUpstreamBroken  Cause = "upstream_broke"
 	CauseUpstreamFailed  Cause = "upstream_failed"
-	CauseDeadline        Cause = "deadline"
-	CauseCallerLeft      Cause = "caller_left"
+	// CausePaused means that all upstreams of the pool have asked for a pause.
+	CausePaused     Cause = "paused"
+	CauseDeadline   Cause = "deadline"
+	CauseCallerLeft Cause = "caller_left"
 )
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -86,7 +86,9 @@
 		}
 		up, ok := x.pickUpstream()
 		if !ok {
-			x.abandon(CauseNoUpstream, "no upstream of pool "+x.pool+" is usable", overloadRetryAfter)
+			if !x.abandonIfPaused() {
+				x.abandon(CauseNoUpstream, "no upstream of pool "+x.pool+" is usable", overloadRetryAfter)
+			}
 			return
 		}
 		ev, done := x.attempt(ctx, up)
@@ -105,7 +107,7 @@
 		x.abandon(CauseCrashesUpstreams, "request has crashed too many upstreams", crashRetryAfter)
 		return false
 	}
-	if !x.runStages(ctx) {
+	if x.abandonIfPaused() || !x.runStages(ctx) {
 		return false
 	}
 	if x.abandonIfOver() {
@@ -131,6 +133,15 @@
 	return true
 }
 
+// abandonIfPaused abandons the request if all upstreams of its pool have asked for a pause, and reports whether it did.
+func (x *exchange) abandonIfPaused() bool {
+	after, ok := x.Table.ReturnAfter(x.Now(), x.pool)
+	if ok {
+		x.abandon(CausePaused, "all upstreams of pool "+x.pool+" have asked for a pause", after)
+	}
+	return ok
+}
+
 func (x *exchange) timeLeft() time.Duration {
 	return x.deadline.Sub(x.Now())
 }
@@ -174,6 +185,9 @@
 		}
 		return true
 	case retry.Stop:
+		if x.abandonIfPaused() {
+			return false
+		}
 		x.abandon(x.cause, x.detail+": "+string(a.Reason), overloadRetryAfter)
 	}
 	return false
--- a/internal/root/relay/flow/headers.go
+++ b/internal/root/relay/flow/headers.go
@@ -100,6 +100,8 @@
 	Signed bool
 	// Leaving reports that the upstream announced that it is leaving.
 	Leaving bool
+	// PauseFor is how long the upstream wants no requests from this host, or 0.
+	PauseFor time.Duration
 	// Load is the upstream's load, or nil if the response does not report it.
 	Load *stage.Load
 }
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -23,6 +23,8 @@
 	// StoreEra is the number of the store's era, or "unknown". RowsRewritten counts how often this host wrote its row again because the store had been restored.
 	StoreEra      string `json:"store_era"`
 	RowsRewritten int64  `json:"rows_rewritten"`
+	// Paused counts the upstreams that are in a pause that they have asked for.
+	Paused int `json:"paused"`
 	// Leavers counts the incarnations of upstreams that are remembered as leaving or gone.
 	Leavers   int                         `json:"leavers"`
 	Hosts     int                         `json:"hosts"`
@@ -62,6 +64,7 @@
 	era, _ := r.adapter.Eras.Current()
 	s.StoreEra = era.String()
 	s.RowsRewritten = r.rowsRewritten.Load()
+	s.Paused = r.table.Paused(r.Now())
 	s.Leavers = len(r.upstreams.Leavers())
 	if p := r.plans.Current(); p != nil {
 		s.Version = p.Version
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -72,6 +72,9 @@
 	mu sync.Mutex
 	// crashOn is the request body that crashes the server. If crashOn is empty, no request crashes the server.
 	crashOn string
+	// pause, if not empty, is the Retry-After text with which the server turns away all requests. turnedAway holds the times at which it did so.
+	pause      string
+	turnedAway []time.Time
 	// leaving adds the header Server-Leaving to all responses.
 	leaving         bool
 	nextBehaviors   []Behavior
@@ -153,6 +156,34 @@
 	s.leaving = leaving
 }
 
+// SetPause sets the Retry-After text with which the server turns away all requests and calls from now on. An empty text ends that.
+func (s *Server) SetPause(retryAfter string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pause = retryAfter
+}
+
+// TurnedAway returns the times at which the server turned a request away because of SetPause.
+func (s *Server) TurnedAway() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.turnedAway...)
+}
+
+// turnsAway responds with 503 and a Retry-After header if SetPause says so.
+func (s *Server) turnsAway(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pause == "" {
+		return false
+	}
+	s.turnedAway = append(s.turnedAway, time.Now())
+	w.Header().Set("Retry-After", s.pause)
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // withServerHeaders adds the headers that all responses of the server have.
 func (s *Server) withServerHeaders(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -236,7 +267,7 @@
 }
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
-	if !s.checkInstance(w, r) {
+	if !s.checkInstance(w, r) || s.turnsAway(w) {
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -389,7 +420,7 @@
 	var call struct {
 		Items []Item `json:"items"`
 	}
-	if !s.checkInstance(w, r) {
+	if !s.checkInstance(w, r) || s.turnsAway(w) {
 		return
 	}
 	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
