--- /dev/null
+++ b/internal/stand/serv/behavior.go
@@ -0,0 +1,31 @@
+package serv
+
+// Behavior is how a server handles one request.
+type Behavior int
+
+// The behaviors of a server.
+const (
+	// Good runs the request and responds to it.
+	Good Behavior = iota
+	// Full rejects the request with 503 and marks it as not executed.
+	Full
+	// Fail runs the request and responds with 500.
+	Fail
+	// DropResponse runs the request and closes the connection without a response.
+	DropResponse
+	// Truncate runs the request and closes the connection in the middle of the response. In a stream, it does so in the middle of an event.
+	Truncate
+	// TruncateHead runs the request and closes the connection after the head of the response.
+	TruncateHead
+	// Reset runs the request and resets the connection in the middle of the response. In a stream, it does so between two events.
+	Reset
+	// OtherRequestID responds with the ID of another request, and NoStamp without the server's stamp.
+	OtherRequestID
+	NoStamp
+	// Hang runs the request and never responds.
+	Hang
+	// RespondTwice sends a second response directly after the first.
+	RespondTwice
+	// Crash starts to run the request, then closes the server with all its connections.
+	Crash
+)
--- /dev/null
+++ b/internal/stand/serv/respond.go
@@ -0,0 +1,125 @@
+package serv
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cornelwing/cornelwing/internal/serve"
+)
+
+// respond handles a request with behavior b. The caller has already recorded the request as run.
+func (s *Server) respond(w http.ResponseWriter, r *http.Request, id string, b Behavior) {
+	h := w.Header()
+	h.Set("Request-Id", id)
+	h.Set("Server-Stamp", "stamp."+s.ID)
+	h.Set("Server-Load", "1,0,8")
+	if s.Unframed {
+		// net/http then neither adds a length nor uses chunks.
+		h.Set("Transfer-Encoding", "identity")
+	}
+	switch b {
+	case DropResponse:
+		panic(http.ErrAbortHandler)
+	case Crash:
+		// Close closes the listener and all connections, including the one of this request.
+		_ = s.http.Close()
+		panic(http.ErrAbortHandler)
+	case Hang:
+		<-r.Context().Done()
+		s.mu.Lock()
+		s.cancelled++
+		s.mu.Unlock()
+		return
+	case OtherRequestID:
+		h.Set("Request-Id", "another")
+	case NoStamp:
+		h.Del("Server-Stamp")
+	case Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case RespondTwice:
+		s.writeTwoResponses(w, id)
+		return
+	case TruncateHead:
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	if s.Events > 0 {
+		s.writeStream(w, r, b)
+		return
+	}
+	s.writePlain(w, id, b)
+}
+
+// Body returns the plain body of the response to the request with the id.
+func (s *Server) Body(id string) string {
+	body := "body of " + id
+	return body + strings.Repeat(".", max(0, s.BodyBytes-len(body)))
+}
+
+// writePlain sends a plain body. With the behaviors Truncate and Reset, it ends the connection before the last byte. Truncate states the length of the whole body first, even if responses are unframed, as nothing else would show that a part is missing.
+func (s *Server) writePlain(w http.ResponseWriter, id string, b Behavior) {
+	body := s.Body(id)
+	if b == Truncate {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	if b == Truncate || b == Reset {
+		body = body[:len(body)-1]
+	}
+	// A write error means that the client has disconnected and needs no response.
+	_, _ = io.WriteString(w, body)
+	if b == Truncate || b == Reset {
+		// Without a flush, a short body and the head before it would not be sent at all.
+		_ = http.NewResponseController(w).Flush()
+	}
+	switch b {
+	case Truncate:
+		panic(http.ErrAbortHandler)
+	case Reset:
+		// If the client has disconnected, there is no connection left to reset.
+		_ = serve.ResetConn(w)
+	}
+}
+
+// writeTwoResponses writes two complete responses to the connection.
+func (s *Server) writeTwoResponses(w http.ResponseWriter, id string) {
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	text := "body of " + id
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp.%s\r\nContent-Length: %d\r\n\r\n%s", id, s.ID, len(text), text)
+	// Write errors are ignored, as the connection is closed right afterwards.
+	_, _ = buf.WriteString(response + response)
+	_ = buf.Flush()
+}
+
+// writeStream sends the events after the one named by the Last-Event-Id header. With the behaviors Truncate and Reset, it ends the connection after half of them.
+func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, b Behavior) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		last = 0
+	}
+	rc := http.NewResponseController(w)
+	for i := last + 1; i <= s.Events; i++ {
+		middle := i == (last+s.Events+1)/2
+		switch {
+		case b == Truncate && middle:
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: pie", i)
+			_ = rc.Flush()
+			panic(http.ErrAbortHandler)
+		case b == Reset && middle:
+			// If the client has disconnected, there is no connection left to reset.
+			_ = serve.ResetConn(w)
+			return
+		}
+		// A write error means that the client has disconnected and needs no response.
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_ = rc.Flush()
+	}
+}
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -1,47 +1,12 @@
 package serv
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/cornelwing/cornelwing/internal/serve"
-)
-
-// Behavior is how a server handles one request.
-type Behavior int
-
-// The behaviors of a server.
-const (
-	// Good runs the request and responds to it.
-	Good Behavior = iota
-	// Full rejects the request with 503 and marks it as not executed.
-	Full
-	// Fail runs the request and responds with 500.
-	Fail
-	// DropResponse runs the request and closes the connection without a response.
-	DropResponse
-	// Truncate runs the request and closes the connection in the middle of the response. In a stream, it does so in the middle of an event.
-	Truncate
-	// TruncateHead runs the request and closes the connection after the head of the response.
-	TruncateHead
-	// Reset runs the request and resets the connection in the middle of the response. In a stream, it does so between two events.
-	Reset
-	// OtherRequestID responds with the ID of another request, and NoStamp without the server's stamp.
-	OtherRequestID
-	NoStamp
-	// Hang runs the request and never responds.
-	Hang
-	// RespondTwice sends a second response directly after the first.
-	RespondTwice
-	// Crash starts to run the request, then closes the server with all its connections.
-	Crash
 )
 
 // Run is one request that a server has started to run.
@@ -87,15 +52,6 @@
 	cancelled int
 }
 
-// Item is one piece of a stage in the body of a stage-run request.
-type Item struct {
-	ID     string   `json:"id"`
-	Stage  int      `json:"stage"`
-	Piece  int      `json:"piece"`
-	Key    string   `json:"key"`
-	Inputs []string `json:"inputs"`
-}
-
 // Start starts the server on a loopback address.
 func (s *Server) Start() error {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -295,174 +251,3 @@
 	s.mu.Unlock()
 	s.respond(w, r, id, b)
 }
-
-// respond handles a request with behavior b. The caller has already recorded the request as run.
-func (s *Server) respond(w http.ResponseWriter, r *http.Request, id string, b Behavior) {
-	h := w.Header()
-	h.Set("Request-Id", id)
-	h.Set("Server-Stamp", "stamp."+s.ID)
-	h.Set("Server-Load", "1,0,8")
-	if s.Unframed {
-		// net/http then neither adds a length nor uses chunks.
-		h.Set("Transfer-Encoding", "identity")
-	}
-	switch b {
-	case DropResponse:
-		panic(http.ErrAbortHandler)
-	case Crash:
-		// Close closes the listener and all connections, including the one of this request.
-		_ = s.http.Close()
-		panic(http.ErrAbortHandler)
-	case Hang:
-		<-r.Context().Done()
-		s.mu.Lock()
-		s.cancelled++
-		s.mu.Unlock()
-		return
-	case OtherRequestID:
-		h.Set("Request-Id", "another")
-	case NoStamp:
-		h.Del("Server-Stamp")
-	case Fail:
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	case RespondTwice:
-		s.writeTwoResponses(w, id)
-		return
-	case TruncateHead:
-		_ = http.NewResponseController(w).Flush()
-		panic(http.ErrAbortHandler)
-	}
-	if s.Events > 0 {
-		s.writeStream(w, r, b)
-		return
-	}
-	s.writePlain(w, id, b)
-}
-
-// Body returns the plain body of the response to the request with the id.
-func (s *Server) Body(id string) string {
-	body := "body of " + id
-	return body + strings.Repeat(".", max(0, s.BodyBytes-len(body)))
-}
-
-// writePlain sends a plain body. With the behaviors Truncate and Reset, it ends the connection before the last byte. Truncate states the length of the whole body first, even if responses are unframed, as nothing else would show that a part is missing.
-func (s *Server) writePlain(w http.ResponseWriter, id string, b Behavior) {
-	body := s.Body(id)
-	if b == Truncate {
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	if b == Truncate || b == Reset {
-		body = body[:len(body)-1]
-	}
-	// A write error means that the client has disconnected and needs no response.
-	_, _ = io.WriteString(w, body)
-	if b == Truncate || b == Reset {
-		// Without a flush, a short body and the head before it would not be sent at all.
-		_ = http.NewResponseController(w).Flush()
-	}
-	switch b {
-	case Truncate:
-		panic(http.ErrAbortHandler)
-	case Reset:
-		// If the client has disconnected, there is no connection left to reset.
-		_ = serve.ResetConn(w)
-	}
-}
-
-// writeTwoResponses writes two complete responses to the connection.
-func (s *Server) writeTwoResponses(w http.ResponseWriter, id string) {
-	conn, buf, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	text := "body of " + id
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp.%s\r\nContent-Length: %d\r\n\r\n%s", id, s.ID, len(text), text)
-	// Write errors are ignored, as the connection is closed right afterwards.
-	_, _ = buf.WriteString(response + response)
-	_ = buf.Flush()
-}
-
-// writeStream sends the events after the one named by the Last-Event-Id header. With the behaviors Truncate and Reset, it ends the connection after half of them.
-func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, b Behavior) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if err != nil {
-		last = 0
-	}
-	rc := http.NewResponseController(w)
-	for i := last + 1; i <= s.Events; i++ {
-		middle := i == (last+s.Events+1)/2
-		switch {
-		case b == Truncate && middle:
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: pie", i)
-			_ = rc.Flush()
-			panic(http.ErrAbortHandler)
-		case b == Reset && middle:
-			// If the client has disconnected, there is no connection left to reset.
-			_ = serve.ResetConn(w)
-			return
-		}
-		// A write error means that the client has disconnected and needs no response.
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
-		_ = rc.Flush()
-	}
-}
-
-type result struct {
-	Handle string `json:"handle,omitempty"`
-	Reason string `json:"reason,omitempty"`
-}
-
-// runPieces records the pieces of a call as run and responds with a handle to the result of each piece. Only the behaviors Full and DropResponse affect it, and neither of them runs a piece.
-func (s *Server) runPieces(w http.ResponseWriter, r *http.Request) {
-	var call struct {
-		Items []Item `json:"items"`
-	}
-	if !s.checkInstance(w, r) || s.turnsAway(w) {
-		return
-	}
-	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	if b := s.nextBehavior(); b == Full {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	} else if b == DropResponse {
-		panic(http.ErrAbortHandler)
-	}
-	var out []result
-	s.mu.Lock()
-	for _, item := range call.Items {
-		s.items = append(s.items, item)
-		s.resultSeq++
-		handle := fmt.Sprintf("%s/%s-%d-%d-%d", s.addr, item.ID, item.Stage, item.Piece, s.resultSeq)
-		s.results[handle] = true
-		out = append(out, result{
-			Handle: handle,
-		})
-	}
-	s.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	// A write error means that the client has disconnected and needs no response.
-	_ = json.NewEncoder(w).Encode(map[string]any{"items": out})
-}
-
-// freeResults deletes the results with the handles in the request.
-func (s *Server) freeResults(w http.ResponseWriter, r *http.Request) {
-	var call struct {
-		Handles []string `json:"handles"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, h := range call.Handles {
-		delete(s.results, h)
-	}
-}
