--- a/internal/root/front/chain/route/entry.go
+++ b/internal/root/front/chain/route/entry.go
@@ -49,7 +49,7 @@
 	return nil
 }
 
-// Incarnation returns the incarnation that the upstream was at.
+// Incarnation returns the start of the upstream that u describes.
 func (u Upstream) Incarnation() Incarnation {
 	return Incarnation{
 		Name:        u.Name,
--- a/internal/root/front/chain/route/table.go
+++ b/internal/root/front/chain/route/table.go
@@ -134,6 +134,9 @@
 			expected: s.Expected,
 			byDomain: map[string][]*entry{},
 		}
+		if old, ok := t.pools[s.Name]; ok {
+			pools[s.Name].returns = old.returns
+		}
 	}
 	names := make(map[string]*entry, len(ups))
 	for _, u := range ups {
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -102,16 +102,7 @@
 func (x *exchange) handleResponse(ctx context.Context, up route.Upstream, began time.Time, resp send.Response) (retry.Event, bool) {
 	x.framing = resp.Framing
 	head := x.HeaderCodec.ParseResponse(x.requestHead.ID, resp.Status, resp.Header)
-	if head.Leaving {
-		x.Upstreams.MarkLeaving(up.Incarnation())
-	}
-	if head.PauseFor > 0 {
-		x.Table.Pause(x.Now(), up.Incarnation(), head.PauseFor)
-		x.Log.WithField("upstream", up.Name).WithField("pause_ms", head.PauseFor.Milliseconds()).Info("Upstream asked for a pause.")
-	}
-	if head.Load != nil {
-		x.Table.Report(up.Name, *head.Load, x.Now())
-	}
+	x.recordAnnouncements(up, head)
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
 	case head.OtherRequest:
@@ -125,11 +116,7 @@
 	}
 	x.mayHaveRun = true
 	if resp.Status >= 500 && x.spendFailureRetry() {
-		if head.PauseFor > 0 {
-			x.Table.Release(x.Now(), up.Name)
-		} else {
-			x.Table.Done(x.Now(), up.Name, x.Now().Sub(began), false)
-		}
+		x.recordServerError(up, began, head)
 		x.excluded = append(x.excluded, up.Name)
 		x.setCause(CauseUpstreamFailed, http.StatusText(resp.Status))
 		return retry.Broken{
@@ -151,6 +138,29 @@
 	return nil, true
 }
 
+// recordAnnouncements records what an upstream states of itself in a response, whatever the response.
+func (x *exchange) recordAnnouncements(up route.Upstream, head ResponseHead) {
+	if head.Leaving {
+		x.Upstreams.MarkLeaving(up.Incarnation())
+	}
+	if head.PauseFor > 0 {
+		x.Table.Pause(x.Now(), up.Incarnation(), head.PauseFor)
+		x.Log.WithField("request", x.requestHead.ID).WithField("upstream", up.Name).WithField("pause_ms", head.PauseFor.Milliseconds()).Info("Upstream asked for a pause.")
+	}
+	if head.Load != nil {
+		x.Table.Report(up.Name, *head.Load, x.Now())
+	}
+}
+
+// recordServerError records the failure of an upstream that responded with a server error, unless it asked for a pause by it.
+func (x *exchange) recordServerError(up route.Upstream, began time.Time, head ResponseHead) {
+	if head.PauseFor > 0 {
+		x.Table.Release(x.Now(), up.Name)
+		return
+	}
+	x.Table.Done(x.Now(), up.Name, x.Now().Sub(began), false)
+}
+
 // spendFailureRetry reports whether a request that failed with a server error may be sent to another upstream. If so, it takes a retry from the budget.
 func (x *exchange) spendFailureRetry() bool {
 	return !x.headSent && x.route.Repeatable() && x.sends < x.route.Attempts && x.timeLeft() > minTimeLeft && x.retryBudget(x.pool).TryWithdraw()
--- a/internal/root/relay/flow/events.go
+++ b/internal/root/relay/flow/events.go
@@ -18,7 +18,7 @@
 	readBufferBytes = 2 << 10
 )
 
-// The errors of a stream that ended before its end.
+// Errors of an incomplete stream.
 var (
 	// errEventTooLong reports an event longer than maxEventBytes.
 	errEventTooLong = errors.New("event is too long")
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -86,9 +86,7 @@
 		}
 		up, ok := x.pickUpstream()
 		if !ok {
-			if !x.abandonIfPaused() {
-				x.abandon(CauseNoUpstream, "no upstream of pool "+x.pool+" is usable", overloadRetryAfter)
-			}
+			x.abandonWithoutUpstream()
 			return
 		}
 		ev, done := x.attempt(ctx, up)
@@ -142,6 +140,13 @@
 	return ok
 }
 
+// abandonWithoutUpstream abandons the request because no upstream of its pool is usable.
+func (x *exchange) abandonWithoutUpstream() {
+	if !x.abandonIfPaused() {
+		x.abandon(CauseNoUpstream, "no upstream of pool "+x.pool+" is usable", overloadRetryAfter)
+	}
+}
+
 func (x *exchange) timeLeft() time.Duration {
 	return x.deadline.Sub(x.Now())
 }
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -44,6 +44,8 @@
 	retryBudgetShare = 0.85
 	// registrationRetry is the pause between attempts to register this host in the host table.
 	registrationRetry = 500 * time.Millisecond
+	// deregistrationTimeout is the timeout for removing this host from the host table.
+	deregistrationTimeout = time.Second
 	// defaultServiceTime is the expected time of a request at an upstream that has served none yet.
 	defaultServiceTime = 100 * time.Millisecond
 	// headerTimeout and idleTimeout bound how long a caller's connection may take to send its headers and may stay idle.
@@ -269,6 +271,10 @@
 		if !r.writeHostRow(ctx, value) || !r.writeAgain(ctx, era) {
 			return nil
 		}
+		if r.roster.Leaving() {
+			<-ctx.Done()
+			return nil
+		}
 		r.rowsRewritten.Add(1)
 		r.Log.Info("Writing this host to the host table again, as the store has been restored.")
 	}
@@ -288,14 +294,27 @@
 	}
 }
 
-// deregister removes this host from the host table in the background, so that other hosts stop sending it work.
+// deregister removes this host from the host table in the background, so that other hosts stop sending it work. Until the process ends it does so again whenever the store has been restored.
 func (r *Relay) deregister() {
 	r.roster.Leave()
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), r.settings.Stop.Grace.D())
 		defer cancel()
-		if err := r.adapter.Hosts.Remove(ctx, r.Host); err != nil {
-			r.Log.WithError(err).Info("Failed to remove this host from the host table.")
+		for ctx.Err() == nil {
+			_, entered := r.adapter.Eras.Current()
+			r.removeHostRow(ctx)
+			select {
+			case <-entered:
+			case <-ctx.Done():
+			}
 		}
 	}()
 }
+
+func (r *Relay) removeHostRow(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, deregistrationTimeout)
+	defer cancel()
+	if err := r.adapter.Hosts.Remove(ctx, r.Host); err != nil {
+		r.Log.WithError(err).Info("Failed to remove this host from the host table.")
+	}
+}
