--- a/internal/stand/serv/behavior.go
+++ b/internal/stand/serv/behavior.go
@@ -28,4 +28,6 @@
 	RespondTwice
 	// Crash starts to run the request, then closes the server with all its connections.
 	Crash
+	// CrashAfterHead starts to run the request, sends the head of the response, and then closes the server with all its connections.
+	CrashAfterHead
 )
--- a/internal/stand/serv/respond.go
+++ b/internal/stand/serv/respond.go
@@ -6,10 +6,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cornelwing/cornelwing/internal/serve"
 )
 
+// crashDelay is how long a server that crashes after the head of its response still runs.
+const crashDelay = 20 * time.Millisecond
+
 // respond handles a request with behavior b. The caller has already recorded the request as run.
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, id string, b Behavior) {
 	h := w.Header()
@@ -27,6 +31,11 @@
 		// Close closes the listener and all connections, including the one of this request.
 		_ = s.http.Close()
 		panic(http.ErrAbortHandler)
+	case CrashAfterHead:
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(crashDelay)
+		_ = s.http.Close()
+		panic(http.ErrAbortHandler)
 	case Hang:
 		<-r.Context().Done()
 		s.mu.Lock()
@@ -108,6 +117,7 @@
 	rc := http.NewResponseController(w)
 	for i := last + 1; i <= s.Events; i++ {
 		middle := i == (last+s.Events+1)/2
+		time.Sleep(s.EventDelay)
 		switch {
 		case b == Truncate && middle:
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: pie", i)
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -5,12 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
 
 // Run is one request that a server has started to run.
 type Run struct {
+	At     time.Time
 	ID     string
 	Method string
 	Target string
@@ -28,6 +30,8 @@
 	NeedsInputs bool
 	// BodyBytes is the minimum size of a plain body, which is padded to it.
 	BodyBytes int
+	// EventDelay is the pause before each event of a streamed response.
+	EventDelay time.Duration
 	// Unframed sends responses with neither a length nor chunks, so that only the end of the connection marks their end.
 	Unframed bool
 
@@ -37,6 +41,10 @@
 	mu sync.Mutex
 	// crashOn is the request body that crashes the server. If crashOn is empty, no request crashes the server.
 	crashOn string
+	// crashPart is the ID of the prompt part that crashes the server as soon as it begins to respond to a request with it, unless it is the last part. Empty means none.
+	crashPart string
+	// stopped is closed when the server is closed or crashes.
+	stopped chan struct{}
 	// pause, if not empty, is the Retry-After text with which the server turns away all requests. turnedAway holds the times at which it did so.
 	pause      string
 	turnedAway []time.Time
@@ -60,6 +68,7 @@
 	}
 	s.addr = ln.Addr().String()
 	s.results = map[string]bool{}
+	s.stopped = make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/stage-run", s.runPieces)
 	mux.HandleFunc("POST /v1/stage-free", s.freeResults)
@@ -68,11 +77,19 @@
 		Handler:           s.withServerHeaders(mux),
 		ReadHeaderTimeout: time.Second,
 	}
-	// Serve ends when the server is closed.
-	go func() { _ = s.http.Serve(ln) }()
+	go func() {
+		defer close(s.stopped)
+		// Serve returns an error in any case when the server is closed.
+		_ = s.http.Serve(ln)
+	}()
 	return nil
 }
 
+// Stopped returns a channel that is closed when the server has been closed or has crashed.
+func (s *Server) Stopped() <-chan struct{} {
+	return s.stopped
+}
+
 // Close closes the server and its connections.
 func (s *Server) Close() error {
 	if err := s.http.Close(); err != nil {
@@ -159,6 +176,13 @@
 	s.crashOn = body
 }
 
+// CrashOnPart sets the ID of the prompt part that crashes the server, unless it is the last part of the prompt.
+func (s *Server) CrashOnPart(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashPart = id
+}
+
 // Runs returns the requests that the server has started to run, oldest first.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -212,6 +236,19 @@
 	return s.crashOn != "" && s.crashOn == body
 }
 
+// crashesOnPart reports whether a part of the prompt other than its last crashes the server.
+func (s *Server) crashesOnPart(prefix string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	parts := strings.Split(prefix, ",")
+	for _, p := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(p, ":"); s.crashPart != "" && id == s.crashPart {
+			return true
+		}
+	}
+	return false
+}
+
 // checkInstance returns whether the request is meant for this server. If not, it responds with 421.
 func (s *Server) checkInstance(w http.ResponseWriter, r *http.Request) bool {
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != s.ID {
@@ -235,6 +272,9 @@
 	if s.crashesOn(string(body)) {
 		b = Crash
 	}
+	if s.crashesOnPart(r.Header.Get("Prompt-Prefix")) {
+		b = CrashAfterHead
+	}
 	if id == "" || b == Full || (s.NeedsInputs && r.Header.Get("Inputs") == "") {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -242,6 +282,7 @@
 	}
 	s.mu.Lock()
 	s.runs = append(s.runs, Run{
+		At:     time.Now(),
 		ID:     id,
 		Method: r.Method,
 		Target: r.RequestURI,
