--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -48,6 +48,9 @@
 	// pause, if not empty, is the Retry-After text with which the server turns away all requests. turnedAway holds the times at which it did so.
 	pause      string
 	turnedAway []time.Time
+	// limit, if not empty, is the value of the header Server-Limit in all responses. arrivals holds the times at which requests and calls arrived.
+	limit    string
+	arrivals []time.Time
 	// leaving adds the header Server-Leaving to all responses.
 	leaving         bool
 	nextBehaviors   []Behavior
@@ -129,6 +132,20 @@
 	s.leaving = leaving
 }
 
+// SetLimit sets the value of the header Server-Limit in all responses from now on. Empty means none.
+func (s *Server) SetLimit(perSecond string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = perSecond
+}
+
+// Arrivals returns the times at which requests and calls arrived, oldest first.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.arrivals...)
+}
+
 // SetPause sets the Retry-After text with which the server turns away all requests and calls from now on. An empty text ends that.
 func (s *Server) SetPause(retryAfter string) {
 	s.mu.Lock()
@@ -161,6 +178,10 @@
 func (s *Server) withServerHeaders(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
+		s.arrivals = append(s.arrivals, time.Now())
+		if s.limit != "" {
+			w.Header().Set("Server-Limit", s.limit)
+		}
 		if s.leaving {
 			w.Header().Set("Server-Leaving", "1")
 		}
