Soak entry hosts as real processes under overlapping faults

Change: internal/stand/soak starts entryd processes against the stand-ins of the store and the servers, plays a seeded schedule of overlapping faults by signals and by the stand-ins, and checks from what callers and servers saw: ORDER, TWICE, REFUSED, KEYS, DRAIN, BUDGET (pauses and crashing parts), LIMIT, RECOVER, and that SIGTERM ends a host in time. Checkers are functions over the history, each with rows that break its rule and that just do not. The stand-in of servers logs what has arrived.

Proxy, partitions, clocks and the other daemon are not played yet.

--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -20,6 +20,16 @@
 	Body   string
 }
 
+// Arrival is one request or call that has reached a server.
+type Arrival struct {
+	At time.Time
+	// ID is the ID of the request, or empty for a call of stages.
+	ID string
+	// Leaving reports that the server stated in its response that it was leaving, and RetryAfter is the time with which it turned the request away, or empty.
+	Leaving    bool
+	RetryAfter string
+}
+
 // Server is one instance of a service.
 type Server struct {
 	ID      string
@@ -48,9 +58,9 @@
 	// pause, if not empty, is the Retry-After text with which the server turns away all requests. turnedAway holds the times at which it did so.
 	pause      string
 	turnedAway []time.Time
-	// limit, if not empty, is the value of the header Server-Limit in all responses. arrivals holds the times at which requests and calls arrived.
+	// limit, if not empty, is the value of the header Server-Limit in all responses.
 	limit    string
-	arrivals []time.Time
+	arrivals []Arrival
 	// endless counts the bytes of responses without an end.
 	endless int
 	// leaving adds the header Server-Leaving to all responses.
@@ -145,7 +155,18 @@
 func (s *Server) Arrivals() []time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]time.Time(nil), s.arrivals...)
+	var out []time.Time
+	for _, a := range s.arrivals {
+		out = append(out, a.At)
+	}
+	return out
+}
+
+// ArrivalLog returns the requests and calls that have arrived, oldest first.
+func (s *Server) ArrivalLog() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival(nil), s.arrivals...)
 }
 
 // SetPause sets the Retry-After text with which the server turns away all requests and calls from now on. An empty text ends that.
@@ -180,7 +201,12 @@
 func (s *Server) withServerHeaders(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		s.arrivals = append(s.arrivals, time.Now())
+		s.arrivals = append(s.arrivals, Arrival{
+			At:         time.Now(),
+			ID:         r.Header.Get("Request-Id"),
+			Leaving:    s.leaving,
+			RetryAfter: s.pause,
+		})
 		if s.limit != "" {
 			w.Header().Set("Server-Limit", s.limit)
 		}
--- /dev/null
+++ b/internal/stand/soak/fleet.go
@@ -0,0 +1,192 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/stand/rows"
+	"github.com/cornelwing/cornelwing/internal/stand/serv"
+)
+
+const (
+	// crashingPart is the part of a prompt that crashes each engine.
+	crashingPart = "bad00bad"
+	// restartTime is the time after which a crashed server is replaced, and leaveTime that for which a leaving one goes on serving.
+	restartTime = time.Second
+	leaveTime   = 2500 * time.Millisecond
+	// streamEvents is the number of events in a stream, and eventDelay the pause before each.
+	streamEvents = 6
+	eventDelay   = 5 * time.Millisecond
+)
+
+// sizes holds the number of servers of each service.
+var sizes = map[string]int{
+	"plain":  4,
+	"engine": 6,
+	"worker": 3,
+}
+
+// holding is a fault of a kind that holds a server.
+type holding struct {
+	server *serv.Server
+	kind   string
+}
+
+// fleet runs the servers, and replaces those that end.
+type fleet struct {
+	store *rows.Store
+
+	mu sync.Mutex
+	// all holds every server that was ever started, and states the state that each that is up has written.
+	all    []*serv.Server
+	states map[*serv.Server]string
+	// held holds the kinds of faults that hold each server.
+	held   map[holding]bool
+	closed bool
+}
+
+func newFleet(store *rows.Store) *fleet {
+	return &fleet{
+		store:  store,
+		states: map[*serv.Server]string{},
+		held:   map[holding]bool{},
+	}
+}
+
+// start starts all services.
+func (f *fleet) start() error {
+	for service, n := range sizes {
+		for range n {
+			if err := f.add(service); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// add starts one more server of a service.
+func (f *fleet) add(service string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return nil
+	}
+	s := &serv.Server{
+		ID:      fmt.Sprintf("%s-%d", service, len(f.all)),
+		Service: service,
+	}
+	if service == "engine" {
+		s.Events = streamEvents
+		s.EventDelay = eventDelay
+		s.CrashOnPart(crashingPart)
+	}
+	if err := s.Start(); err != nil {
+		return fmt.Errorf("start server %s: %w", s.ID, err)
+	}
+	f.all = append(f.all, s)
+	f.states[s] = "ready"
+	f.store.Put("servers", s.ID, s.RegistrationJSON("ready"))
+	go f.replace(s)
+	return nil
+}
+
+// replace waits until the server ends, and starts another one in its place.
+func (f *fleet) replace(s *serv.Server) {
+	<-s.Stopped()
+	f.mu.Lock()
+	delete(f.states, s)
+	closed := f.closed
+	f.mu.Unlock()
+	if closed {
+		return
+	}
+	time.Sleep(restartTime)
+	f.store.Remove("servers", s.ID)
+	// Without a free port there is one server less, which the checks of the end notice.
+	_ = f.add(s.Service)
+}
+
+// leave makes a server state that it is leaving, in its row and in its responses, and ends it after leaveTime.
+func (f *fleet) leave(s *serv.Server) {
+	f.mu.Lock()
+	if f.states[s] != "ready" {
+		f.mu.Unlock()
+		return
+	}
+	f.states[s] = "draining"
+	f.mu.Unlock()
+	s.SetLeaving(true)
+	f.store.Put("servers", s.ID, s.RegistrationJSON("draining"))
+	time.Sleep(leaveTime)
+	// The server is replaced either way.
+	_ = s.Close()
+}
+
+// registerAll writes the rows of all servers that are up again.
+func (f *fleet) registerAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for s, state := range f.states {
+		f.store.Put("servers", s.ID, s.RegistrationJSON(state))
+	}
+}
+
+// hold returns a random server of a service that is up, not leaving and not held by a fault of the kind, or nil. The end of one fault would otherwise end the other.
+func (f *fleet) hold(rng *rand.Rand, service, kind string) *serv.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*serv.Server
+	for _, s := range f.all {
+		held := f.held[holding{server: s, kind: kind}]
+		if s.Service == service && f.states[s] == "ready" && !held {
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	s := out[rng.IntN(len(out))]
+	f.held[holding{server: s, kind: kind}] = true
+	return s
+}
+
+// release ends the holding of a server by a fault of the kind.
+func (f *fleet) release(s *serv.Server, kind string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.held, holding{server: s, kind: kind})
+}
+
+// logs returns what every server that was ever started has seen.
+func (f *fleet) logs() []serverLog {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []serverLog
+	for _, s := range f.all {
+		l := serverLog{
+			ID:       s.ID,
+			Arrivals: s.ArrivalLog(),
+		}
+		for _, run := range s.Runs() {
+			l.Runs = append(l.Runs, run.ID)
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+// close ends all servers.
+func (f *fleet) close() {
+	f.mu.Lock()
+	f.closed = true
+	all := slices.Clone(f.all)
+	f.mu.Unlock()
+	for _, s := range all {
+		// A server that has crashed is closed already.
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/internal/stand/soak/load.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// pause is the mean pause of a client between two requests, and crashingPause that between two requests that crash engines.
+	pause         = 30 * time.Millisecond
+	crashingPause = 60 * time.Millisecond
+	// deadline is how long a client waits for a response.
+	deadline = 2500 * time.Millisecond
+)
+
+// client sends requests one after the other. It keeps its connection to a host until that breaks, and then turns to another one.
+type client struct {
+	run  *run
+	name string
+	rng  *rand.Rand
+	http *http.Client
+	host int
+	sent int
+}
+
+func (r *run) newClient(n int) *client {
+	return &client{
+		run:  r,
+		name: "c" + strconv.Itoa(n),
+		rng:  rand.New(rand.NewPCG(r.seed, uint64(1000+n))),
+		http: &http.Client{
+			Transport: &http.Transport{
+				MaxConnsPerHost: 1,
+			},
+			Timeout: deadline,
+		},
+		host: n % len(r.world.hosts),
+	}
+}
+
+// sendUntil sends requests until the context ends.
+func (c *client) sendUntil(ctx context.Context) {
+	for ctx.Err() == nil {
+		got := c.send(c.randomRequest())
+		if got.Status == 0 {
+			c.host = c.rng.IntN(len(c.run.world.hosts))
+		}
+		time.Sleep(time.Duration(c.rng.Int64N(int64(2 * pause))))
+	}
+}
+
+func (c *client) randomRequest() request {
+	key := steadyKey
+	if c.rng.IntN(4) == 0 {
+		key = c.run.world.currentKey()
+	}
+	return request{
+		Route: routes[c.rng.IntN(len(routes))],
+		Key:   key,
+	}
+}
+
+// send sends the request to the client's host, records what comes back, and returns it.
+func (c *client) send(q request) request {
+	c.sent++
+	q.Host = c.host
+	q.ID = fmt.Sprintf("h%d-%s-%d", c.host, c.name, c.sent)
+	q.Sent = time.Now()
+	c.receive(&q)
+	q.Ended = time.Now()
+	c.run.history.addRequest(q)
+	return q
+}
+
+// receive sends the request and fills in the response.
+func (c *client) receive(q *request) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.run.world.hosts[q.Host].callers+q.Route.Prefix+"x", strings.NewReader("body "+q.ID))
+	if err != nil {
+		q.Err = err.Error()
+		return
+	}
+	req.Host = q.Route.Host
+	req.Header.Set("Request-Id", q.ID)
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	req.Header.Set("Api-Key", q.Key)
+	req.Header.Set("Prompt-Prefix", q.promptPrefix())
+	if len(q.Route.Stages) > 0 {
+		req.Header.Set("Pieces", "3,2")
+		req.Header.Set("Piece-Key", "k")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		q.Err = err.Error()
+		return
+	}
+	defer resp.Body.Close()
+	q.Status = resp.StatusCode
+	q.Stamped = resp.Header.Get("Server-Stamp") != ""
+	q.EchoedID = resp.Header.Get("Request-Id")
+	q.Leaving = resp.Header.Get("Server-Leaving") == "1"
+	body, err := io.ReadAll(resp.Body)
+	q.Body = string(body)
+	if err != nil {
+		q.Err = err.Error()
+	}
+}
+
+// promptPrefix returns the parts of the request's prompt. All requests share the first part, and the last one is the request's own.
+func (r *request) promptPrefix() string {
+	middle := "5eed:200"
+	if r.Crashing {
+		middle = crashingPart + ":200"
+	}
+	own := 0
+	for _, b := range []byte(r.ID) {
+		own = own*31 + int(b)
+	}
+	return fmt.Sprintf("c0ffee:800,%s,%x:50", middle, uint32(own))
+}
+
+// wantBody returns the body of a whole response to the request.
+func (r *request) wantBody() string {
+	if !r.Route.streamed() {
+		return "body of " + r.ID
+	}
+	var b strings.Builder
+	for i := 1; i <= streamEvents; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// sendCrashing sends requests that crash engines to all hosts for a while.
+func (r *run) sendCrashing(d time.Duration) {
+	c := r.newClient(900)
+	resumed := routes[3]
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		c.host = c.rng.IntN(len(r.world.hosts))
+		go c.fork().send(request{
+			Route:    resumed,
+			Key:      steadyKey,
+			Crashing: true,
+		})
+		time.Sleep(crashingPause)
+	}
+}
+
+// fork returns a client with the same connections, whose requests have IDs of their own.
+func (c *client) fork() *client {
+	c.sent++
+	f := *c
+	f.name = fmt.Sprintf("%s-%d", c.name, c.sent)
+	return &f
+}
--- /dev/null
+++ b/internal/stand/soak/run.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// clientsPerHost is the number of clients for each host.
+	clientsPerHost = 3
+	// calmTime is how long requests are sent after the last fault has ended, and recoverTime the part of it in which some may still fail.
+	calmTime    = 7 * time.Second
+	recoverTime = 5 * time.Second
+)
+
+// Options describes a run.
+type Options struct {
+	// Binary is the program of an entry host, and Dir holds its settings and logs.
+	Binary string
+	Dir    string
+	Seed   uint64
+	Hosts  int
+	// Faults is the time in which faults begin.
+	Faults time.Duration
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Violations []Violation
+	// Schedule describes the faults, one a line.
+	Schedule []string
+	// Requests is the number of requests, and Whole that of those that got a whole response.
+	Requests int
+	Whole    int
+}
+
+// run is the state of one run.
+type run struct {
+	seed    uint64
+	world   *world
+	history history
+
+	mu sync.Mutex
+	// held holds the hosts that a fault holds.
+	held map[int]bool
+}
+
+// hold makes a host the fault's own, and returns false if another fault holds it.
+func (r *run) hold(host int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.held[host] {
+		return false
+	}
+	r.held[host] = true
+	return true
+}
+
+func (r *run) release(host int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held[host] = false
+}
+
+// Run starts hosts, plays the faults of a seed while clients send requests, and returns the broken rules. All processes have ended when it returns.
+func Run(ctx context.Context, o Options) (Report, error) {
+	w, err := newWorld(o.Dir, o.Binary, o.Hosts)
+	if err != nil {
+		return Report{}, fmt.Errorf("start soak: %w", err)
+	}
+	defer w.close()
+	r := &run{
+		seed:  o.Seed,
+		world: w,
+		held:  map[int]bool{},
+	}
+	events := schedule(o.Seed, o.Hosts, o.Faults)
+	sending, stop := context.WithCancel(ctx)
+	defer stop()
+	var clients sync.WaitGroup
+	for n := range clientsPerHost * o.Hosts {
+		clients.Go(func() { r.newClient(n).sendUntil(sending) })
+	}
+	r.playAll(ctx, events)
+	calmFrom := time.Now()
+	wait(ctx, calmTime)
+	stop()
+	clients.Wait()
+	if ctx.Err() != nil {
+		return Report{}, fmt.Errorf("play soak: %w", ctx.Err())
+	}
+	r.history.check(w.servers.logs(), w.revokedAt, calmFrom.Add(recoverTime))
+	return r.report(events), nil
+}
+
+// playAll plays the events, each at its time and beside those that have not ended, and returns once all have.
+func (r *run) playAll(ctx context.Context, events []event) {
+	start := time.Now()
+	var group sync.WaitGroup
+	for i, e := range events {
+		if !wait(ctx, time.Until(start.Add(e.At))) {
+			break
+		}
+		rng := rand.New(rand.NewPCG(r.seed, uint64(5000+i)))
+		group.Go(func() { r.play(rng, e.Fault) })
+	}
+	group.Wait()
+}
+
+// wait waits for the duration, and returns false if the context ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *run) report(events []event) Report {
+	out := Report{
+		Violations: r.history.violations,
+		Requests:   len(r.history.requests),
+	}
+	for _, e := range events {
+		out.Schedule = append(out.Schedule, e.String())
+	}
+	for _, q := range r.history.requests {
+		if q.whole() {
+			out.Whole++
+		}
+	}
+	return out
+}
