Catch SIGHUP in both daemons, from the first line on

Cause: entryd began to catch SIGHUP only after it had read its settings, so that one sent right after the start ended it; cornelwingd did not catch it at all and was ended by any.

Change: both catch SIGHUP first and log it, as entryd did. The few milliseconds before a program's first line stay.

--- a/cmd/cornelwingd/main.go
+++ b/cmd/cornelwingd/main.go
@@ -26,6 +26,7 @@
 }
 
 func run(args []string) int {
+	hup := common.CatchHangups()
 	program := common.NewProgram("cornelwingd", "cornelwingd.yaml")
 	reference := program.Bool("reference", "print the page that documents every setting, and exit")
 	if code, done := program.Parse(args); done {
@@ -40,6 +41,7 @@
 		return code
 	}
 	deps := common.NewDeps(s.Host.Name, s.Host.Domain, os.Stderr, s.Log.Threshold())
+	common.LogHangups(deps.Log, hup)
 	daemon, err := root.New(deps, s)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/cornelwingd/process_test.go
+++ b/cmd/cornelwingd/process_test.go
@@ -329,6 +329,21 @@
 	}
 }
 
+// TestDaemonGoesOnAfterHangup guards against a daemon that SIGHUP ends.
+func TestDaemonGoesOnAfterHangup(t *testing.T) {
+	c := startCluster(t, 1)
+	c.procs[0].signal(t, syscall.SIGHUP)
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	_, err := c.procs[0].client().Send(ctx, client.Call{
+		Pipeline: "assistant",
+		Request:  wire.Request{Input: "after SIGHUP"},
+	}, 0)
+	if err != nil {
+		t.Errorf("request after SIGHUP failed: %v\n%s", err, c.procs[0].log)
+	}
+}
+
 func TestInvalidSettingsAreRefusedWithReason(t *testing.T) {
 	scenarios := []struct {
 		name string
--- a/cmd/entryd/main.go
+++ b/cmd/entryd/main.go
@@ -28,6 +28,7 @@
 }
 
 func run(args []string) int {
+	hup := common.CatchHangups()
 	program := common.NewProgram("entryd", platform.SettingsPath())
 	if code, done := program.Parse(args); done {
 		return code
@@ -40,13 +41,7 @@
 	logs := common.NewAsyncWriter(os.Stdout)
 	defer logs.Close(logFlushTimeout)
 	deps := common.NewDeps(s.Host.Name, s.Host.Domain, logs, s.Log.Threshold())
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	go func() {
-		for range hup {
-			deps.Log.Info("SIGHUP ignored: settings are only read at the start.")
-		}
-	}()
+	common.LogHangups(deps.Log, hup)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := relay.New(deps, s, platform.New(deps, s.Store.Address)).Run(ctx); err != nil {
