Let the stand-in's raw responses state what all its responses state

Cause: two responses at once, and responses without an end, were written without the headers of limits and leaving.

Change: raw responses have the headers of all responses. The soak sends SIGHUP only to a process that catches it already.

--- a/internal/stand/serv/respond.go
+++ b/internal/stand/serv/respond.go
@@ -37,7 +37,7 @@
 		_ = s.http.Close()
 		panic(http.ErrAbortHandler)
 	case EndlessHead, EndlessLine, EndlessBody, EndlessEvent:
-		s.writeEndlessly(w, id, b)
+		s.writeEndlessly(w, b)
 		return
 	case Hang:
 		<-r.Context().Done()
@@ -96,15 +96,24 @@
 	}
 }
 
+// rawHead returns the status line and the headers of a successful response, without the empty line that ends them.
+func rawHead(h http.Header) string {
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\n")
+	// A Builder returns no errors.
+	_ = h.Write(&b)
+	return b.String()
+}
+
 // writeTwoResponses writes two complete responses to the connection.
 func (s *Server) writeTwoResponses(w http.ResponseWriter, id string) {
+	text := "body of " + id
+	response := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", rawHead(w.Header()), len(text), text)
 	conn, buf, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer conn.Close()
-	text := "body of " + id
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp.%s\r\nContent-Length: %d\r\n\r\n%s", id, s.ID, len(text), text)
 	// Write errors are ignored, as the connection is closed right afterwards.
 	_, _ = buf.WriteString(response + response)
 	_ = buf.Flush()
@@ -144,13 +153,13 @@
 )
 
 // writeEndlessly writes a response without an end until the client closes the connection.
-func (s *Server) writeEndlessly(w http.ResponseWriter, id string, b Behavior) {
+func (s *Server) writeEndlessly(w http.ResponseWriter, b Behavior) {
+	head := rawHead(w.Header())
 	conn, buf, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer conn.Close()
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp.%s\r\n", id, s.ID)
 	chunk := fmt.Sprintf("%x\r\n", endlessBytes)
 	var part string
 	switch b {
--- a/internal/stand/serv/stages.go
+++ b/internal/stand/serv/stages.go
@@ -39,7 +39,7 @@
 	} else if b == DropResponse {
 		panic(http.ErrAbortHandler)
 	} else if b == EndlessHead || b == EndlessBody {
-		s.writeEndlessly(w, "", b)
+		s.writeEndlessly(w, b)
 		return
 	}
 	var out []result
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -192,7 +192,7 @@
 	case freezeHost:
 		r.freeze(f.Host, f.For)
 	case hangUp:
-		r.world.hosts[f.Host].signal(syscall.SIGHUP)
+		r.world.hosts[f.Host].hangUp()
 	case breakStore:
 		r.breakStore(f)
 	case copyStore:
--- a/internal/stand/soak/process.go
+++ b/internal/stand/soak/process.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -66,6 +68,28 @@
 	}
 }
 
+// hangUp sends SIGHUP to the process, unless it has just been started and would still be ended by it.
+func (p *process) hangUp() {
+	if p.catches(syscall.SIGHUP) {
+		p.signal(syscall.SIGHUP)
+	}
+}
+
+// catches reports whether the process has a handler for the signal.
+func (p *process) catches(s syscall.Signal) bool {
+	p.mu.Lock()
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return false
+	}
+	_, rest, _ := strings.Cut(string(status), "SigCgt:")
+	line, _, _ := strings.Cut(rest, "\n")
+	mask, err := strconv.ParseUint(strings.TrimSpace(line), 16, 64)
+	return err == nil && mask&(1<<(s-1)) != 0
+}
+
 // ended returns a channel that is closed when the process of the latest start has ended.
 func (p *process) ended() <-chan struct{} {
 	p.mu.Lock()
