Excuse requests to leaving servers in the soak only after a restart or a freeze

Cause: the check of leaving servers also excused a host whose store had been away, which the rule does not.

Change: a disturbance says whether the host was only cut off from the store; the check of leaving passes over those.

--- a/internal/stand/soak/check.go
+++ b/internal/stand/soak/check.go
@@ -97,7 +97,7 @@
 			if !ok {
 				continue
 			}
-			if told, ok := toldAt[q.Host]; ok && q.Sent.Sub(told) > forgetTime && !h.disturbedSince(q.Host, told) {
+			if told, ok := toldAt[q.Host]; ok && q.Sent.Sub(told) > forgetTime && !h.forgotSince(q.Host, told) {
 				h.addViolationf("DRAIN", "request %s reached %s %s after host %d had passed on that it is leaving", q.ID, s.ID, q.Sent.Sub(told), q.Host)
 			}
 			if _, known := toldAt[q.Host]; a.Leaving && q.Leaving && !known {
@@ -220,6 +220,11 @@
 	return out
 }
 
+// forgotSince reports whether the host was ended or frozen since the time, which excuses that it knows less.
+func (h *history) forgotSince(host int, since time.Time) bool {
+	return slices.ContainsFunc(h.disturbances, func(d disturbance) bool { return d.Host == host && d.To.After(since) && !d.CutOff })
+}
+
 // disturbedSince reports whether a fault has held the host since the time.
 func (h *history) disturbedSince(host int, since time.Time) bool {
 	return slices.ContainsFunc(h.disturbances, func(d disturbance) bool { return d.Host == host && d.To.After(since) })
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -266,7 +266,11 @@
 	if !h.waitReady(readyTimeout) {
 		r.history.addViolation("START", fmt.Sprintf("host %d was not ready within %s", i, readyTimeout))
 	}
-	r.history.addDisturbance(i, from, time.Now())
+	r.history.addDisturbance(disturbance{
+		Host: i,
+		From: from,
+		To:   time.Now(),
+	})
 }
 
 // freeze stops the process of a host for a while.
@@ -279,7 +283,11 @@
 	r.world.hosts[i].signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	r.world.hosts[i].signal(syscall.SIGCONT)
-	r.history.addDisturbance(i, from, time.Now())
+	r.history.addDisturbance(disturbance{
+		Host: i,
+		From: from,
+		To:   time.Now(),
+	})
 }
 
 // breakStore lets the calls of a host to the store fail for a while.
@@ -289,5 +297,10 @@
 	l.SetFault(f.Kind)
 	time.Sleep(f.For)
 	l.SetFault(rows.None)
-	r.history.addDisturbance(f.Host, from, time.Now())
+	r.history.addDisturbance(disturbance{
+		Host:   f.Host,
+		From:   from,
+		To:     time.Now(),
+		CutOff: true,
+	})
 }
--- a/internal/stand/soak/history.go
+++ b/internal/stand/soak/history.go
@@ -37,6 +37,8 @@
 type disturbance struct {
 	Host     int
 	From, To time.Time
+	// CutOff reports that the host could not use the store, and was disturbed in nothing else.
+	CutOff bool
 }
 
 // limitation is a limit that a server named.
@@ -79,14 +81,10 @@
 	h.requests = append(h.requests, r)
 }
 
-func (h *history) addDisturbance(host int, from, to time.Time) {
+func (h *history) addDisturbance(d disturbance) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.disturbances = append(h.disturbances, disturbance{
-		Host: host,
-		From: from,
-		To:   to,
-	})
+	h.disturbances = append(h.disturbances, d)
 }
 
 func (h *history) addLimit(server string, perSecond float64, d time.Duration) {
