--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -80,9 +80,11 @@
 
 // reportLostConnection reports an upstream that closed its connection before its response was complete. It reports nothing if this host cancelled the attempt.
 func (x *exchange) reportLostConnection(ctx context.Context, up route.Upstream) {
-	if ctx.Err() == nil {
-		x.CrashDetector.RecordConnLoss(ctx, x.fingerprint, up)
+	if ctx.Err() != nil {
+		return
 	}
+	x.Log.WithField("request", x.requestHead.ID).WithField("upstream", up.Name).WithField("events", x.eventsSent).WithField("parts", x.requestHead.partNames()).Info("Connection to upstream lost.")
+	x.CrashDetector.RecordConnLoss(ctx, x.fingerprint, up)
 }
 
 // recordUnknownOutcome records an attempt after which it is unknown whether the upstream ran the request.
--- a/internal/root/relay/flow/headers.go
+++ b/internal/root/relay/flow/headers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,6 +29,12 @@
 	PieceKey string
 }
 
+const (
+	// maxLoggedParts is the maximum number of prompt parts in one log line, and maxLoggedPartBytes the maximum length of the ID of each.
+	maxLoggedParts     = 8
+	maxLoggedPartBytes = 32
+)
+
 // PromptPart is a part of a prompt that upstreams may have cached.
 type PromptPart struct {
 	ID     string
@@ -53,6 +60,15 @@
 	return h.PromptParts[:min(len(h.PromptParts), max(1, len(h.PromptParts)-1))]
 }
 
+// partNames returns the IDs of the first prompt parts, separated by commas, for the log.
+func (h RequestHead) partNames() string {
+	var names []string
+	for _, p := range h.PromptParts[:min(len(h.PromptParts), maxLoggedParts)] {
+		names = append(names, p.ID[:min(len(p.ID), maxLoggedPartBytes)])
+	}
+	return strings.Join(names, ",")
+}
+
 // sharedTokens returns the number of tokens in the shared parts.
 func (h RequestHead) sharedTokens() int64 {
 	n := 0
