--- /dev/null
+++ b/internal/root/crash/blame/evidence.go
@@ -0,0 +1,131 @@
+package blame
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/root/crash"
+)
+
+const (
+	// retention is how long a crash is remembered.
+	retention = 2 * time.Hour
+	// sameCrashWindow is the time within which hosts that report the crash of the same start of an upstream mean the same crash.
+	sameCrashWindow = 5 * time.Second
+	// maxCrashes is the maximum number of crashes that are remembered. The oldest ones are forgotten first.
+	maxCrashes = 256
+)
+
+// Evidence holds the crashes and the survivals that a host knows of. Merging the same update again changes nothing, and the order of updates does not matter. It is not safe for concurrent use.
+type Evidence struct {
+	crashes   []Crash
+	survivals survivals
+}
+
+// NewEvidence returns empty evidence.
+func NewEvidence() *Evidence {
+	return &Evidence{}
+}
+
+// Merge adds what another host tells, and reports whether anything in it was new.
+func (e *Evidence) Merge(now time.Time, u Update) bool {
+	changed := false
+	for _, c := range u.Crashes {
+		changed = e.AddCrash(now, Crash{
+			Upstream: c.Upstream,
+			At:       now.Add(-time.Duration(c.AgeMS) * time.Millisecond),
+			Requests: c.Requests,
+		}) || changed
+	}
+	for _, s := range u.Survivals {
+		changed = e.AddSurvival(Survival{
+			Fingerprint: s.Fingerprint,
+			At:          now.Add(-time.Duration(s.AgeMS) * time.Millisecond),
+		}) || changed
+	}
+	return changed
+}
+
+// AddCrash adds a crash, or its requests if the crash itself is known. It reports whether anything was new.
+func (e *Evidence) AddCrash(now time.Time, c Crash) bool {
+	if now.Sub(c.At) >= retention {
+		return false
+	}
+	for i, known := range e.crashes {
+		if known.Upstream == c.Upstream && known.At.Sub(c.At).Abs() < sameCrashWindow {
+			return e.addRequests(i, c.Requests)
+		}
+	}
+	e.crashes = slices.DeleteFunc(e.crashes, func(old Crash) bool { return now.Sub(old.At) >= retention })
+	e.crashes = append(e.crashes, Crash{
+		Upstream: c.Upstream,
+		At:       c.At,
+	})
+	e.addRequests(len(e.crashes)-1, c.Requests)
+	slices.SortStableFunc(e.crashes, func(a, b Crash) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	e.crashes = e.crashes[max(0, len(e.crashes)-maxCrashes):]
+	return true
+}
+
+// addRequests adds requests to the crash with the index, and reports whether one of them was new.
+func (e *Evidence) addRequests(i int, list []Request) bool {
+	changed := false
+	for _, r := range list {
+		known := slices.ContainsFunc(e.crashes[i].Requests, func(o Request) bool { return o.Own == r.Own && slices.Equal(o.Parts, r.Parts) })
+		if known || len(e.crashes[i].Requests) >= maxRequests {
+			continue
+		}
+		e.crashes[i].Requests = append(e.crashes[i].Requests, r)
+		changed = true
+	}
+	return changed
+}
+
+// AddSurvival records a survival, and reports whether it is later than the one that was known.
+func (e *Evidence) AddSurvival(s Survival) bool {
+	return e.survivals.add(s)
+}
+
+// Survivals returns the known survivals of the fingerprints.
+func (e *Evidence) Survivals(list []crash.Fingerprint) []Survival {
+	var out []Survival
+	for _, f := range list {
+		if at, ok := e.survivals.last(f); ok {
+			out = append(out, Survival{
+				Fingerprint: f,
+				At:          at,
+			})
+		}
+	}
+	return out
+}
+
+// Against returns the crashes that count against the fingerprint, each with only those of its requests that have the fingerprint.
+func (e *Evidence) Against(f crash.Fingerprint) []Crash {
+	var out []Crash
+	for _, c := range e.crashes {
+		var with []Request
+		for _, r := range c.Requests {
+			if r.has(f) {
+				with = append(with, r)
+			}
+		}
+		if len(with) > 0 && e.counts(c, f) {
+			out = append(out, Crash{
+				Upstream: c.Upstream,
+				At:       c.At,
+				Requests: with,
+			})
+		}
+	}
+	return out
+}
+
+// counts reports whether the crash counts against a fingerprint that one of its requests has: no upstream has survived it since.
+func (e *Evidence) counts(c Crash, f crash.Fingerprint) bool {
+	at, ok := e.survivals.last(f)
+	return !ok || c.At.After(at)
+}
--- /dev/null
+++ b/internal/root/crash/blame/ledger.go
@@ -0,0 +1,218 @@
+package blame
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/root/crash"
+)
+
+const (
+	// watchTime is how long survivals of a suspect are told to the hosts that count crashes, and how long the answers of a survey hold.
+	watchTime = time.Minute
+	// maxWatched is the maximum number of suspects that a host watches.
+	maxWatched = 4096
+)
+
+// watch is a suspect whose survivals other hosts want to know.
+type watch struct {
+	until time.Time
+	told  time.Time
+}
+
+// Ledger holds the evidence of one host, the verdict that follows from it, and what other hosts want to know. It is safe for concurrent use.
+type Ledger struct {
+	mu       sync.Mutex
+	evidence *Evidence
+	verdict  Verdict
+	watched  map[crash.Fingerprint]watch
+	surveyed map[crash.Fingerprint]time.Time
+	permits  map[crash.Fingerprint]time.Time
+	trials   int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{
+		evidence: NewEvidence(),
+		watched:  map[crash.Fingerprint]watch{},
+		surveyed: map[crash.Fingerprint]time.Time{},
+		permits:  map[crash.Fingerprint]time.Time{},
+	}
+}
+
+// Merge adds what another host tells. It changes the verdict only with the next Assess.
+func (l *Ledger) Merge(now time.Time, u Update) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evidence.Merge(now, u)
+}
+
+// Survived records that an upstream survived the request. It returns the survivals that other hosts want to know, each at most once per interval.
+func (l *Ledger) Survived(now time.Time, r Request, interval time.Duration) []Survival {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Survival
+	for _, f := range r.Fingerprints() {
+		s := Survival{
+			Fingerprint: f,
+			At:          now,
+		}
+		l.evidence.AddSurvival(s)
+		w, ok := l.watched[f]
+		_, blocked := l.verdict.Block(f)
+		if !blocked && (!ok || now.After(w.until)) || now.Sub(w.told) < interval {
+			continue
+		}
+		w.told = now
+		l.watched[f] = w
+		out = append(out, s)
+	}
+	return out
+}
+
+// Watch makes Survived return the survivals of the fingerprints for watchTime.
+func (l *Ledger) Watch(now time.Time, list []crash.Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watch(now, list)
+}
+
+func (l *Ledger) watch(now time.Time, list []crash.Fingerprint) {
+	if len(l.watched)+len(list) > maxWatched {
+		for f, w := range l.watched {
+			if now.After(w.until) {
+				delete(l.watched, f)
+			}
+		}
+	}
+	for _, f := range list {
+		w, ok := l.watched[f]
+		if !ok && len(l.watched) >= maxWatched {
+			return
+		}
+		w.until = now.Add(watchTime)
+		l.watched[f] = w
+	}
+}
+
+// DueSurvey returns the suspects of which the survivals on other hosts are not known, and counts them as asked for. This host watches them too.
+func (l *Ledger) DueSurvey(now time.Time) []crash.Fingerprint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for f, at := range l.surveyed {
+		if now.Sub(at) >= watchTime {
+			delete(l.surveyed, f)
+		}
+	}
+	var out []crash.Fingerprint
+	for _, f := range l.evidence.Suspects() {
+		if _, ok := l.surveyed[f]; !ok {
+			l.surveyed[f] = now
+			out = append(out, f)
+		}
+	}
+	l.watch(now, out)
+	return out
+}
+
+// Survivals returns the known survivals of the fingerprints.
+func (l *Ledger) Survivals(now time.Time, list []crash.Fingerprint) Update {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return NewUpdate(now, nil, l.evidence.Survivals(list))
+}
+
+// Assess draws the verdict from the evidence. It returns the blocks that are new or have more crashes, and the fingerprints that are no longer blocked.
+func (l *Ledger) Assess() (blocked []Block, lifted []crash.Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := l.verdict
+	l.verdict = l.evidence.Verdict()
+	for _, f := range l.verdict.Fingerprints() {
+		b, _ := l.verdict.Block(f)
+		if before, ok := old.Block(f); !ok || before.Crashes != b.Crashes || !slices.Equal(before.Companions, b.Companions) {
+			blocked = append(blocked, b)
+		}
+	}
+	for _, f := range old.Fingerprints() {
+		if _, ok := l.verdict.Block(f); !ok {
+			lifted = append(lifted, f)
+			delete(l.permits, f)
+		}
+	}
+	return blocked, lifted
+}
+
+// Blocks returns the blocks that apply to the request.
+func (l *Ledger) Blocks(r Request) []Block {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.verdict.Blocks(r)
+}
+
+// Blocked returns the blocked fingerprints.
+func (l *Ledger) Blocked() []crash.Fingerprint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.verdict.Fingerprints()
+}
+
+// BlockedAmong returns the fingerprints of the update's crashes that are blocked.
+func (l *Ledger) BlockedAmong(u Update) []crash.Fingerprint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []crash.Fingerprint
+	for _, c := range u.Crashes {
+		for _, r := range c.Requests {
+			for _, b := range l.verdict.Blocks(r) {
+				if !slices.Contains(out, b.Fingerprint) {
+					out = append(out, b.Fingerprint)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// Evidence returns all that is known of the fingerprints.
+func (l *Ledger) Evidence(now time.Time, list []crash.Fingerprint) Update {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var crashes []Crash
+	for _, f := range list {
+		crashes = append(crashes, l.evidence.Against(f)...)
+	}
+	return NewUpdate(now, crashes, l.evidence.Survivals(list))
+}
+
+// GrantTrial reports whether one more request with a blocked fingerprint may be sent now, and counts it as sent.
+func (l *Ledger) GrantTrial(now time.Time, f crash.Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, ok := l.verdict.Block(f)
+	if !ok || now.Before(b.NextTrial(l.permits[f])) {
+		return false
+	}
+	l.permits[f] = now
+	l.trials++
+	return true
+}
+
+// Stats holds counts for the metrics.
+type Stats struct {
+	// Blocked is the number of fingerprints that are blocked now, and Trials how often this host allowed one more request with one of them.
+	Blocked int
+	Trials  int
+}
+
+// Stats returns the counts.
+func (l *Ledger) Stats() Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Stats{
+		Blocked: len(l.verdict.blocks),
+		Trials:  l.trials,
+	}
+}
--- a/internal/root/crash/guard.go
+++ b/internal/root/crash/guard.go
@@ -2,25 +2,18 @@
 
 import (
 	"context"
-	"time"
-
-	"golang.org/x/sync/singleflight"
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 )
 
-// probeTimeout bounds the probe of an upstream after its connection was lost.
-const probeTimeout = 200 * time.Millisecond
-
 // Guard connects a Tracker to the upstreams and the other hosts: it probes an upstream before it records a crash, and notifies the other hosts of new marks.
 type Guard struct {
 	common.Deps
 	tracker    *Tracker
-	reachable  func(ctx context.Context, addr string) bool
+	prober     *Prober
 	ownsTrials func(upstream string) bool
 	notify     func(ctx context.Context, m Mark)
-	probes     singleflight.Group
 }
 
 // NewGuard returns a guard. The function reachable probes an upstream over a new connection, ownsTrials reports whether the trials of suspect requests on an upstream are assigned to this host only, and notify sends a new mark to the other hosts.
@@ -28,7 +21,7 @@
 	return &Guard{
 		Deps:       deps.WithPart("crash"),
 		tracker:    tracker,
-		reachable:  reachable,
+		prober:     NewProber(reachable),
 		ownsTrials: ownsTrials,
 		notify:     notify,
 	}
@@ -55,22 +48,10 @@
 	g.tracker.EndTrial(fp, upstream)
 }
 
-// isReachable probes an upstream. Requests that lost their connections to it at the same time share one probe.
-func (g *Guard) isReachable(ctx context.Context, up route.Upstream) bool {
-	// The probe continues for the other requests if the first one is cancelled.
-	ctx = context.WithoutCancel(ctx)
-	reachable, _, _ := g.probes.Do(up.Name, func() (any, error) {
-		probe, cancel := context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
-		return g.reachable(probe, up.Addr), nil
-	})
-	return reachable == true
-}
-
 // RecordConnLoss handles a connection that was lost while the upstream ran the request. It probes the upstream and reports whether it is unreachable.
 // If the upstream is unreachable, RecordConnLoss marks the request. For a new crash it also notifies the other hosts before it returns.
 func (g *Guard) RecordConnLoss(ctx context.Context, fp Fingerprint, up route.Upstream) bool {
-	if g.isReachable(ctx, up) {
+	if g.prober.Reachable(ctx, up) {
 		return false
 	}
 	now := g.Now()
--- a/internal/root/front/chain/route/table.go
+++ b/internal/root/front/chain/route/table.go
@@ -47,6 +47,8 @@
 	PreferDomain string
 	// Exclude holds the names of upstreams that must not be chosen, such as those that were tried already.
 	Exclude []string
+	// LeastLoaded chooses the upstream with the fewest requests over all domains, wherever the prompt's prefix is cached.
+	LeastLoaded bool
 	// Allow, if set, reports whether the upstream may be chosen.
 	Allow func(upstream string) bool
 	// remote excludes the upstreams of the domain PreferDomain.
@@ -185,10 +187,7 @@
 	if q.PreferDomain == "" {
 		q.PreferDomain = t.domain
 	}
-	e := t.affinityEntry(now, p, q)
-	if e == nil {
-		e = t.sampledEntry(now, rng, p, q)
-	}
+	e := t.choose(now, rng, p, q)
 	if e == nil {
 		return Upstream{}, false
 	}
@@ -199,6 +198,28 @@
 	return up, true
 }
 
+// choose returns the entry for the query, or nil if none is usable.
+func (t *Table) choose(now time.Time, rng *rand.Rand, p *pool, q Query) *entry {
+	if q.LeastLoaded {
+		return t.leastLoaded(now, p, q)
+	}
+	if e := t.affinityEntry(now, p, q); e != nil {
+		return e
+	}
+	return t.sampledEntry(now, rng, p, q)
+}
+
+// leastLoaded returns the usable entry with the fewest requests, or nil.
+func (t *Table) leastLoaded(now time.Time, p *pool, q Query) *entry {
+	var best *entry
+	for _, e := range p.entries {
+		if q.matches(now, e) && (best == nil || e.load(now, t.hosts) < best.load(now, t.hosts)) {
+			best = e
+		}
+	}
+	return best
+}
+
 // PickRandomlySeeded is Pick with a randomly seeded generator.
 func (t *Table) PickRandomlySeeded(now time.Time, q Query) (Upstream, bool) {
 	return t.Pick(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), q)
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -18,10 +18,14 @@
 // maxBufferedBytes is the size up to which a response is buffered completely before the caller receives its first byte.
 const maxBufferedBytes = 256 << 10
 
+// survivalTime is how long an upstream must have been sending events of a stream for a later crash not to be held against the request.
+const survivalTime = time.Second
+
 // attempt sends the request to one upstream. done reports that the exchange has ended. Otherwise ev is the event for the retry decision.
 func (x *exchange) attempt(ctx context.Context, up route.Upstream) (ev retry.Event, done bool) {
 	began := x.Now()
 	x.upstream = up.Name
+	x.survived = false
 	ctx, cancel := x.attemptContext(ctx)
 	defer cancel()
 	x.sends++
@@ -83,8 +87,11 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if x.survived {
+		return
+	}
 	x.Log.WithField("request", x.requestHead.ID).WithField("upstream", up.Name).WithField("events", x.eventsSent).WithField("parts", x.requestHead.partNames()).Info("Connection to upstream lost.")
-	x.CrashDetector.RecordConnLoss(ctx, x.fingerprint, up)
+	x.CrashDetector.RecordConnLoss(ctx, x.blamable, up)
 }
 
 // recordUnknownOutcome records an attempt after which it is unknown whether the upstream ran the request.
@@ -135,7 +142,7 @@
 		x.reportLostConnection(ctx, up)
 		return x.recordUnknownOutcome(up, began, err), x.abort
 	}
-	x.CrashDetector.RecordCompleted(x.fingerprint)
+	x.CrashDetector.RecordSurvived(x.blamable)
 	x.Table.Done(x.Now(), up.Name, x.Now().Sub(began), true)
 	return nil, true
 }
@@ -223,6 +230,7 @@
 // forwardEvents forwards complete events as they arrive. If the stream breaks and can be resumed, the caller's response stays open and another upstream continues after the last event that the caller received.
 func (x *exchange) forwardEvents(resp send.Response) error {
 	rc := http.NewResponseController(x.w)
+	began := x.Now()
 	ev := newEventReader(resp.Body, resp.Framing)
 	for {
 		raw, id, err := ev.next()
@@ -241,6 +249,7 @@
 			return err
 		}
 		x.eventsSent++
+		x.recordIfSurvived(began)
 		if id != "" {
 			x.requestHead.LastEvent = id
 		}
@@ -251,6 +260,15 @@
 	}
 }
 
+// recordIfSurvived records that the upstream has survived the request, once its response has gone on for survivalTime.
+func (x *exchange) recordIfSurvived(began time.Time) {
+	if x.survived || x.Now().Sub(began) < survivalTime {
+		return
+	}
+	x.survived = true
+	x.CrashDetector.RecordSurvived(x.blamable)
+}
+
 func (x *exchange) canResume() bool {
 	return x.route.Resumable && x.requestHead.LastEvent != ""
 }
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
-	"github.com/cornelwing/cornelwing/internal/root/crash"
+	"github.com/cornelwing/cornelwing/internal/root/crash/blame"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
@@ -41,8 +41,9 @@
 	account       plan.Account
 	authenticated bool
 	pool          string
-	fingerprint   crash.Fingerprint
-	arrived       time.Time
+	// blamable is what is to blame if the request crashes an upstream.
+	blamable blame.Request
+	arrived  time.Time
 	// deadline is the time by which the caller must have a response, which may be an error.
 	deadline time.Time
 
@@ -55,9 +56,13 @@
 	// preferredDomain is the failure domain whose upstreams are preferred, or "".
 	preferredDomain string
 	excluded        []string
+	// trial means that the next attempt is likely to crash its upstream.
+	trial bool
 	// sends counts the upstreams that the request was sent to. mayHaveRun reports that one of them may have run the request.
 	sends      int
 	mayHaveRun bool
+	// survived reports that the upstream of the current attempt has been sending the response for survivalTime.
+	survived bool
 	// headSent reports that the caller has received the start of its response.
 	headSent   bool
 	eventsSent int
@@ -101,11 +106,7 @@
 
 // prepare runs the stages and reports whether an attempt may start. Otherwise it abandons the request.
 func (x *exchange) prepare(ctx context.Context) bool {
-	if x.CrashDetector.Blocked(x.fingerprint) {
-		x.abandon(CauseCrashesUpstreams, "request has crashed too many upstreams", crashRetryAfter)
-		return false
-	}
-	if x.abandonIfPaused() || !x.runStages(ctx) {
+	if x.abandonIfRejected(x.CrashDetector.Check(x.blamable)) || x.abandonIfPaused() || !x.runStages(ctx) {
 		return false
 	}
 	if x.abandonIfOver() {
@@ -115,7 +116,21 @@
 		x.abandon(CauseKeysUnsure, "key is no longer known to be valid", notReadyRetryAfter)
 		return false
 	}
-	return true
+	return !x.abandonIfRejected(x.CrashDetector.BeginAttempt(ctx, x.blamable))
+}
+
+// abandonIfRejected abandons the request if it must not be sent, and reports whether it did.
+func (x *exchange) abandonIfRejected(a Admission) bool {
+	switch a := a.(type) {
+	case Rejected:
+		x.abandon(CauseCrashesUpstreams, a.Detail, a.RetryAfter)
+		return true
+	case Admitted:
+		x.trial = a.Trial
+		return false
+	default:
+		panic(fmt.Sprintf("unknown admission %T", a))
+	}
 }
 
 // abandonIfOver abandons the request if its caller has disconnected or too little time is left, and reports whether it did.
@@ -157,6 +172,7 @@
 		Pool:         x.pool,
 		Exclude:      x.excluded,
 		PreferDomain: x.preferredDomain,
+		LeastLoaded:  x.trial,
 	}
 	if x.route.Affinity {
 		q.Affinity = x.requestHead.affinityHash()
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/crash"
+	"github.com/cornelwing/cornelwing/internal/root/crash/blame"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
@@ -23,8 +24,6 @@
 const (
 	// notReadyRetryAfter is the Retry-After time while this host cannot serve the request yet.
 	notReadyRetryAfter = 500 * time.Millisecond
-	// crashRetryAfter is the Retry-After time of a request that crashes upstreams.
-	crashRetryAfter = 30 * time.Second
 	// unknownHostsReserve is how many extra retries are allowed on a host that does not know how many hosts share the budget.
 	unknownHostsReserve = 1.0
 )
@@ -40,14 +39,16 @@
 	Do(ctx context.Context, w batch.Work) (o batch.Outcome, free func())
 }
 
-// CrashDetector detects requests that crash the upstreams that run them.
+// CrashDetector detects requests, and parts of their prompts, that crash the upstreams that run them.
 type CrashDetector interface {
-	// Blocked reports whether the request has crashed so many upstreams that it must not be sent again.
-	Blocked(p crash.Fingerprint) bool
+	// Check decides before any work whether the request may be sent.
+	Check(r blame.Request) Admission
+	// BeginAttempt decides whether the request may be sent to one upstream now.
+	BeginAttempt(ctx context.Context, r blame.Request) Admission
 	// RecordConnLoss records that the connection to an upstream was lost while it ran the request.
-	RecordConnLoss(ctx context.Context, p crash.Fingerprint, up route.Upstream)
-	// RecordCompleted records that an upstream ran the request to completion.
-	RecordCompleted(p crash.Fingerprint)
+	RecordConnLoss(ctx context.Context, r blame.Request, up route.Upstream)
+	// RecordSurvived records that an upstream ran the request to completion, or has been sending its response for a while.
+	RecordSurvived(r blame.Request)
 }
 
 // Upstreams tracks which upstreams may be used.
@@ -124,14 +125,26 @@
 	if !x.readBody() {
 		return false
 	}
-	x.fingerprint = crash.FingerprintOf(x.body, x.r.Host, x.r.RequestURI, x.account.Name)
 	x.pool = x.route.Pool(rand.Float64())
+	x.blamable = x.blameRequest()
 	if x.route.Affinity {
 		x.preferredDomain = x.Table.PreferredDomain(x.arrived, x.pool, x.requestHead.affinityHash())
 	}
 	return true
 }
 
+// blameRequest returns what is to blame if the request crashes an upstream. The last part of a prompt is left out, as no other request shares it.
+func (x *exchange) blameRequest() blame.Request {
+	r := blame.Request{
+		Own: crash.FingerprintOf(x.body, x.r.Host, x.r.RequestURI, x.account.Name),
+	}
+	parts := x.requestHead.PromptParts
+	for _, p := range parts[:min(max(0, len(parts)-1), blame.MaxParts)] {
+		r.Parts = append(r.Parts, blame.PartFingerprint(x.pool, p.ID))
+	}
+	return r
+}
+
 func (x *exchange) matchRoute() bool {
 	host := x.r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
-	"github.com/cornelwing/cornelwing/internal/jhttp"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 )
@@ -213,7 +212,7 @@
 		mux.HandleFunc("POST "+pathCatchUp, p.tellNewer)
 	}
 	if p.crashes != nil {
-		mux.HandleFunc("POST "+pathCrashes, p.crashes.handleUpdate)
+		p.crashes.registerHandlers(mux)
 	}
 	mux.HandleFunc("POST "+pathProbe, func(http.ResponseWriter, *http.Request) {})
 	return mux
@@ -229,9 +228,7 @@
 		p.local.Free(work.Queue, completed.Handles)
 		return
 	}
-	w.Header().Set("Content-Type", jhttp.ContentType)
-	// A failed write needs no handling: the peer is gone, and the results expire.
-	_ = json.NewEncoder(w).Encode(p.responseFor(work.Queue, o))
+	writeJSON(w, p.responseFor(work.Queue, o))
 }
 
 // runForPeer runs a peer's work if this host owns the queue, or if the work sets ForceLocal and this host is not about to stop. Otherwise it returns OwnerChanged.
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -25,6 +25,9 @@
 	RowsRewritten int64  `json:"rows_rewritten"`
 	// Paused counts the upstreams that are in a pause that they have asked for.
 	Paused int `json:"paused"`
+	// Blocked counts the requests and parts of prompts that are not sent because they crash upstreams, and CrashTrials how often this host allowed one more request with one of them.
+	Blocked     int `json:"blocked"`
+	CrashTrials int `json:"crash_trials"`
 	// Leavers counts the incarnations of upstreams that are remembered as leaving or gone.
 	Leavers   int                         `json:"leavers"`
 	Hosts     int                         `json:"hosts"`
@@ -65,6 +68,9 @@
 	s.StoreEra = era.String()
 	s.RowsRewritten = r.rowsRewritten.Load()
 	s.Paused = r.table.Paused(r.Now())
+	crashes := r.crashes.Stats()
+	s.Blocked = crashes.Blocked
+	s.CrashTrials = crashes.Trials
 	s.Leavers = len(r.upstreams.Leavers())
 	if p := r.plans.Current(); p != nil {
 		s.Version = p.Version
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -93,6 +93,7 @@
 	dispatcher *batch.Dispatcher
 	roster     *hosts.Roster
 	peers      *hosts.Peers
+	crashes    *hosts.Crashes
 	flow       *flow.Service
 	callers    *serve.Graceful
 	meter      *meter.Meter
@@ -127,6 +128,7 @@
 	})
 	r.dispatcher.OnLeaving(r.upstreams.MarkLeaving)
 	r.dispatcher.OnReleased(r.peers.Release)
+	r.crashes = hosts.NewCrashes(deps, r.peers)
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
 		Plans:         r.plans,
@@ -134,7 +136,7 @@
 		Upstreams:     r.upstreams,
 		Sender:        send.New(),
 		Workers:       r.peers,
-		CrashDetector: hosts.NewCrashes(deps, r.peers),
+		CrashDetector: r.crashes,
 		Lease:         r.lease,
 		HeaderCodec:   a.HeaderCodec,
 		Budget: flow.Budget{
