--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -111,6 +111,7 @@
 func (x *exchange) handleResponse(ctx context.Context, up route.Upstream, began time.Time, resp send.Response) (retry.Event, bool) {
 	x.framing = resp.Framing
 	head := x.HeaderCodec.ParseResponse(x.requestHead.ID, resp.Status, resp.Header)
+	x.limit = head.Limit
 	x.recordAnnouncements(up, head)
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -68,6 +68,8 @@
 	eventsSent int
 	// framing is how the last upstream's response marks the end of its body, or "" if there was no response.
 	framing send.Framing
+	// limit is the limit that the last upstream's response named, in requests per second, or 0.
+	limit float64
 
 	status   int
 	cause    Cause
--- a/internal/root/relay/flow/headers.go
+++ b/internal/root/relay/flow/headers.go
@@ -118,6 +118,9 @@
 	Leaving bool
 	// PauseFor is how long the upstream wants no requests from this host, or 0.
 	PauseFor time.Duration
+	// Limit is the number of requests per second that the upstream takes from all hosts together, or 0 if it names no limit. LimitKnown is false if the response names one that cannot be read.
+	Limit      float64
+	LimitKnown bool
 	// Load is the upstream's load, or nil if the response does not report it.
 	Load *stage.Load
 }
--- a/internal/root/relay/flow/response.go
+++ b/internal/root/relay/flow/response.go
@@ -145,6 +145,9 @@
 	if x.framing != "" {
 		fields["framing"] = x.framing
 	}
+	if x.limit > 0 {
+		fields["limit"] = x.limit
+	}
 	if x.stageTime > 0 {
 		fields["stages_ms"] = int64(common.Millis(x.stageTime))
 	}
