--- a/internal/root/front/chain/route/entry.go
+++ b/internal/root/front/chain/route/entry.go
@@ -23,6 +23,8 @@
 	StartedAtMS int64
 	// Probe means that the upstream was ejected and must answer a probe before it is sent a request. Pick sets it.
 	Probe bool
+	// Limited means that the upstream takes a limited number of requests per second from all hosts together, so that each of them needs a permit. Pick sets it.
+	Limited bool
 }
 
 // Incarnation identifies one start of an upstream.
@@ -108,6 +110,9 @@
 	readmittedAt        time.Time
 	// pausedUntil is the end of the pause that the upstream has asked for.
 	pausedUntil time.Time
+	// perSecond is the number of requests per second that the upstream takes from all hosts together, or 0 if it has named no limit. heldUntil is the time until which there is no permit for another one.
+	perSecond float64
+	heldUntil time.Time
 }
 
 func newEntry(up Upstream) *entry {
@@ -167,11 +172,14 @@
 	e.othersInFlight = max(0, load.Busy+load.Queued-e.inFlightAtReport)
 }
 
-// capacity returns the number of slots. It is reduced during the slow start after a readmission.
+// capacity returns the number of slots. It is reduced during the slow start after a readmission, and to those that a limit keeps busy.
 func (e *entry) capacity(now time.Time, slots int) float64 {
 	if e.report.Slots > 0 {
 		slots = e.report.Slots
 	}
+	if e.perSecond > 0 && e.avgService > 0 {
+		slots = min(slots, max(1, int(e.perSecond*e.avgService.Seconds())))
+	}
 	since := now.Sub(e.readmittedAt)
 	if e.readmittedAt.IsZero() || since >= slowStart {
 		return float64(slots)
@@ -197,7 +205,7 @@
 
 // usable reports whether the upstream may be sent a request. After an ejection it gets one request at a time until one succeeds.
 func (e *entry) usable(now time.Time) bool {
-	if e.up.Leaving || e.isEjected(now) || e.isPaused(now) {
+	if e.up.Leaving || e.isEjected(now) || e.isPaused(now) || e.isHeld(now) {
 		return false
 	}
 	return e.ejections == 0 || e.inFlight == 0
@@ -209,10 +217,13 @@
 
 // usableAt returns the earliest time at which the upstream may be usable, if it is not leaving.
 func (e *entry) usableAt() time.Time {
-	if e.pausedUntil.After(e.ejectedUntil) {
-		return e.pausedUntil
+	at := e.ejectedUntil
+	for _, t := range []time.Time{e.pausedUntil, e.heldUntil} {
+		if t.After(at) {
+			at = t
+		}
 	}
-	return e.ejectedUntil
+	return at
 }
 
 func (e *entry) isEjected(now time.Time) bool {
--- a/internal/root/front/chain/route/pause.go
+++ b/internal/root/front/chain/route/pause.go
@@ -36,7 +36,7 @@
 	return n
 }
 
-// ReturnAfter returns how long a caller is to wait if all upstreams of a pool that are not leaving are paused or ejected, at least one of them paused. Callers are spread over the time after the first one can be used again, as fast as it and those that follow within pauseSpread serve them. It returns false otherwise.
+// ReturnAfter returns how long a caller is to wait if all upstreams of a pool that are not leaving are paused, ejected or without a permit, at least one of them not just ejected. Callers are spread over the time after the first one can be used again, as fast as it and those that follow within pauseSpread serve them. It returns false otherwise.
 func (t *Table) ReturnAfter(now time.Time, name string) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -57,7 +57,7 @@
 		if first.IsZero() || at.Before(first) {
 			first = at
 		}
-		paused = paused || e.isPaused(now)
+		paused = paused || e.isPaused(now) || e.isHeld(now)
 	}
 	if !paused {
 		return 0, false
@@ -67,11 +67,16 @@
 
 // returnSpacing returns the time between two callers of this host that the upstreams usable soon after the given time can serve.
 func (t *Table) returnSpacing(first time.Time, p *pool) time.Duration {
-	slots := 0
+	perSecond := 0.0
 	for _, e := range p.entries {
-		if !e.up.Leaving && e.usableAt().Sub(first) < pauseSpread {
-			slots += max(1, p.slots)
+		if e.up.Leaving || e.usableAt().Sub(first) >= pauseSpread {
+			continue
+		}
+		served := float64(max(1, p.slots)) / p.expected.Seconds()
+		if e.perSecond > 0 {
+			served = min(served, e.perSecond)
 		}
+		perSecond += served
 	}
-	return p.expected * time.Duration(t.hosts) / time.Duration(max(1, slots))
+	return time.Duration(float64(t.hosts) / perSecond * float64(time.Second))
 }
--- a/internal/root/front/chain/route/table.go
+++ b/internal/root/front/chain/route/table.go
@@ -49,6 +49,8 @@
 	Exclude []string
 	// LeastLoaded chooses the upstream with the fewest requests over all domains, wherever the prompt's prefix is cached.
 	LeastLoaded bool
+	// Unlimited excludes the upstreams that take a limited number of requests.
+	Unlimited bool
 	// Allow, if set, reports whether the upstream may be chosen.
 	Allow func(upstream string) bool
 	// remote excludes the upstreams of the domain PreferDomain.
@@ -57,7 +59,7 @@
 
 // matches reports whether the entry is usable and allowed by the query.
 func (q Query) matches(now time.Time, e *entry) bool {
-	if !e.usable(now) || slices.Contains(q.Exclude, e.up.Name) || (q.remote && e.up.Domain == q.PreferDomain) {
+	if !e.usable(now) || (q.Unlimited && e.perSecond > 0) || slices.Contains(q.Exclude, e.up.Name) || (q.remote && e.up.Domain == q.PreferDomain) {
 		return false
 	}
 	return q.Allow == nil || q.Allow(e.up.Name)
@@ -195,6 +197,7 @@
 	p.total.Load += t.hosts
 	up := e.up
 	up.Probe = e.ejections > 0
+	up.Limited = e.perSecond > 0
 	return up, true
 }
 
@@ -408,7 +411,7 @@
 	var service time.Duration
 	inFlight := 0
 	for _, e := range p.entries {
-		if e.up.Leaving || e.isEjected(now) || e.isPaused(now) {
+		if e.up.Leaving || e.isEjected(now) || e.isPaused(now) || e.isHeld(now) {
 			continue
 		}
 		total.Upstreams++
--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -49,8 +49,8 @@
 		if w.upstream.Leaving || w.faultCount > 1 {
 			continue
 		}
-		speed += 1 / w.slowness(now)
-		free := max(0, w.expectedEnd.Sub(now), w.pausedUntil.Sub(now))
+		speed += min(1/w.slowness(now), w.callShare(q.spec.Call))
+		free := max(0, w.expectedEnd.Sub(now), w.pausedUntil.Sub(now), w.nextCall.Sub(now))
 		if w.calls == 0 {
 			free = w.freeIn(now)
 		}
--- a/internal/root/relay/batch/dispatcher.go
+++ b/internal/root/relay/batch/dispatcher.go
@@ -40,6 +40,9 @@
 	Leaving bool
 	// PauseFor is how long the worker, which ran nothing of the call, wants no further calls, or 0.
 	PauseFor time.Duration
+	// Limit is the number of calls per second that the worker takes, or 0 if it names no limit. LimitKnown is false if the response is not the worker's own or its limit cannot be read.
+	Limit      float64
+	LimitKnown bool
 }
 
 // Dispatcher runs the queues of all worker pools on this host.
@@ -59,6 +62,8 @@
 	onReleasable func(queue string, handles []string)
 	// onLeaving is called with workers that announced that they are leaving.
 	onLeaving func(i route.Incarnation)
+	// onLimit is called with the limit that a worker states in the response to a call sent at the given time.
+	onLimit func(up route.Upstream, perSecond float64, sentAt time.Time)
 }
 
 // NewDispatcher returns a Dispatcher without queues.
@@ -72,6 +77,7 @@
 		pendingFrees: map[string][]string{},
 		freeRunning:  map[string]bool{},
 		onLeaving:    func(route.Incarnation) {},
+		onLimit:      func(route.Upstream, float64, time.Time) {},
 	}
 	d.onReleasable = d.Free
 	return d
@@ -89,6 +95,20 @@
 	d.onLeaving = f
 }
 
+// OnLimit sets the function that is called with the limit that a worker states in a response, in calls per second, and the time at which the call was sent. It must be called before the dispatcher is used.
+func (d *Dispatcher) OnLimit(f func(up route.Upstream, perSecond float64, sentAt time.Time)) {
+	d.onLimit = f
+}
+
+// SetLimit sets the number of calls per second that a worker takes. 0 means that it names no limit.
+func (d *Dispatcher) SetLimit(i route.Incarnation, perSecond float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, q := range d.queues {
+		q.SetLimit(d.Now(), i, perSecond)
+	}
+}
+
 // Sync updates the queues and their workers to match the worker pools of the plan and the upstreams in members.
 func (d *Dispatcher) Sync(p *plan.Plan, members []route.Upstream) {
 	byPool := map[string][]route.Upstream{}
@@ -264,6 +284,9 @@
 	if resp.Leaving {
 		d.onLeaving(c.Upstream.Incarnation())
 	}
+	if resp.LimitKnown {
+		d.onLimit(c.Upstream, resp.Limit, c.startedAt)
+	}
 	results := resp.Results
 	if err == nil && len(results) != len(c.Items) {
 		err = errors.Errorf("worker returned %d results for %d items", len(results), len(c.Items))
@@ -359,6 +382,23 @@
 	}
 }
 
+// freeWait returns how long results at the worker are gathered before the call that frees them, and counts that call if the worker is limited. The caller holds the lock.
+func (d *Dispatcher) freeWait(addr string) time.Duration {
+	var wait time.Duration
+	for _, q := range d.queues {
+		wait = max(wait, q.reserveFree(d.Now(), addr))
+	}
+	return wait
+}
+
+func (d *Dispatcher) takePendingFrees(addr string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := d.pendingFrees[addr]
+	delete(d.pendingFrees, addr)
+	return list
+}
+
 func (d *Dispatcher) freePending(addr string) {
 	for {
 		d.mu.Lock()
@@ -369,7 +409,12 @@
 			d.mu.Unlock()
 			return
 		}
+		wait := d.freeWait(addr)
 		d.mu.Unlock()
+		if wait > 0 {
+			time.Sleep(wait)
+			list = append(list, d.takePendingFrees(addr)...)
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 		if err := d.client.Free(ctx, addr, list); err != nil {
 			d.Log.WithError(err).WithField("upstream", addr).WithField("results", len(list)).Info("Failed to free results. The worker drops them when they expire.")
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -151,6 +151,7 @@
 		return nil
 	}
 	w.calls++
+	w.recordCall(now)
 	q.running = append(q.running, c)
 	q.calls(now)
 	c.baseline = c.Expected
--- a/internal/root/relay/batch/shard.go
+++ b/internal/root/relay/batch/shard.go
@@ -22,6 +22,11 @@
 	Domain string
 }
 
+// QueueInDomain returns the name of the queue of a pool for one failure domain.
+func QueueInDomain(pool, domain string) string {
+	return pool + domainSeparator + domain
+}
+
 // DomainOf returns the failure domain in the name of a queue, or "" if it has none.
 func DomainOf(queue string) string {
 	if i := strings.LastIndex(queue, domainSeparator); i >= 0 {
@@ -39,7 +44,7 @@
 	}
 	for _, w := range workers {
 		s := Shard{
-			Queue:  pool + domainSeparator + w.Domain,
+			Queue:  QueueInDomain(pool, w.Domain),
 			Domain: w.Domain,
 		}
 		out[s] = append(out[s], w)
--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -42,15 +42,18 @@
 	expectedEnd    time.Time
 	// pausedUntil is the end of the pause that the worker has asked for.
 	pausedUntil time.Time
+	// perSecond is the number of calls per second that the worker takes, or 0 if it names no limit, and nextCall the earliest time of the next one.
+	perSecond float64
+	nextCall  time.Time
 }
 
 func (w *worker) available(now time.Time, slots int) bool {
 	return !w.upstream.Leaving && w.calls < slots && w.freeIn(now) == 0
 }
 
-// freeIn returns how long the worker gets no calls because of failures or a pause.
+// freeIn returns how long the worker gets no calls because of failures, a pause or its limit.
 func (w *worker) freeIn(now time.Time) time.Duration {
-	return max(0, w.backoffUntil.Sub(now), w.pausedUntil.Sub(now))
+	return max(0, w.backoffUntil.Sub(now), w.pausedUntil.Sub(now), w.nextCall.Sub(now))
 }
 
 // healthy reports whether the worker is not leaving, has no recent failures and works at about normal speed.
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -112,7 +112,7 @@
 	x.framing = resp.Framing
 	head := x.HeaderCodec.ParseResponse(x.requestHead.ID, resp.Status, resp.Header)
 	x.limit = head.Limit
-	x.recordAnnouncements(up, head)
+	x.recordAnnouncements(up, began, head)
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
 	case head.OtherRequest:
@@ -149,7 +149,10 @@
 }
 
 // recordAnnouncements records what an upstream states of itself in a response, whatever the response.
-func (x *exchange) recordAnnouncements(up route.Upstream, head ResponseHead) {
+func (x *exchange) recordAnnouncements(up route.Upstream, sentAt time.Time, head ResponseHead) {
+	if head.statesLimit() {
+		x.Limits.Note(up, head.Limit, sentAt)
+	}
 	if head.Leaving {
 		x.Upstreams.MarkLeaving(up.Incarnation())
 	}
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -23,6 +23,8 @@
 	minTimeLeft = 10 * time.Millisecond
 	// overloadRetryAfter is the Retry-After time if no upstream accepts a request.
 	overloadRetryAfter = 200 * time.Millisecond
+	// maxPermitRequests is how many limited upstreams are asked for before one attempt.
+	maxPermitRequests = 3
 	// maxStageRuns bounds how often the stages of one request are run.
 	maxStageRuns = 2
 )
@@ -91,7 +93,7 @@
 		if !x.prepare(ctx) {
 			return
 		}
-		up, ok := x.pickUpstream()
+		up, ok := x.pickUpstream(ctx)
 		if !ok {
 			x.abandonWithoutUpstream()
 			return
@@ -152,7 +154,7 @@
 func (x *exchange) abandonIfPaused() bool {
 	after, ok := x.Table.ReturnAfter(x.Now(), x.pool)
 	if ok {
-		x.abandon(CausePaused, "all upstreams of pool "+x.pool+" have asked for a pause", after)
+		x.abandon(CausePaused, "all upstreams of pool "+x.pool+" have asked for a pause or take no further request now", after)
 	}
 	return ok
 }
@@ -168,13 +170,29 @@
 	return x.deadline.Sub(x.Now())
 }
 
-// pickUpstream selects an upstream that is not excluded, or an excluded one if no other is usable.
-func (x *exchange) pickUpstream() (route.Upstream, bool) {
+// pickUpstream selects an upstream. One that takes a limited number of requests is used only with a permit.
+func (x *exchange) pickUpstream(ctx context.Context) (route.Upstream, bool) {
+	for denied := 0; ; denied++ {
+		up, ok := x.pickCandidate(denied >= maxPermitRequests)
+		if !ok || !up.Limited {
+			return up, ok
+		}
+		granted, retry := x.Limits.Take(ctx, up)
+		if granted {
+			return up, true
+		}
+		x.Table.Hold(x.Now(), up.Name, retry)
+	}
+}
+
+// pickCandidate selects an upstream that is not excluded, or an excluded one if no other is usable. unlimited leaves out those that take a limited number of requests.
+func (x *exchange) pickCandidate(unlimited bool) (route.Upstream, bool) {
 	q := route.Query{
 		Pool:         x.pool,
 		Exclude:      x.excluded,
 		PreferDomain: x.preferredDomain,
 		LeastLoaded:  x.trial,
+		Unlimited:    unlimited,
 	}
 	if x.route.Affinity {
 		q.Affinity = x.requestHead.affinityHash()
--- a/internal/root/relay/flow/headers.go
+++ b/internal/root/relay/flow/headers.go
@@ -125,6 +125,12 @@
 	Load *stage.Load
 }
 
+// statesLimit reports whether the response states the limit of its upstream, or that there is none. Bytes that no upstream signed, and the response of another upstream at the address, state nothing.
+func (h ResponseHead) statesLimit() bool {
+	own := h.Signed || h.NotRun
+	return own && h.LimitKnown && !h.AddressReassigned && !h.OtherRequest
+}
+
 // HeaderCodec translates between HTTP headers and their parsed values.
 type HeaderCodec interface {
 	// RequestHead parses the headers of a caller's request and removes those that must not be forwarded.
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -57,6 +57,14 @@
 	MarkLeaving(i route.Incarnation)
 }
 
+// Limits keeps to the request rates that upstreams name, over all hosts.
+type Limits interface {
+	// Note records the limit, in requests per second, that an upstream named in the response to a request that was sent at the given time. 0 means that it named none.
+	Note(up route.Upstream, perSecond float64, sentAt time.Time)
+	// Take returns whether one request may be sent to a limited upstream now, or else how long there will be no permit for another one.
+	Take(ctx context.Context, up route.Upstream) (granted bool, retry time.Duration)
+}
+
 // Budget configures the retry budget of a pool.
 type Budget struct {
 	// Ratio is how many retries each request adds to the budget. ExtraRetries is how many more retries are allowed within a window on all hosts together. Each host gets an equal part of ExtraRetries.
@@ -70,6 +78,7 @@
 	Plans         *plan.Active
 	Table         *route.Table
 	Upstreams     Upstreams
+	Limits        Limits
 	Sender        Sender
 	Workers       Workers
 	CrashDetector CrashDetector
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -119,6 +119,8 @@
 	knowledge Knowledge
 	// crashes handles crash updates from other hosts; it is set before Run is called.
 	crashes *Crashes
+	// limits handles the messages about limits; it is set before Run is called.
+	limits *Limits
 }
 
 // NewPeers returns Peers that accept connections from other hosts on the address.
@@ -214,6 +216,9 @@
 	if p.crashes != nil {
 		p.crashes.registerHandlers(mux)
 	}
+	if p.limits != nil {
+		p.limits.registerHandlers(mux)
+	}
 	mux.HandleFunc("POST "+pathProbe, func(http.ResponseWriter, *http.Request) {})
 	return mux
 }
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -25,6 +25,8 @@
 	RowsRewritten int64  `json:"rows_rewritten"`
 	// Paused counts the upstreams that are in a pause that they have asked for.
 	Paused int `json:"paused"`
+	// Limited counts the upstreams that take a limited number of requests per second.
+	Limited int `json:"limited"`
 	// Blocked counts the requests and parts of prompts that are not sent because they crash upstreams, and CrashTrials how often this host allowed one more request with one of them.
 	Blocked     int `json:"blocked"`
 	CrashTrials int `json:"crash_trials"`
@@ -68,6 +70,7 @@
 	s.StoreEra = era.String()
 	s.RowsRewritten = r.rowsRewritten.Load()
 	s.Paused = r.table.Paused(r.Now())
+	s.Limited = r.limits.Limited()
 	crashes := r.crashes.Stats()
 	s.Blocked = crashes.Blocked
 	s.CrashTrials = crashes.Trials
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -94,6 +94,7 @@
 	roster     *hosts.Roster
 	peers      *hosts.Peers
 	crashes    *hosts.Crashes
+	limits     *hosts.Limits
 	flow       *flow.Service
 	callers    *serve.Graceful
 	meter      *meter.Meter
@@ -129,11 +130,14 @@
 	r.dispatcher.OnLeaving(r.upstreams.MarkLeaving)
 	r.dispatcher.OnReleased(r.peers.Release)
 	r.crashes = hosts.NewCrashes(deps, r.peers)
+	r.limits = hosts.NewLimits(deps, r.peers, r.applyLimit)
+	r.dispatcher.OnLimit(r.limits.Note)
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
 		Plans:         r.plans,
 		Table:         r.table,
 		Upstreams:     r.upstreams,
+		Limits:        r.limits,
 		Sender:        send.New(),
 		Workers:       r.peers,
 		CrashDetector: r.crashes,
@@ -158,6 +162,12 @@
 	return r
 }
 
+// applyLimit makes the routing table and the queues keep to the limit of an upstream.
+func (r *Relay) applyLimit(i route.Incarnation, perSecond float64) {
+	r.table.SetLimit(i, perSecond)
+	r.dispatcher.SetLimit(i, perSecond)
+}
+
 func (r *Relay) localHost() hosts.Host {
 	return hosts.Host{
 		Name:   r.settings.Host.Name,
