--- a/internal/root/front/chain/reach/client.go
+++ b/internal/root/front/chain/reach/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cornelwing/cornelwing/internal/jhttp"
 	"github.com/cornelwing/cornelwing/internal/stage"
 	"github.com/cornelwing/cornelwing/pkg/wire"
 )
@@ -61,6 +62,7 @@
 		Timeout: dialTimeout,
 	}
 	return &http.Transport{
+		MaxResponseHeaderBytes: jhttp.MaxResponseHead,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			return dialConn(ctx, dialer, network, addr)
 		},
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -18,6 +18,12 @@
 // maxBufferedBytes is the size up to which a response is buffered completely before the caller receives its first byte.
 const maxBufferedBytes = 256 << 10
 
+// maxUnboundedBytes is the size up to which a response is forwarded that states no length.
+const maxUnboundedBytes = 64 << 20
+
+// errResponseTooLong reports a response without a length that is longer than maxUnboundedBytes.
+var errResponseTooLong = errors.New("response is too long")
+
 // survivalTime is how long an upstream must have been sending events of a stream for a later crash not to be held against the request.
 const survivalTime = time.Second
 
@@ -224,7 +230,15 @@
 	if err := x.writeBody(first); err != nil {
 		return err
 	}
-	if _, err := io.Copy(x.w, resp.Body); err != nil {
+	body := io.Reader(resp.Body)
+	if resp.Framing != send.FramedByLength {
+		body = io.LimitReader(body, maxUnboundedBytes)
+	}
+	n, err := io.Copy(x.w, body)
+	if err == nil && resp.Framing != send.FramedByLength && n == maxUnboundedBytes {
+		err = errResponseTooLong
+	}
+	if err != nil {
 		x.abort = true
 		return fmt.Errorf("forward response: %w", err)
 	}
--- a/internal/root/relay/flow/events.go
+++ b/internal/root/relay/flow/events.go
@@ -47,10 +47,10 @@
 	for {
 		line, err := e.r.ReadSlice('\n')
 		raw = append(raw, line...)
+		if len(raw) > maxEventBytes {
+			return nil, "", errEventTooLong
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(raw) > maxEventBytes {
-				return nil, "", errEventTooLong
-			}
 			continue
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/jhttp"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 )
@@ -131,8 +132,9 @@
 		local:  local,
 		addr:   addr,
 		http: &http.Transport{
-			DialContext: send.Dialer(dialTimeout).DialContext,
-			Protocols:   unencryptedHTTP2(),
+			MaxResponseHeaderBytes: jhttp.MaxResponseHead,
+			DialContext:            send.Dialer(dialTimeout).DialContext,
+			Protocols:              unencryptedHTTP2(),
 			HTTP2: &http.HTTP2Config{
 				SendPingTimeout: pingInterval,
 				PingTimeout:     pingTimeout,
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -10,6 +10,8 @@
 	"net/url"
 	"sync/atomic"
 	"time"
+
+	"github.com/cornelwing/cornelwing/internal/jhttp"
 )
 
 // dialTimeout bounds the time for connecting to an upstream.
@@ -63,11 +65,12 @@
 func New() *Client {
 	return &Client{
 		transport: &http.Transport{
-			DialContext:        Dialer(dialTimeout).DialContext,
-			DisableKeepAlives:  true,
-			DisableCompression: true,
-			ReadBufferSize:     bufferSize,
-			WriteBufferSize:    bufferSize,
+			MaxResponseHeaderBytes: jhttp.MaxResponseHead,
+			DialContext:            Dialer(dialTimeout).DialContext,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			ReadBufferSize:         bufferSize,
+			WriteBufferSize:        bufferSize,
 		},
 	}
 }
--- a/internal/root/store/client.go
+++ b/internal/root/store/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/jhttp"
 	"github.com/cornelwing/cornelwing/internal/plat"
 )
 
@@ -51,7 +52,8 @@
 		timeout: defaultTimeout,
 		http: &http.Client{
 			Transport: &http.Transport{
-				MaxIdleConnsPerHost: maxIdleConns,
+				MaxResponseHeaderBytes: jhttp.MaxResponseHead,
+				MaxIdleConnsPerHost:    maxIdleConns,
 			},
 		},
 	}
--- a/internal/stand/serv/behavior.go
+++ b/internal/stand/serv/behavior.go
@@ -30,4 +30,9 @@
 	Crash
 	// CrashAfterHead starts to run the request, sends the head of the response, and then closes the server with all its connections.
 	CrashAfterHead
+	// EndlessHead sends header lines, EndlessLine one header line, EndlessBody a chunked body and EndlessEvent one event of a stream, each without an end until the client closes the connection.
+	EndlessHead
+	EndlessLine
+	EndlessBody
+	EndlessEvent
 )
--- a/internal/stand/serv/respond.go
+++ b/internal/stand/serv/respond.go
@@ -36,6 +36,9 @@
 		time.Sleep(crashDelay)
 		_ = s.http.Close()
 		panic(http.ErrAbortHandler)
+	case EndlessHead, EndlessLine, EndlessBody, EndlessEvent:
+		s.writeEndlessly(w, id, b)
+		return
 	case Hang:
 		<-r.Context().Done()
 		s.mu.Lock()
@@ -133,3 +136,56 @@
 		_ = rc.Flush()
 	}
 }
+
+// endlessInterval is the pause between two writes of a response without an end, and endlessBytes the size of each.
+const (
+	endlessInterval = 5 * time.Millisecond
+	endlessBytes    = 64 << 10
+)
+
+// writeEndlessly writes a response without an end until the client closes the connection.
+func (s *Server) writeEndlessly(w http.ResponseWriter, id string, b Behavior) {
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp.%s\r\n", id, s.ID)
+	chunk := fmt.Sprintf("%x\r\n", endlessBytes)
+	var part string
+	switch b {
+	case EndlessHead:
+		part = strings.Repeat("X-Filler: "+strings.Repeat("a", 52)+"\r\n", endlessBytes/64)
+	case EndlessLine:
+		head += "X-Filler: "
+		part = strings.Repeat("a", endlessBytes)
+	case EndlessBody:
+		head += "Transfer-Encoding: chunked\r\n\r\n"
+		part = chunk + strings.Repeat("a", endlessBytes) + "\r\n"
+	case EndlessEvent:
+		head += "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\r\n"
+		part = chunk + strings.Repeat("data: aaaaaaaaa\n", endlessBytes/16) + "\r\n"
+	}
+	// The buffer is flushed with each part; an error of the first write shows there.
+	_, _ = buf.WriteString(head)
+	for {
+		n, err := buf.WriteString(part)
+		if err == nil {
+			err = buf.Flush()
+		}
+		s.mu.Lock()
+		s.endless += n
+		s.mu.Unlock()
+		if err != nil {
+			return
+		}
+		time.Sleep(endlessInterval)
+	}
+}
+
+// EndlessBytes returns how many bytes the server has written in responses without an end.
+func (s *Server) EndlessBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endless
+}
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -51,6 +51,8 @@
 	// limit, if not empty, is the value of the header Server-Limit in all responses. arrivals holds the times at which requests and calls arrived.
 	limit    string
 	arrivals []time.Time
+	// endless counts the bytes of responses without an end.
+	endless int
 	// leaving adds the header Server-Leaving to all responses.
 	leaving         bool
 	nextBehaviors   []Behavior
--- a/internal/stand/serv/stages.go
+++ b/internal/stand/serv/stages.go
@@ -20,7 +20,7 @@
 	Reason string `json:"reason,omitempty"`
 }
 
-// runPieces records the pieces of a call as run and responds with a handle to the result of each piece. Only the behaviors Full and DropResponse affect it, and neither of them runs a piece.
+// runPieces records the pieces of a call as run and responds with a handle to the result of each piece. Only the behaviors Full, DropResponse, EndlessHead and EndlessBody affect it, and none of them runs a piece.
 func (s *Server) runPieces(w http.ResponseWriter, r *http.Request) {
 	var call struct {
 		Items []Item `json:"items"`
@@ -38,6 +38,9 @@
 		return
 	} else if b == DropResponse {
 		panic(http.ErrAbortHandler)
+	} else if b == EndlessHead || b == EndlessBody {
+		s.writeEndlessly(w, "", b)
+		return
 	}
 	var out []result
 	s.mu.Lock()
