--- a/internal/root/crash/blame/crash.go
+++ b/internal/root/crash/blame/crash.go
@@ -10,8 +10,8 @@
 	"github.com/cornelwing/cornelwing/internal/root/crash"
 )
 
-// maxRequests is the maximum number of requests of one crash that are remembered.
-const maxRequests = 128
+// MaxRequests is the maximum number of requests of one crash that are remembered.
+const MaxRequests = 128
 
 // ErrInvalidUpdate is returned for a crash without an upstream, with too many requests, or with a negative age.
 var ErrInvalidUpdate = errors.New("update about crashes is not valid")
@@ -56,7 +56,7 @@
 	if err := json.Unmarshal(b, &p); err != nil {
 		return fmt.Errorf("decode crash: %w", err)
 	}
-	if p.Upstream == "" || p.AgeMS < 0 || len(p.Requests) > maxRequests {
+	if p.Upstream == "" || p.AgeMS < 0 || len(p.Requests) > MaxRequests {
 		return fmt.Errorf("check crash: %w", ErrInvalidUpdate)
 	}
 	*c = CrashRecord(p)
--- a/internal/root/crash/blame/evidence.go
+++ b/internal/root/crash/blame/evidence.go
@@ -75,7 +75,7 @@
 	changed := false
 	for _, r := range list {
 		known := slices.ContainsFunc(e.crashes[i].Requests, func(o Request) bool { return o.Own == r.Own && slices.Equal(o.Parts, r.Parts) })
-		if known || len(e.crashes[i].Requests) >= maxRequests {
+		if known || len(e.crashes[i].Requests) >= MaxRequests {
 			continue
 		}
 		e.crashes[i].Requests = append(e.crashes[i].Requests, r)
--- a/internal/root/crash/blame/ledger.go
+++ b/internal/root/crash/blame/ledger.go
@@ -11,6 +11,9 @@
 const (
 	// watchTime is how long survivals of a suspect are told to the hosts that count crashes, and how long the answers of a survey hold.
 	watchTime = time.Minute
+	// maxToldCrashes is how many crashes that count against a fingerprint other hosts are told, and maxToldRequests how many requests of each. They bound the size of a message.
+	maxToldCrashes  = 16
+	maxToldRequests = 16
 	// maxWatched is the maximum number of suspects that a host watches.
 	maxWatched = 4096
 )
@@ -176,13 +179,17 @@
 	return out
 }
 
-// Evidence returns all that is known of the fingerprints.
+// Evidence returns what is known of the fingerprints: the latest crashes, with some of their requests, and the survivals.
 func (l *Ledger) Evidence(now time.Time, list []crash.Fingerprint) Update {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var crashes []Crash
 	for _, f := range list {
-		crashes = append(crashes, l.evidence.Against(f)...)
+		against := l.evidence.Against(f)
+		for _, c := range against[max(0, len(against)-maxToldCrashes):] {
+			c.Requests = c.Requests[:min(len(c.Requests), maxToldRequests)]
+			crashes = append(crashes, c)
+		}
 	}
 	return NewUpdate(now, crashes, l.evidence.Survivals(list))
 }
--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -18,8 +18,9 @@
 	// countersKey is the key in whose ranking the first crashCounters hosts collect the crashes that all hosts see. With several of them the evidence survives the loss of some.
 	countersKey   = "crashes"
 	crashCounters = 3
-	// maxReported is the maximum number of fingerprints in one message about what is blocked.
-	maxReported = 512
+	// maxSurveyed is the maximum number of fingerprints in a question about survivals, and maxTold that in a message about what is blocked.
+	maxSurveyed = 512
+	maxTold     = 8
 	// gatherTime is how long a crash is held back, so that requests that lost their connections together are reported together.
 	gatherTime = 5 * time.Millisecond
 	// reportWait is how long a request waits for the report of its crash.
@@ -157,7 +158,9 @@
 		c.gathered[key] = g
 		time.AfterFunc(gatherTime, func() { c.reportGathered(key, g) })
 	}
-	g.crash.Requests = append(g.crash.Requests, r)
+	if len(g.crash.Requests) < blame.MaxRequests {
+		g.crash.Requests = append(g.crash.Requests, r)
+	}
 	return g.done
 }
 
--- a/internal/root/relay/hosts/crashmsg.go
+++ b/internal/root/relay/hosts/crashmsg.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,7 +66,7 @@
 // reportTo sends a report to a host, and takes over what the host knows of blocked requests among those of the report.
 func (c *Crashes) reportTo(h Host, u blame.Update) error {
 	var blocked blame.Update
-	if err := c.call(h, pathCrashes, reportTimeout, u, &blocked); err != nil {
+	if err := c.peers.postWithin(reportTimeout, h, pathCrashes, u, &blocked); err != nil {
 		return fmt.Errorf("report crash: %w", err)
 	}
 	if !blocked.Empty() {
@@ -98,11 +99,11 @@
 // survey asks all other hosts when upstreams last survived the suspects.
 func (c *Crashes) survey(suspects []crash.Fingerprint) {
 	question := fingerprintList{
-		Fingerprints: suspects[:min(len(suspects), maxReported)],
+		Fingerprints: suspects[:min(len(suspects), maxSurveyed)],
 	}
 	c.callAll(c.peers.roster.LiveOthers(), func(h Host) error {
 		var known blame.Update
-		if err := c.call(h, pathSurvivals, surveyTimeout, question, &known); err != nil {
+		if err := c.peers.postWithin(surveyTimeout, h, pathSurvivals, question, &known); err != nil {
 			return fmt.Errorf("ask for survivals: %w", err)
 		}
 		c.ledger.Merge(c.Now(), known)
@@ -145,25 +146,34 @@
 	}
 }
 
-// notify tells hosts all that is known of the fingerprints.
+// notify tells hosts what is known of the fingerprints.
 func (c *Crashes) notify(to []Host, list []crash.Fingerprint) {
 	c.callAll(to, func(h Host) error {
-		var err error
-		for range notifyAttempts {
-			if err = c.call(h, pathBlocked, reportTimeout, c.ledger.Evidence(c.Now(), list), nil); err == nil {
-				return nil
+		for part := range slices.Chunk(list, maxTold) {
+			if err := c.notifyHost(h, part); err != nil {
+				return err
 			}
-			time.Sleep(notifyPause)
 		}
-		return fmt.Errorf("tell what is blocked: %w", err)
+		return nil
 	})
 }
 
+func (c *Crashes) notifyHost(h Host, list []crash.Fingerprint) error {
+	var err error
+	for range notifyAttempts {
+		if err = c.peers.postWithin(reportTimeout, h, pathBlocked, c.ledger.Evidence(c.Now(), list), nil); err == nil {
+			return nil
+		}
+		time.Sleep(notifyPause)
+	}
+	return fmt.Errorf("tell what is blocked: %w", err)
+}
+
 // notifyJoined tells a host that has just started or is up again what is blocked, if this host is among the first in the ranking for the name of that host.
 func (c *Crashes) notifyJoined(h Host) {
 	list := c.ledger.Blocked()
 	if len(list) > 0 && c.peers.roster.selfInTop(h.Name, crashCounters) {
-		c.notify([]Host{h}, list[:min(len(list), maxReported)])
+		c.notify([]Host{h}, list)
 	}
 }
 
@@ -194,12 +204,6 @@
 	return len(to) - len(failed)
 }
 
-func (c *Crashes) call(h Host, path string, timeout time.Duration, body, into any) error {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	return c.peers.post(ctx, h, path, body, into)
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", jhttp.ContentType)
 	// A failed write needs no handling: the peer is gone.
--- a/internal/root/relay/hosts/forward.go
+++ b/internal/root/relay/hosts/forward.go
@@ -181,6 +181,13 @@
 	return a, nil
 }
 
+// postWithin is post with a timeout and no other reason to end.
+func (p *Peers) postWithin(timeout time.Duration, h Host, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return p.post(ctx, h, path, body, into)
+}
+
 func (p *Peers) post(ctx context.Context, h Host, path string, body, into any) error {
 	resp, err := jhttp.Do(ctx, p.http, jhttp.Call{
 		Method: http.MethodPost,
--- a/internal/root/relay/hosts/limits.go
+++ b/internal/root/relay/hosts/limits.go
@@ -193,10 +193,7 @@
 	for range limitAttempts {
 		later := m
 		later.AgeMS += l.Now().Sub(began).Milliseconds()
-		ctx, cancel := context.WithTimeout(context.Background(), limitTimeout)
-		err = l.peers.post(ctx, h, pathLimits, later, nil)
-		cancel()
-		if err == nil {
+		if err = l.peers.postWithin(limitTimeout, h, pathLimits, later, nil); err == nil {
 			return
 		}
 		time.Sleep(limitPause)
