--- a/internal/root/crash/guard.go
+++ b/internal/root/crash/guard.go
@@ -30,7 +30,7 @@
 // Crashes returns the number of crashes of the request, and whether the request is blocked for that reason.
 func (g *Guard) Crashes(fp Fingerprint) (int, bool) {
 	n := g.tracker.CrashCount(fp, g.Now())
-	return n, n >= g.tracker.limit
+	return n, n >= crashLimit
 }
 
 // OwnsTrials reports whether the trials of suspect requests on the upstream are assigned to this host only.
--- a/internal/root/crash/tracker.go
+++ b/internal/root/crash/tracker.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// defaultCrashLimit is the number of crashes after which a request is blocked, if WithLimit is not given.
-	defaultCrashLimit = 2
+	// crashLimit is the number of crashes after which a request is blocked.
+	crashLimit = 2
 	// markRetention is how long a mark counts towards the limit.
 	markRetention = 15 * time.Minute
 	// sameCrashWindow is the time within which marks of one request on one upstream count as the same crash.
@@ -51,36 +51,18 @@
 // Tracker counts the crashes of each request. A request with at least one crash is a suspect. Each run of a suspect on an upstream is a trial, and trials of different requests do not run on an upstream at the same time.
 // A Tracker is safe for concurrent use.
 type Tracker struct {
-	// limit is the number of crashes after which a request is blocked.
-	limit int
-
 	mu    sync.Mutex
 	marks map[Fingerprint][]Mark
 	// trials maps the name of an upstream to the suspect request whose trial is running there.
 	trials map[string]Fingerprint
 }
 
-// Option changes a Tracker under construction.
-type Option func(*Tracker)
-
-// WithLimit sets the number of crashes after which a request is blocked.
-func WithLimit(n int) Option {
-	return func(t *Tracker) {
-		t.limit = n
-	}
-}
-
 // NewTracker returns a tracker without marks.
-func NewTracker(opts ...Option) *Tracker {
-	t := &Tracker{
-		limit:  defaultCrashLimit,
+func NewTracker() *Tracker {
+	return &Tracker{
 		marks:  map[Fingerprint][]Mark{},
 		trials: map[string]Fingerprint{},
 	}
-	for _, o := range opts {
-		o(t)
-	}
-	return t
 }
 
 // CrashCount returns the number of unexpired crash marks of the request.
@@ -100,11 +82,6 @@
 	return n
 }
 
-// IsBlocked reports whether the request has reached the crash limit and must not run again.
-func (t *Tracker) IsBlocked(fp Fingerprint, now time.Time) bool {
-	return t.CrashCount(fp, now) >= t.limit
-}
-
 // Add stores a mark and reports whether it records a new crash.
 // It ignores an expired mark and a mark of a crash that is already recorded.
 // While maxMarkedRequests requests have unexpired marks, it also ignores marks of any further request.
@@ -137,35 +114,6 @@
 	}
 }
 
-// Clear deletes the marks of a request that ran to its end, and reports whether there were any.
-func (t *Tracker) Clear(fp Fingerprint) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, ok := t.marks[fp]
-	delete(t.marks, fp)
-	return ok
-}
-
-// MarksOf returns a copy of the marks of the request, expired ones included.
-func (t *Tracker) MarksOf(fp Fingerprint) []Mark {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return slices.Clone(t.marks[fp])
-}
-
-// Blocked returns the marks of blocked requests, at most limit marks in total. It returns either all marks of a request or none of them.
-func (t *Tracker) Blocked(now time.Time, limit int) []Mark {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Mark
-	for fp, ms := range t.marks {
-		if t.crashCount(fp, now) >= t.limit && len(out)+len(ms) <= limit {
-			out = append(out, ms...)
-		}
-	}
-	return out
-}
-
 // StartTrial starts a trial of the suspect request on the upstream. It returns false if the trial of another request is running there.
 // If two suspects ran on one upstream, its crash would not show which of them caused it.
 func (t *Tracker) StartTrial(fp Fingerprint, upstream string) bool {
