--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -27,8 +27,8 @@
 	reportWait = 200 * time.Millisecond
 	// survivalSpacing is the time for each host between two reports of survivals of the same fingerprint, so that their rate does not depend on the number of hosts.
 	survivalSpacing = 10 * time.Millisecond
-	// suddenTrialRetryAfter is the Retry-After time of a request that could be tried but is not, because another one was.
-	suddenTrialRetryAfter = 10 * time.Second
+	// deniedTrialRetryAfter is the Retry-After time of a request with a part that is due for a trial, if another request is the trial.
+	deniedTrialRetryAfter = 10 * time.Second
 	// lastingRetryAfter is the Retry-After time of a request that is not tried again.
 	lastingRetryAfter = 30 * time.Second
 )
@@ -119,7 +119,7 @@
 	}
 	for _, b := range c.ledger.Blocks(r) {
 		if !c.requestTrial(ctx, b.Fingerprint) {
-			return rejectedForPart(suddenTrialRetryAfter)
+			return rejectedForPart(deniedTrialRetryAfter)
 		}
 	}
 	c.Log.WithField("fingerprint", formatFingerprint(r.Own)).Info("Sending a request with a blocked part as a trial.")
@@ -188,13 +188,13 @@
 	if suspects := c.ledger.DueSurvey(c.Now()); len(suspects) > 0 {
 		c.survey(suspects)
 	}
-	if changed := c.draw(); len(changed) > 0 {
+	if changed := c.updateVerdict(); len(changed) > 0 {
 		go c.notify(c.peers.roster.LiveOthers(), changed)
 	}
 }
 
-// draw draws the verdict, logs what has changed in it and returns that.
-func (c *Crashes) draw() []crash.Fingerprint {
+// updateVerdict draws the verdict from the evidence, logs what has changed in it and returns that.
+func (c *Crashes) updateVerdict() []crash.Fingerprint {
 	blocked, lifted := c.ledger.Assess()
 	changed := lifted
 	for _, b := range blocked {
--- a/internal/root/relay/hosts/crashmsg.go
+++ b/internal/root/relay/hosts/crashmsg.go
@@ -71,7 +71,7 @@
 	}
 	if !blocked.Empty() {
 		c.ledger.Merge(c.Now(), blocked)
-		c.draw()
+		c.updateVerdict()
 	}
 	return nil
 }
@@ -92,7 +92,7 @@
 	var u blame.Update
 	if decodeBody(w, r, &u) {
 		c.ledger.Merge(c.Now(), u)
-		c.draw()
+		c.updateVerdict()
 	}
 }
 
