--- a/internal/root/crash/blame/ledger.go
+++ b/internal/root/crash/blame/ledger.go
@@ -1,6 +1,7 @@
 package blame
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,8 @@
 	maxToldRequests = 16
 	// maxWatched is the maximum number of suspects that a host watches.
 	maxWatched = 4096
+	// untoldTime is how long a change of the verdict waits to be told. Only the hosts that collect crashes tell changes, so it bounds what the others keep.
+	untoldTime = 10 * time.Second
 )
 
 // watch is a suspect whose survivals other hosts want to know.
@@ -31,8 +34,10 @@
 	verdict  Verdict
 	watched  map[crash.Fingerprint]watch
 	surveyed map[crash.Fingerprint]time.Time
-	permits  map[crash.Fingerprint]time.Time
-	trials   int
+	// untold holds the fingerprints whose blocks have changed since the last TakeUntold, with the times of the changes.
+	untold  map[crash.Fingerprint]time.Time
+	permits map[crash.Fingerprint]time.Time
+	trials  int
 }
 
 // NewLedger returns an empty ledger.
@@ -41,6 +46,7 @@
 		evidence: NewEvidence(),
 		watched:  map[crash.Fingerprint]watch{},
 		surveyed: map[crash.Fingerprint]time.Time{},
+		untold:   map[crash.Fingerprint]time.Time{},
 		permits:  map[crash.Fingerprint]time.Time{},
 	}
 }
@@ -128,7 +134,7 @@
 }
 
 // Assess draws the verdict from the evidence. It returns the blocks that are new or have more crashes, and the fingerprints that are no longer blocked.
-func (l *Ledger) Assess() (blocked []Block, lifted []crash.Fingerprint) {
+func (l *Ledger) Assess(now time.Time) (blocked []Block, lifted []crash.Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old := l.verdict
@@ -137,17 +143,38 @@
 		b, _ := l.verdict.Block(f)
 		if before, ok := old.Block(f); !ok || before.Crashes != b.Crashes || !slices.Equal(before.Companions, b.Companions) {
 			blocked = append(blocked, b)
+			l.untold[f] = now
 		}
 	}
 	for _, f := range old.Fingerprints() {
 		if _, ok := l.verdict.Block(f); !ok {
 			lifted = append(lifted, f)
+			l.untold[f] = now
 			delete(l.permits, f)
 		}
 	}
+	l.forgetUntold(now)
 	return blocked, lifted
 }
 
+func (l *Ledger) forgetUntold(now time.Time) {
+	for f, at := range l.untold {
+		if now.Sub(at) >= untoldTime {
+			delete(l.untold, f)
+		}
+	}
+}
+
+// TakeUntold returns the fingerprints whose blocks have changed within untoldTime and since the last call, in ascending order. A change may have been found by an Assess for a message of another host, so what one Assess returns is not all there is to tell.
+func (l *Ledger) TakeUntold(now time.Time) []crash.Fingerprint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forgetUntold(now)
+	out := slices.Sorted(maps.Keys(l.untold))
+	clear(l.untold)
+	return out
+}
+
 // Blocks returns the blocks that apply to the request.
 func (l *Ledger) Blocks(r Request) []Block {
 	l.mu.Lock()
--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -39,6 +39,8 @@
 	ledger *blame.Ledger
 	prober *crash.Prober
 	peers  *Peers
+	// background runs a function that sends messages to other hosts in a goroutine of its own.
+	background func(f func())
 	// assessing serializes assessments, so that each uses the answers to the survey of the one before.
 	assessing sync.Mutex
 
@@ -56,11 +58,12 @@
 // NewCrashes returns the record of crashes on this host, which is shared with other hosts through peers. It must be called before peers runs.
 func NewCrashes(deps common.Deps, peers *Peers) *Crashes {
 	c := &Crashes{
-		Deps:     deps.WithPart("crash"),
-		ledger:   blame.NewLedger(),
-		prober:   crash.NewProber(connects),
-		peers:    peers,
-		gathered: map[string]*gatheredCrash{},
+		Deps:       deps.WithPart("crash"),
+		ledger:     blame.NewLedger(),
+		prober:     crash.NewProber(connects),
+		peers:      peers,
+		background: func(f func()) { go f() },
+		gathered:   map[string]*gatheredCrash{},
 	}
 	peers.crashes = c
 	peers.roster.OnJoin(c.notifyJoined)
@@ -141,7 +144,7 @@
 	}
 }
 
-// gather adds the request to the crash of its upstream, and reports the crash after gatherTime. The returned channel is closed once that is done.
+// gather adds the request to the crash of its upstream, which is reported after gatherTime. The returned channel is closed once that is done.
 func (c *Crashes) gather(r blame.Request, up route.Upstream) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -156,7 +159,7 @@
 			done: make(chan struct{}),
 		}
 		c.gathered[key] = g
-		time.AfterFunc(gatherTime, func() { c.reportGathered(key, g) })
+		c.background(func() { c.reportGathered(key, g) })
 	}
 	if len(g.crash.Requests) < blame.MaxRequests {
 		g.crash.Requests = append(g.crash.Requests, r)
@@ -166,6 +169,7 @@
 
 func (c *Crashes) reportGathered(key string, g *gatheredCrash) {
 	defer close(g.done)
+	time.Sleep(gatherTime)
 	c.mu.Lock()
 	delete(c.gathered, key)
 	c.mu.Unlock()
@@ -177,7 +181,7 @@
 	interval := time.Duration(c.peers.roster.Count()) * survivalSpacing
 	told := c.ledger.Survived(c.Now(), r, interval)
 	if len(told) > 0 {
-		go c.report(blame.NewUpdate(c.Now(), nil, told))
+		c.background(func() { c.report(blame.NewUpdate(c.Now(), nil, told)) })
 	}
 }
 
@@ -188,24 +192,22 @@
 	if suspects := c.ledger.DueSurvey(c.Now()); len(suspects) > 0 {
 		c.survey(suspects)
 	}
-	if changed := c.updateVerdict(); len(changed) > 0 {
-		go c.notify(c.peers.roster.LiveOthers(), changed)
+	c.updateVerdict()
+	if untold := c.ledger.TakeUntold(c.Now()); len(untold) > 0 {
+		c.background(func() { c.notify(c.peers.roster.LiveOthers(), untold) })
 	}
 }
 
-// updateVerdict draws the verdict from the evidence, logs what has changed in it and returns that.
-func (c *Crashes) updateVerdict() []crash.Fingerprint {
-	blocked, lifted := c.ledger.Assess()
-	changed := lifted
+// updateVerdict draws the verdict from the evidence, and logs what has changed in it.
+func (c *Crashes) updateVerdict() {
+	blocked, lifted := c.ledger.Assess(c.Now())
 	for _, b := range blocked {
-		changed = append(changed, b.Fingerprint)
 		c.Log.WithField("fingerprint", formatFingerprint(b.Fingerprint)).WithField("crashes", b.Crashes).WithField("companions", len(b.Companions)).
 			WithField("trial_ms", b.TrialAt().Sub(c.Now()).Milliseconds()).Warn("Request has crashed too many upstreams. It is blocked.")
 	}
 	for _, f := range lifted {
 		c.Log.WithField("fingerprint", formatFingerprint(f)).Warn("Upstreams survive requests with the fingerprint. It is no longer blocked.")
 	}
-	return changed
 }
 
 func formatFingerprint(f crash.Fingerprint) string {
