--- a/internal/root/limit/limit_test.go
+++ b/internal/root/limit/limit_test.go
@@ -33,6 +33,11 @@
 		{name: "it ends", notices: []Notice{{PerSecond: 2, At: after(1)}, {At: after(2)}}, changes: 2},
 		{name: "a response to a request that was sent before it was named has none", notices: []Notice{{PerSecond: 2, At: after(5)}, {At: after(4)}}, want: 2, changes: 1},
 		{name: "messages come in another order", notices: []Notice{{At: after(9)}, {PerSecond: 5, At: after(8)}, {PerSecond: 2, At: after(1)}}, want: 5, changes: 1},
+		{name: "a notice of another host was long under way, and a later one of it came before", notices: []Notice{{PerSecond: 5, At: after(2), Source: "a", Seq: 2}, {PerSecond: 2, At: after(9), Source: "a", Seq: 1}}, want: 5, changes: 1},
+		{name: "a notice of another host was long under way, and a later one of it comes after", notices: []Notice{{PerSecond: 2, At: after(9), Source: "a", Seq: 1}, {PerSecond: 5, At: after(2), Source: "a", Seq: 2}}, want: 5, changes: 2},
+		{name: "the end comes before the limit that it ends", notices: []Notice{{At: after(2), Source: "a", Seq: 2}, {PerSecond: 2, At: after(9), Source: "a", Seq: 1}}},
+		{name: "two hosts tell different limits", notices: []Notice{{PerSecond: 5, At: after(2), Source: "a", Seq: 2}, {PerSecond: 2, At: after(9), Source: "b", Seq: 1}}, want: 2, changes: 2},
+		{name: "the upstream names another one than a host has told", notices: []Notice{{PerSecond: 5, At: after(2), Source: "a", Seq: 2}, {PerSecond: 2, At: after(9)}, {PerSecond: 5, At: after(8), Source: "a", Seq: 3}}, want: 2, changes: 2},
 	}
 	for _, sc := range scenarios {
 		Convey("If "+sc.name, t, func() {
--- a/internal/root/relay/hosts/limits.go
+++ b/internal/root/relay/hosts/limits.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,7 +32,7 @@
 	pathPermit = "/permit"
 )
 
-// errInvalidLimit is returned for a limit that is negative or has a negative age.
+// errInvalidLimit is returned for a limit that is negative, has a negative age or names no source.
 var errInvalidLimit = errors.New("limit is not valid")
 
 // limitNotice tells what an upstream stated of its limit, and how long ago.
@@ -39,6 +40,9 @@
 	Upstream  route.Incarnation `json:"upstream"`
 	PerSecond float64           `json:"per_second"`
 	AgeMS     int64             `json:"age_ms"`
+	// Source is the process that sent the notice, and Seq counts the notices of a source.
+	Source string `json:"source"`
+	Seq    uint64 `json:"seq"`
 	// Final is set by the host that grants requests to the upstream, so that the receiver doesn't tell others.
 	Final bool `json:"final,omitempty"`
 }
@@ -50,7 +54,7 @@
 	if err := json.Unmarshal(b, &p); err != nil {
 		return fmt.Errorf("decode limit: %w", err)
 	}
-	if p.PerSecond < 0 || p.AgeMS < 0 {
+	if p.PerSecond < 0 || p.AgeMS < 0 || p.Source == "" {
 		return fmt.Errorf("check limit: %w", errInvalidLimit)
 	}
 	*n = limitNotice(p)
@@ -70,8 +74,14 @@
 	peers  *Peers
 	book   *limit.Book
 	grants *limit.Grants
+	// source names this process in its notices.
+	source string
 	// apply is called with each changed limit.
 	apply func(i route.Incarnation, perSecond float64)
+
+	// noticing makes the order of the notices' Seq that of what they say.
+	noticing sync.Mutex
+	seq      uint64
 }
 
 // NewLimits returns the limits that this host knows, which are shared with other hosts through peers. apply is called with each changed limit. NewLimits must be called before peers runs.
@@ -81,6 +91,7 @@
 		peers:  peers,
 		book:   limit.NewBook(),
 		grants: limit.NewGrants(),
+		source: fmt.Sprintf("%s/%d", deps.Host, deps.Now().UnixNano()),
 		apply:  apply,
 	}
 	peers.limits = l
@@ -162,11 +173,16 @@
 
 // notice returns the message with what this host knows of the limit.
 func (l *Limits) notice(i route.Incarnation) limitNotice {
+	l.noticing.Lock()
+	defer l.noticing.Unlock()
+	l.seq++
 	n, _ := l.book.Get(i)
 	return limitNotice{
 		Upstream:  i,
 		PerSecond: n.PerSecond,
 		AgeMS:     max(0, l.Now().Sub(n.At).Milliseconds()),
+		Source:    l.source,
+		Seq:       l.seq,
 	}
 }
 
@@ -175,6 +191,8 @@
 	return limit.Notice{
 		PerSecond: m.PerSecond,
 		At:        l.Now().Add(-time.Duration(m.AgeMS) * time.Millisecond),
+		Source:    m.Source,
+		Seq:       m.Seq,
 	}
 }
 
