--- a/internal/root/relay/follow/leavers.go
+++ b/internal/root/relay/follow/leavers.go
@@ -25,9 +25,10 @@
 // leavers remembers which incarnations of upstreams are leaving or have left. It needs no lock of its own.
 type leavers map[route.Incarnation]leaver
 
-// add remembers an incarnation and reports whether it is new.
+// add remembers an incarnation and reports whether it was not known as leaving.
 func (l leavers) add(now time.Time, i route.Incarnation, announced bool) bool {
-	old, known := l[i]
+	known := l.has(now, i)
+	old := l[i]
 	l[i] = leaver{
 		at:        now,
 		announced: announced || old.announced,
--- a/internal/root/relay/follow/leaving_test.go
+++ b/internal/root/relay/follow/leaving_test.go
@@ -53,6 +53,30 @@
 	}
 }
 
+// TestLeavingMarkWithoutStartTimeIsSetAgain guards against an upstream that goes on being used although it announces again that it is leaving, after its first mark has ended.
+func TestLeavingMarkWithoutStartTimeIsSetAgain(t *testing.T) {
+	Convey("Given a leaving upstream without a start time whose mark has ended", t, func() {
+		now := time.Unix(1000, 0)
+		deps := common.NewQuietDeps("h", "d")
+		deps.Now = func() time.Time { return now }
+		changes := 0
+		m := NewUpstreams(deps, decodeStart, forgetTime, func() { changes++ })
+		m.Reset([]Row{rowOf("a", "0 ready")})
+		i := route.Incarnation{Name: "a", Addr: "addr-a"}
+		m.MarkLeaving(i)
+		now = now.Add(leaverRetention + time.Millisecond)
+		So(m.List()[0].Leaving, ShouldBeFalse)
+		Convey("its next announcement takes it out of use at once, and later ones change nothing", func() {
+			before := changes
+			m.MarkLeaving(i)
+			So(changes-before, ShouldEqual, 1)
+			So(m.List()[0].Leaving, ShouldBeTrue)
+			m.MarkLeaving(i)
+			So(changes-before, ShouldEqual, 1)
+		})
+	})
+}
+
 func TestLeavingUpstreamIsNotRetainedAfterOutage(t *testing.T) {
 	Convey("An upstream that announced its leaving and lost its row in an outage is removed at once", t, func() {
 		m := NewUpstreams(common.NewQuietDeps("h", "d"), decodeStart, forgetTime, func() {})
--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -166,6 +166,9 @@
 	if added && used {
 		m.Log.WithField("upstream", i.Name).WithField("announced", announced).Info("Upstream is leaving. No further requests are sent to it.")
 		m.changed()
+		if i.StartedAtMS == 0 {
+			time.AfterFunc(leaverRetention+time.Millisecond, m.changed)
+		}
 	}
 }
 
