--- a/internal/root/limit/limit_test.go
+++ b/internal/root/limit/limit_test.go
@@ -68,6 +68,27 @@
 	})
 }
 
+// TestUpstreamThatTakesNothingIsAsked guards against a limit of 0 that is never known to have ended, as nothing is sent.
+func TestUpstreamThatTakesNothingIsAsked(t *testing.T) {
+	scenarios := []struct {
+		name      string
+		statement Statement
+		want      float64
+	}{
+		{name: "no limit", statement: Statement{Known: true}},
+		{name: "a limit", statement: Statement{Known: true, Named: true, PerSecond: 3.5}, want: 3.5},
+		{name: "a limit of 0", statement: Statement{Known: true, Named: true}, want: minRate},
+		{name: "a limit that cannot be read", statement: Statement{}},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			if got := sc.statement.Rate(); got != sc.want {
+				t.Errorf("got rate %g, want %g", got, sc.want)
+			}
+		})
+	}
+}
+
 // TestGrantsStayWithinLimit guards against bursts above what an upstream takes, also when another host begins to grant, and against limits that are left unused.
 func TestGrantsStayWithinLimit(t *testing.T) {
 	Convey("Over many seeds, with hosts that begin to grant in place of others, each window of 4 s has at most what the platform allows, and most of the limit is used", t, func() {
--- a/internal/root/relay/batch/dispatcher.go
+++ b/internal/root/relay/batch/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/limit"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 )
 
@@ -40,9 +41,8 @@
 	Leaving bool
 	// PauseFor is how long the worker, which ran nothing of the call, wants no further calls, or 0.
 	PauseFor time.Duration
-	// Limit is the number of calls per second that the worker takes, or 0 if it names no limit. LimitKnown is false if the response is not the worker's own or its limit cannot be read.
-	Limit      float64
-	LimitKnown bool
+	// Limit is what the worker states of its limit.
+	Limit limit.Statement
 }
 
 // Dispatcher runs the queues of all worker pools on this host.
@@ -284,8 +284,8 @@
 	if resp.Leaving {
 		d.onLeaving(c.Upstream.Incarnation())
 	}
-	if resp.LimitKnown {
-		d.onLimit(c.Upstream, resp.Limit, c.startedAt)
+	if resp.Limit.Known {
+		d.onLimit(c.Upstream, resp.Limit.Rate(), c.startedAt)
 	}
 	results := resp.Results
 	if err == nil && len(results) != len(c.Items) {
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -117,7 +117,7 @@
 func (x *exchange) handleResponse(ctx context.Context, up route.Upstream, began time.Time, resp send.Response) (retry.Event, bool) {
 	x.framing = resp.Framing
 	head := x.HeaderCodec.ParseResponse(x.requestHead.ID, resp.Status, resp.Header)
-	x.limit = head.Limit
+	x.limit = head.Limit.Rate()
 	x.recordAnnouncements(up, began, head)
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
@@ -157,7 +157,7 @@
 // recordAnnouncements records what an upstream states of itself in a response, whatever the response.
 func (x *exchange) recordAnnouncements(up route.Upstream, sentAt time.Time, head ResponseHead) {
 	if head.statesLimit() {
-		x.Limits.Note(up, head.Limit, sentAt)
+		x.Limits.Note(up, head.Limit.Rate(), sentAt)
 	}
 	if head.Leaving {
 		x.Upstreams.MarkLeaving(up.Incarnation())
--- a/internal/root/relay/flow/headers.go
+++ b/internal/root/relay/flow/headers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cornelwing/cornelwing/internal/root/limit"
 	"github.com/cornelwing/cornelwing/internal/stage"
 )
 
@@ -118,9 +119,8 @@
 	Leaving bool
 	// PauseFor is how long the upstream wants no requests from this host, or 0.
 	PauseFor time.Duration
-	// Limit is the number of requests per second that the upstream takes from all hosts together, or 0 if it names no limit. LimitKnown is false if the response names one that cannot be read.
-	Limit      float64
-	LimitKnown bool
+	// Limit is what the response states of the limit of the upstream.
+	Limit limit.Statement
 	// Load is the upstream's load, or nil if the response does not report it.
 	Load *stage.Load
 }
@@ -128,7 +128,7 @@
 // statesLimit reports whether the response states the limit of its upstream, or that there is none. Bytes that no upstream signed, and the response of another upstream at the address, state nothing.
 func (h ResponseHead) statesLimit() bool {
 	own := h.Signed || h.NotRun
-	return own && h.LimitKnown && !h.AddressReassigned && !h.OtherRequest
+	return own && h.Limit.Known && !h.AddressReassigned && !h.OtherRequest
 }
 
 // HeaderCodec translates between HTTP headers and their parsed values.
