--- a/internal/root/crash/guard.go
+++ b/internal/root/crash/guard.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/cornelwing/cornelwing/internal/common"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 // Guard connects a Tracker to the upstreams and the other hosts: it probes an upstream before it records a crash, and notifies the other hosts of new marks.
--- a/internal/root/crash/prober.go
+++ b/internal/root/crash/prober.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/sync/singleflight"
 
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 // probeTimeout bounds the probe of an upstream after its connection was lost.
--- a/internal/root/front/admitter.go
+++ b/internal/root/front/admitter.go
@@ -8,7 +8,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/front/admit"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 	"github.com/cornelwing/cornelwing/pkg/wire"
 )
 
--- a/internal/root/front/chain/attempt.go
+++ b/internal/root/front/chain/attempt.go
@@ -9,9 +9,9 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/reach"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/share"
+	"github.com/cornelwing/cornelwing/internal/root/retry"
+	"github.com/cornelwing/cornelwing/internal/root/route"
+	"github.com/cornelwing/cornelwing/internal/root/share"
 	"github.com/cornelwing/cornelwing/internal/stage"
 	"github.com/cornelwing/cornelwing/pkg/config"
 	"github.com/cornelwing/cornelwing/pkg/wire"
--- a/internal/root/front/chain/choose.go
+++ b/internal/root/front/chain/choose.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelwing/cornelwing/internal/common"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 	"github.com/cornelwing/cornelwing/internal/stage"
 	"github.com/cornelwing/cornelwing/pkg/config"
 )
--- a/internal/root/front/chain/crash_guard.go
+++ b/internal/root/front/chain/crash_guard.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/cornelwing/cornelwing/internal/root/crash"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 // CrashGuard blocks requests that crash the upstreams they run on.
--- a/internal/root/front/chain/run.go
+++ b/internal/root/front/chain/run.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/root/crash"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/share"
+	"github.com/cornelwing/cornelwing/internal/root/share"
 	"github.com/cornelwing/cornelwing/pkg/config"
 	"github.com/cornelwing/cornelwing/pkg/wire"
 )
--- a/internal/root/front/chain/runner.go
+++ b/internal/root/front/chain/runner.go
@@ -8,8 +8,8 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain/reach"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/retry"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 	"github.com/cornelwing/cornelwing/internal/stage"
 )
 
--- a/internal/root/limit/book.go
+++ b/internal/root/limit/book.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 const (
--- a/internal/root/limit/grants.go
+++ b/internal/root/limit/grants.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 const (
--- a/internal/root/links.go
+++ b/internal/root/links.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/loads"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 	"github.com/cornelwing/cornelwing/internal/root/store"
 	"github.com/cornelwing/cornelwing/internal/root/view"
 )
--- a/internal/root/loads/assignment.go
+++ b/internal/root/loads/assignment.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 // pollersPerUpstream is the number of hosts that poll one upstream. With two, reports continue when one of them fails.
--- a/internal/root/loads/poller.go
+++ b/internal/root/loads/poller.go
@@ -7,7 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cornelwing/cornelwing/internal/common"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 	"github.com/cornelwing/cornelwing/internal/root/view"
 	"github.com/cornelwing/cornelwing/internal/stage"
 	"github.com/cornelwing/cornelwing/internal/super"
--- a/internal/root/relay/batch/dispatcher.go
+++ b/internal/root/relay/batch/dispatcher.go
@@ -9,9 +9,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/limit"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 const (
--- a/internal/root/relay/batch/job.go
+++ b/internal/root/relay/batch/job.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 // Job is work that a queue has accepted; Outcome is set when the work ends.
--- a/internal/root/relay/batch/limit.go
+++ b/internal/root/relay/batch/limit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 // freesPerCalls is how many calls a limited worker takes for each call that frees results, which counts as a call too.
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/retry"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 const (
--- a/internal/root/relay/batch/shard.go
+++ b/internal/root/relay/batch/shard.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 const (
--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/retry"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 const (
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -9,10 +9,10 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
+	"github.com/cornelwing/cornelwing/internal/root/retry"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 // maxBufferedBytes is the size up to which a response is buffered completely before the caller receives its first byte.
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -12,13 +12,13 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/crash"
 	"github.com/cornelwing/cornelwing/internal/root/crash/blame"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/grant"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
+	"github.com/cornelwing/cornelwing/internal/root/retry"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 const (
--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 // retentionShare is how long an upstream is retained after its row disappeared during an outage or soon after it, as a share of the time within which a removed upstream must be forgotten. Live upstreams register again within that time.
--- a/internal/root/relay/hosts/catchup.go
+++ b/internal/root/relay/hosts/catchup.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/jhttp"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 const (
--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -9,9 +9,9 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/crash"
 	"github.com/cornelwing/cornelwing/internal/root/crash/blame"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/relay/flow"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 const (
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/flow"
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
@@ -19,6 +18,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 	"github.com/cornelwing/cornelwing/internal/serve"
 	"github.com/cornelwing/cornelwing/internal/setup"
 	"github.com/cornelwing/cornelwing/internal/super"
--- a/internal/root/front/chain/route/pause.go
+++ b/internal/root/route/pause.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
+	"github.com/cornelwing/cornelwing/internal/root/retry"
 )
 
 // pauseSpread is the time after the end of the first pause within which further upstreams count for the rate at which callers return.
--- a/internal/root/front/chain/route/table.go
+++ b/internal/root/route/table.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/retry"
+	"github.com/cornelwing/cornelwing/internal/root/retry"
 	"github.com/cornelwing/cornelwing/internal/stage"
 )
 
--- a/internal/root/view/registry.go
+++ b/internal/root/view/registry.go
@@ -8,7 +8,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/plat"
-	"github.com/cornelwing/cornelwing/internal/root/front/chain/route"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 const (
