--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -109,9 +109,8 @@
 	return q.spec.Call + time.Duration(min(len(w.Pieces), max(1, q.spec.Batch)))*q.itemTime(w)
 }
 
-// Expire ends and returns the jobs that can no longer be finished in time, also because all workers are paused. It ends only jobs whose remaining pieces all wait for a call.
-func (q *Queue) Expire(now time.Time) []*Job {
-	var ended []*Job
+// Expire ends and returns the jobs that can no longer be finished in time, also because all workers are paused, and the results that they already have so that they can be freed. It ends only jobs whose remaining pieces all wait for a call.
+func (q *Queue) Expire(now time.Time) (ended []*Job, unused []string) {
 	earliest := now
 	returnsAt, paused := q.pauseEnd(now)
 	if paused {
@@ -127,7 +126,8 @@
 				After: after,
 			})
 			ended = append(ended, j)
+			unused = append(unused, q.partialResults(j)...)
 		}
 	}
-	return ended
+	return ended, unused
 }
--- a/internal/root/relay/batch/dispatcher.go
+++ b/internal/root/relay/batch/dispatcher.go
@@ -218,7 +218,9 @@
 	now := d.Now()
 	for name, q := range d.queues {
 		q.Hedge(now)
-		d.notifyWaiters(q.Expire(now))
+		ended, unused := q.Expire(now)
+		d.notifyWaiters(ended)
+		d.freeLocked(name, unused)
 		for queue, handles := range q.Released(now) {
 			go d.onReleasable(queue, handles)
 		}
