--- a/internal/root/relay/batch/finish.go
+++ b/internal/root/relay/batch/finish.go
@@ -13,6 +13,11 @@
 	c.worker.recordSuccess(now, took, c.baseline)
 	q.updateItemTimes(c, took)
 	q.detectSharing(now, c, results)
+	for _, j := range c.jobs() {
+		if c.onlyLacksRoom(j, results) {
+			c.refundAttempt(j)
+		}
+	}
 	for i, p := range c.pieces {
 		r := results[i]
 		if r.Handle == "" {
@@ -65,9 +70,6 @@
 	if j.inputsReleased {
 		reason = ReasonInputLost
 	}
-	if reason == ReasonNoRoom {
-		j.attempts--
-	}
 	if reason == ReasonInputLost || j.attempts >= maxAttempts {
 		q.endJob(j, Failed{
 			Reason: reason,
@@ -128,13 +130,11 @@
 	q.removeCall(c)
 	q.stats.Pauses++
 	c.worker.recordPause(now, pause)
-	counted := map[*Job]bool{}
+	for _, j := range c.jobs() {
+		c.refundAttempt(j)
+	}
 	for _, p := range c.pieces {
 		c.worker.usedBytes -= p.job.ResultBytes
-		if !counted[p.job] && !c.hedged {
-			p.job.attempts--
-		}
-		counted[p.job] = true
 		if q.retryOrFail(now, c, p, ReasonPaused) {
 			ended = append(ended, p.job)
 			unused = append(unused, q.partialResults(p.job)...)
--- a/internal/root/relay/batch/job.go
+++ b/internal/root/relay/batch/job.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/root/route"
@@ -55,6 +56,39 @@
 	hedged bool
 }
 
+// jobs returns the jobs whose pieces the call contains.
+func (c *Call) jobs() []*Job {
+	var out []*Job
+	for _, p := range c.pieces {
+		if !slices.Contains(out, p.job) {
+			out = append(out, p.job)
+		}
+	}
+	return out
+}
+
+// onlyLacksRoom reports whether the worker had no room for some of the job's pieces and did not fail otherwise.
+func (c *Call) onlyLacksRoom(j *Job, results []Result) bool {
+	lacks := false
+	for i, p := range c.pieces {
+		if p.job != j || results[i].Handle != "" {
+			continue
+		}
+		if results[i].Reason != ReasonNoRoom {
+			return false
+		}
+		lacks = true
+	}
+	return lacks
+}
+
+// refundAttempt takes back that the call counts as an attempt of the job. The pieces of a hedged call are in another attempt already.
+func (c *Call) refundAttempt(j *Job) {
+	if !c.hedged {
+		j.attempts--
+	}
+}
+
 // pieceRef identifies the piece of an item: its job and its position in the job's Pieces.
 type pieceRef struct {
 	job *Job
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// maxAttempts limits the attempts of a job. Each call that contains pieces of the job counts as an attempt, and each piece that the worker had no room for subtracts one. At the limit, a piece without a result fails the job.
+	// maxAttempts limits the attempts of a job. Each call that contains pieces of the job counts as one, except if the worker paused or did no more than lack room for some of them. At the limit, a piece without a result fails the job.
 	maxAttempts = 3
 	// minRetryAfter and maxRetryAfter bound the delay after which a refused request is asked to retry.
 	minRetryAfter = 100 * time.Millisecond
@@ -92,11 +92,11 @@
 	return q.partialResults(j)
 }
 
-// ReassignUnstarted ends the jobs of which no piece was put into a call, and returns them.
+// ReassignUnstarted ends the jobs of which no piece has a result, runs or has failed, and returns them.
 func (q *Queue) ReassignUnstarted() []*Job {
 	var ended []*Job
 	for _, j := range slices.Clone(q.jobs) {
-		if j.attempts == 0 {
+		if j.attempts == 0 && j.remaining == len(j.Pieces) {
 			q.endJob(j, OwnerChanged{})
 			ended = append(ended, j)
 		}
--- a/internal/root/relay/batch/queue_test.go
+++ b/internal/root/relay/batch/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -385,6 +386,9 @@
 				note(list)
 				kept = append(kept, unused...)
 			case 5:
+				if rng.IntN(40) == 0 {
+					note(reassignAtRandom(t, q, calls))
+				}
 				q.Hedge(now)
 				q.Free(kept)
 				kept = nil
@@ -406,6 +410,23 @@
 	}
 }
 
+// reassignAtRandom ends the jobs that have not started, and checks that none of them has a result or is in a call.
+func reassignAtRandom(t *testing.T, q *Queue, calls []*Call) []*Job {
+	t.Helper()
+	list := q.ReassignUnstarted()
+	for _, j := range list {
+		for _, c := range calls {
+			if slices.Contains(c.jobs(), j) {
+				t.Fatalf("work %s was reassigned while a call runs it", j.Request)
+			}
+		}
+		if len(q.partialResults(j)) > 0 {
+			t.Fatalf("work %s was reassigned with %d results", j.Request, len(q.partialResults(j)))
+		}
+	}
+	return list
+}
+
 // endCallAtRandom ends a call by a failure, a pause, or results of which some are missing.
 func endCallAtRandom(rng *rand.Rand, q *Queue, now time.Time, c *Call, tag string) (ended []*Job, unused []string) {
 	switch rng.IntN(8) {
@@ -489,6 +510,9 @@
 		}
 	}
 	for _, j := range q.jobs {
+		if j.attempts < 0 {
+			t.Fatalf("work %s has had %d attempts", j.Request, j.attempts)
+		}
 		places := map[int]int{}
 		for _, p := range j.waiting {
 			places[p]++
