--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -18,7 +18,7 @@
 		q.stats.Refused++
 		if returnsAt, ok := q.pauseEnd(now); ok {
 			return nil, &Refused{
-				After: q.returns.Next(now, returnsAt, q.returnSpacing(w)),
+				After: q.returns.Next(now, returnsAt, q.returnSpacing(w), w.Rank),
 			}
 		}
 		return nil, &Refused{
@@ -120,7 +120,7 @@
 		if len(j.waiting) == j.remaining && earliest.Add(q.callTime(j.Work)).After(j.hardDeadline) {
 			after := minRetryAfter
 			if paused {
-				after = q.returns.Next(now, returnsAt, q.returnSpacing(j.Work))
+				after = q.returns.Next(now, returnsAt, q.returnSpacing(j.Work), j.Rank)
 			}
 			q.endJob(j, Refused{
 				After: after,
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -152,7 +152,7 @@
 
 // abandonIfPaused abandons the request if all upstreams of its pool have asked for a pause, and reports whether it did.
 func (x *exchange) abandonIfPaused() bool {
-	after, ok := x.Table.ReturnAfter(x.Now(), x.pool)
+	after, ok := x.Table.ReturnAfter(x.Now(), x.pool, x.rank())
 	if ok {
 		x.abandon(CausePaused, "all upstreams of pool "+x.pool+" have asked for a pause or take no further request now", after)
 	}
--- a/internal/root/route/pause.go
+++ b/internal/root/route/pause.go
@@ -36,8 +36,8 @@
 	return n
 }
 
-// ReturnAfter returns how long a caller is to wait if all upstreams of a pool that are not leaving are paused, ejected or without a permit, at least one of them not just ejected. Callers are spread over the time after the first one can be used again, as fast as it and those that follow within pauseSpread serve them. It returns false otherwise.
-func (t *Table) ReturnAfter(now time.Time, name string) (time.Duration, bool) {
+// ReturnAfter returns how long a caller is to wait if all upstreams of a pool that are not leaving are paused, ejected or without a permit, at least one of them not just ejected. Callers are spread over the time after the first one can be used again, as fast as it and those that follow within pauseSpread serve them, the more urgent first; rank 0 is the most urgent. It returns false otherwise.
+func (t *Table) ReturnAfter(now time.Time, name string, rank int) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, ok := t.pools[name]
@@ -62,7 +62,7 @@
 	if !paused {
 		return 0, false
 	}
-	return p.returns.Next(now, first, t.returnSpacing(first, p)), true
+	return p.returns.Next(now, first, t.returnSpacing(first, p), rank), true
 }
 
 // returnSpacing returns the time between two callers of this host that the upstreams usable soon after the given time can serve.
