--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -7,7 +7,8 @@
 
 // Add accepts work, or refuses it at once if it could not be finished in time.
 func (q *Queue) Add(now time.Time, w Work) (*Job, *Refused) {
-	expectedWait, ok := q.expectedWait(now, w.Rank)
+	j := newJob(now, w)
+	expectedWait, ok := q.expectedWait(now, j)
 	if !ok {
 		q.stats.Refused++
 		return nil, &Refused{
@@ -25,24 +26,13 @@
 			After: min(max(expectedWait/2, minRetryAfter), maxRetryAfter),
 		}
 	}
-	j := &Job{
-		Work:            w,
-		softDeadline:    now.Add(w.SoftTimeout),
-		hardDeadline:    now.Add(w.HardTimeout),
-		handles:         make([]string, len(w.Pieces)),
-		remaining:       len(w.Pieces),
-		resultsByDomain: map[string]int{},
-	}
-	for i := range w.Pieces {
-		j.waiting = append(j.waiting, i)
-	}
 	q.jobs = append(q.jobs, j)
 	q.pacer.recordArrivals(now, len(w.Pieces))
 	return j, nil
 }
 
-// expectedWait returns how long work of a rank is expected to wait until its call starts. It returns false if every worker is leaving or has failed more than once in a row.
-func (q *Queue) expectedWait(now time.Time, rank int) (time.Duration, bool) {
+// expectedWait returns how long a new job is expected to wait until its call starts, behind the jobs that go before it. It returns false if every worker is leaving or has failed more than once in a row.
+func (q *Queue) expectedWait(now time.Time, job *Job) (time.Duration, bool) {
 	var speed float64
 	var soonest time.Duration = -1
 	for _, w := range q.workers {
@@ -64,7 +54,7 @@
 	var items time.Duration
 	pieces := 0
 	for _, j := range q.jobs {
-		if j.Rank > rank {
+		if q.compare(now, job.Domain, j, job) > 0 {
 			continue
 		}
 		pieces += len(j.waiting)
--- a/internal/root/relay/batch/job.go
+++ b/internal/root/relay/batch/job.go
@@ -26,6 +26,21 @@
 	resultsByDomain map[string]int
 }
 
+func newJob(now time.Time, w Work) *Job {
+	j := &Job{
+		Work:            w,
+		softDeadline:    now.Add(w.SoftTimeout),
+		hardDeadline:    now.Add(w.HardTimeout),
+		handles:         make([]string, len(w.Pieces)),
+		remaining:       len(w.Pieces),
+		resultsByDomain: map[string]int{},
+	}
+	for i := range w.Pieces {
+		j.waiting = append(j.waiting, i)
+	}
+	return j
+}
+
 // mainDomain returns the failure domain that holds most of the results.
 func (j *Job) mainDomain() string {
 	best := ""
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -47,7 +47,7 @@
 	return workers > 1 && q.pacer.shouldDelay(now, q.Waiting(), workers, q.spec)
 }
 
-// waitingJobs returns the jobs with waiting pieces. Jobs that can be on time come first; they are then sorted by rank, by whether their results are needed in the domain, by the time left to be on time, and by arrival.
+// waitingJobs returns the jobs with waiting pieces in the order in which workers of the domain take them.
 func (q *Queue) waitingJobs(now time.Time, domain string) []*Job {
 	var out []*Job
 	for _, j := range q.jobs {
@@ -55,18 +55,21 @@
 			out = append(out, j)
 		}
 	}
-	late := func(j *Job) bool { return now.Add(q.callTime(j.Work)).After(j.softDeadline) }
-	slices.SortStableFunc(out, func(a, b *Job) int {
-		return cmp.Or(
-			common.CompareBool(late(a), late(b)),
-			cmp.Compare(a.Rank, b.Rank),
-			common.CompareBool(a.Domain != domain, b.Domain != domain),
-			a.softDeadline.Compare(b.softDeadline),
-		)
-	})
+	slices.SortStableFunc(out, func(a, b *Job) int { return q.compare(now, domain, a, b) })
 	return out
 }
 
+// compare orders jobs: those that can be on time come first, then by rank, by whether their results are needed in the domain, and by the time left to be on time. Of equal ones the earlier comes first.
+func (q *Queue) compare(now time.Time, domain string, a, b *Job) int {
+	late := func(j *Job) bool { return now.Add(q.callTime(j.Work)).After(j.softDeadline) }
+	return cmp.Or(
+		common.CompareBool(late(a), late(b)),
+		cmp.Compare(a.Rank, b.Rank),
+		common.CompareBool(a.Domain != domain, b.Domain != domain),
+		a.softDeadline.Compare(b.softDeadline),
+	)
+}
+
 // available returns the workers that can accept a call: those of normal speed first, then those in the domain, then those that hold the fewest bytes of results.
 func (q *Queue) available(now time.Time, domain string) []*worker {
 	var out []*worker
