--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -54,7 +54,7 @@
 	var items time.Duration
 	pieces := 0
 	for _, j := range q.jobs {
-		if q.compare(now, job.Domain, j, job) > 0 {
+		if q.goesAfter(now, j, job) {
 			continue
 		}
 		pieces += len(j.waiting)
@@ -65,6 +65,14 @@
 	return soonest + time.Duration(ahead/speed), true
 }
 
+// goesAfter reports whether a waiting job does not delay a new one. Less urgent ones do not; of the same rank, those that calls take later do not delay work with inputs, as earlier stages have been run for it. New work without inputs is expected to wait for all, so that it does not keep what was accepted before it from being done.
+func (q *Queue) goesAfter(now time.Time, waiting, job *Job) bool {
+	if waiting.Rank != job.Rank {
+		return waiting.Rank > job.Rank
+	}
+	return job.hasInputs() && q.compare(now, job.Domain, waiting, job) > 0
+}
+
 // pauseEnd returns when the first worker can be used again if all workers that are not leaving are in a pause that they have asked for.
 func (q *Queue) pauseEnd(now time.Time) (first time.Time, ok bool) {
 	for _, w := range q.workers {
--- a/internal/root/relay/batch/job.go
+++ b/internal/root/relay/batch/job.go
@@ -41,6 +41,11 @@
 	return j
 }
 
+// hasInputs reports whether the work uses results of earlier stages.
+func (j *Job) hasInputs() bool {
+	return len(j.Pieces) > 0 && len(j.Pieces[0].Inputs) > 0
+}
+
 // mainDomain returns the failure domain that holds most of the results.
 func (j *Job) mainDomain() string {
 	best := ""
