--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -1,6 +1,7 @@
 package serv
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -34,6 +35,10 @@
 type Server struct {
 	ID      string
 	Service string
+	// Version is the version of the server's software, or empty for v1.
+	Version string
+	// StartedAtMS is the start time of the server in milliseconds, or 0 for 1.
+	StartedAtMS int64
 	// Events is the number of events in a streamed response. If it is 0, the response has a plain body.
 	Events int
 	// NeedsInputs rejects requests without an Inputs header, which carries the results of stages.
@@ -120,7 +125,7 @@
 
 // RegistrationJSON returns the JSON value of the store row by which the server registers itself with the given state.
 func (s *Server) RegistrationJSON(state string) []byte {
-	return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":8,"state":%q,"cold_remaining_ms":0,"sequence":1,"born":1}`, s.Service, s.addr, state))
+	return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":%q,"slots":8,"state":%q,"cold_remaining_ms":0,"sequence":1,"born":%d}`, s.Service, s.addr, cmp.Or(s.Version, "v1"), state, cmp.Or(s.StartedAtMS, 1)))
 }
 
 // SetNextBehaviors sets the behaviors for the following requests, one per request. It replaces the behaviors that are still unused.
