--- a/internal/stand/rows/listen.go
+++ b/internal/stand/rows/listen.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,9 @@
 	LoseAnswers
 )
 
+// serversTable is the table in which servers register themselves.
+const serversTable = "servers"
+
 // maxPageRows is the maximum number of rows in one response to a read.
 const maxPageRows = 500
 
@@ -37,6 +41,8 @@
 	fault atomic.Int32
 	http  *http.Server
 	addr  string
+	// mapAddr, if set, returns the address that stands for that of a server in the rows that this listener sends.
+	mapAddr atomic.Pointer[func(addr string) string]
 }
 
 // Listen opens a new loopback address of the store.
@@ -62,6 +68,45 @@
 	return l, nil
 }
 
+// MapAddresses makes the rows of servers that the listener sends name other addresses than their own. It must be called before a host reads them.
+func (l *Listener) MapAddresses(f func(addr string) string) {
+	l.mapAddr.Store(&f)
+}
+
+// mapped returns the rows with the addresses that MapAddresses asks for.
+func (l *Listener) mapped(rows []Row) []Row {
+	f := l.mapAddr.Load()
+	if f == nil {
+		return rows
+	}
+	out := slices.Clone(rows)
+	for i, r := range out {
+		if r.Table == serversTable && !r.Deleted {
+			out[i].Value = mapAddress(r.Value, *f)
+		}
+	}
+	return out
+}
+
+// mapAddress replaces the address in the row of a server. A row that holds none stays as it is.
+func mapAddress(value []byte, f func(addr string) string) []byte {
+	var fields map[string]any
+	if json.Unmarshal(value, &fields) != nil {
+		return value
+	}
+	addr, ok := fields["address"].(string)
+	if !ok {
+		return value
+	}
+	fields["address"] = f(addr)
+	b, err := json.Marshal(fields)
+	if err != nil {
+		// What has just been decoded can be encoded.
+		panic(err)
+	}
+	return b
+}
+
 // Addr returns the address that the listener is bound to.
 func (l *Listener) Addr() string {
 	return l.addr
@@ -147,7 +192,7 @@
 		return
 	}
 	for _, row := range append(tx.Puts, tx.Remove...) {
-		if row.Table == "op" || row.Table == "servers" {
+		if row.Table == "op" || row.Table == serversTable {
 			http.Error(w, "not yours", http.StatusForbidden)
 			return
 		}
@@ -166,7 +211,7 @@
 	q := r.URL.Query()
 	rows, more, ver := l.store.readPage(q.Get("table"), q.Get("part"), q.Get("from"), maxPageRows)
 	l.writeResponse(w, http.StatusOK, response{
-		Rows: rows,
+		Rows: l.mapped(rows),
 		More: more,
 		Ver:  ver,
 	})
@@ -191,7 +236,7 @@
 		}
 		if len(rows) > 0 || ctx.Err() != nil {
 			l.writeResponse(w, http.StatusOK, response{
-				Rows: rows,
+				Rows: l.mapped(rows),
 				Ver:  ver,
 			})
 			return
