--- a/test.sh
+++ b/test.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")"
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
-go test -race -count=1 -timeout 8m ./... 2>&1 | tee "$out"
+go test -race -count=1 -timeout 15m ./... 2>&1 | tee "$out"
 code=${PIPESTATUS[0]}
 if [ "$code" -eq 0 ]; then
   exit 0
