--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -30,7 +30,7 @@
 // attempt sends the request to one upstream. done reports that the exchange has ended. Otherwise ev is the event for the retry decision.
 func (x *exchange) attempt(ctx context.Context, up route.Upstream) (ev retry.Event, done bool) {
 	began := x.Now()
-	x.upstream = up.Name
+	x.upstream = up
 	x.survived = false
 	ctx, cancel := x.attemptContext(ctx)
 	defer cancel()
@@ -96,7 +96,7 @@
 	if x.survived {
 		return
 	}
-	x.Log.WithField("request", x.requestHead.ID).WithField("upstream", up.Name).WithField("events", x.eventsSent).WithField("parts", x.requestHead.partNames()).Info("Connection to upstream lost.")
+	x.Log.WithField("request", x.requestHead.ID).WithField("upstream", up.Name).WithField("software", up.Version).WithField("events", x.eventsSent).WithField("parts", x.requestHead.partNames()).Info("Connection to upstream lost.")
 	x.CrashDetector.RecordConnLoss(ctx, x.blamable, up)
 }
 
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -76,7 +76,8 @@
 	status   int
 	cause    Cause
 	detail   string
-	upstream string
+	// upstream is the upstream of the last attempt.
+	upstream route.Upstream
 	// abort reports that the caller's response is incomplete, so that its connection must be closed.
 	abort bool
 	// firstByte is the time from the arrival to the start of the response, and stageTime the time taken by the stages.
--- a/internal/root/relay/flow/headers.go
+++ b/internal/root/relay/flow/headers.go
@@ -20,6 +20,8 @@
 	Key string
 	// LastEvent is the id of the last stream event that the caller received, or "".
 	LastEvent string
+	// Resumes is the ID of the caller's request that brought the first event of the stream that this one resumes, or "".
+	Resumes string
 	// PromptTokens is the number of prompt tokens, and MaxOutputTokens the maximum number of generated tokens.
 	PromptTokens    int
 	MaxOutputTokens int
@@ -34,6 +36,8 @@
 	// maxLoggedParts is the maximum number of prompt parts in one log line, and maxLoggedPartBytes the maximum length of the ID of each.
 	maxLoggedParts     = 8
 	maxLoggedPartBytes = 32
+	// maxLoggedIDBytes is the maximum length of the ID of another request in a log line.
+	maxLoggedIDBytes = 64
 )
 
 // PromptPart is a part of a prompt that upstreams may have cached.
--- a/internal/root/relay/flow/response.go
+++ b/internal/root/relay/flow/response.go
@@ -128,7 +128,7 @@
 		"route":    x.route.Name,
 		"status":   x.status,
 		"sends":    x.sends,
-		"upstream": x.upstream,
+		"upstream": x.upstream.Name,
 		"took_ms":  int64(common.Millis(x.Now().Sub(x.arrived))),
 		"wait_ms":  int64(common.Millis(x.requestHead.CallerTimeout)),
 	}
@@ -138,6 +138,12 @@
 	if x.account.Name != "" {
 		fields["account"] = x.account.Name
 	}
+	if x.upstream.Version != "" {
+		fields["software"] = x.upstream.Version
+	}
+	if x.requestHead.Resumes != "" {
+		fields["resumes"] = x.requestHead.Resumes[:min(len(x.requestHead.Resumes), maxLoggedIDBytes)]
+	}
 	if x.eventsSent > 0 {
 		fields["events"] = x.eventsSent
 		fields["first_ms"] = int64(common.Millis(x.firstByte))
--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -138,7 +138,7 @@
 // put adds or replaces an upstream.
 func (m *Upstreams) put(up route.Upstream) {
 	if old, ok := m.ups[up.Name]; !ok || old != up {
-		m.Log.WithField("upstream", up.Name).WithField("pool", up.Pool).WithField("leaving", up.Leaving).Info("Upstream added or changed.")
+		m.Log.WithField("upstream", up.Name).WithField("pool", up.Pool).WithField("software", up.Version).WithField("leaving", up.Leaving).Info("Upstream added or changed.")
 	}
 	if up.Leaving {
 		m.addLeaver(up.Incarnation(), false)
--- a/internal/root/route/entry.go
+++ b/internal/root/route/entry.go
@@ -18,6 +18,8 @@
 	Domain  string
 	Pool    string
 	Leaving bool
+	// Version is the version of the upstream's software, or "" if it states none.
+	Version string
 	// StartedAtMS is the start time of the upstream in milliseconds since the Unix epoch, or 0 if it is not known.
 	// An upstream that has restarted has lost its state, so its recorded load, service time and failures no longer apply.
 	StartedAtMS int64
