--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -141,7 +141,7 @@
 	}
 	var err error
 	if success && x.route.Kind == plan.Stream {
-		err = x.forwardEvents(resp)
+		err = x.forwardEvents(resp, began)
 	} else {
 		err = x.forwardBuffered(resp)
 	}
@@ -245,8 +245,8 @@
 	return nil
 }
 
-// forwardEvents forwards complete events as they arrive. If the stream breaks and can be resumed, the caller's response stays open and another upstream continues after the last event that the caller received.
-func (x *exchange) forwardEvents(resp send.Response) error {
+// forwardEvents forwards complete events of the response to a request that was sent at the given time, as they arrive. If the stream breaks and can be resumed, the caller's response stays open and another upstream of the same software version continues after the last event that the caller received.
+func (x *exchange) forwardEvents(resp send.Response, sentAt time.Time) error {
 	rc := http.NewResponseController(x.w)
 	began := x.Now()
 	ev := newEventReader(resp.Body, resp.Framing)
@@ -263,6 +263,7 @@
 		if atEnd {
 			return nil
 		}
+		x.fixOrigin(sentAt)
 		if err := x.writeBody(raw); err != nil {
 			return err
 		}
@@ -287,10 +288,6 @@
 	x.CrashDetector.RecordSurvived(x.blamable)
 }
 
-func (x *exchange) canResume() bool {
-	return x.route.Resumable && x.requestHead.LastEvent != ""
-}
-
 // sendHead sends the head of the response to the caller, unless the head of an earlier upstream's response has been sent.
 func (x *exchange) sendHead(resp send.Response) {
 	if x.headSent {
--- a/internal/root/relay/flow/cause.go
+++ b/internal/root/relay/flow/cause.go
@@ -18,6 +18,9 @@
 	// CauseOverload means that a stage could not finish in time, and CauseStageFailed that a stage failed or its results were lost.
 	CauseOverload    Cause = "overload"
 	CauseStageFailed Cause = "stage_failed"
+	// CauseOriginUnknown means that the caller resumes a stream of which no host knows at which software version it began, and CauseVersionGone that no upstream of that version is left.
+	CauseOriginUnknown Cause = "origin_unknown"
+	CauseVersionGone   Cause = "version_gone"
 	// CauseCrashesUpstreams means that the request has crashed too many upstreams.
 	CauseCrashesUpstreams Cause = "crashes_upstreams"
 	// CauseNoUpstream means that the pool has no usable upstream.
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/crash/blame"
+	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 	"github.com/cornelwing/cornelwing/internal/root/retry"
@@ -43,6 +44,10 @@
 	account       plan.Account
 	authenticated bool
 	pool          string
+	// origin is where the stream began, or unknown before its first event. originFixed reports that an event of an upstream has arrived in this exchange.
+	origin      origin.Origin
+	originKey   origin.Key
+	originFixed bool
 	// blamable is what is to blame if the request crashes an upstream.
 	blamable blame.Request
 	arrived  time.Time
@@ -73,9 +78,9 @@
 	// limit is the limit that the last upstream's response named, in requests per second, or 0.
 	limit float64
 
-	status   int
-	cause    Cause
-	detail   string
+	status int
+	cause  Cause
+	detail string
 	// upstream is the upstream of the last attempt.
 	upstream route.Upstream
 	// abort reports that the caller's response is incomplete, so that its connection must be closed.
@@ -111,7 +116,7 @@
 
 // prepare runs the stages and reports whether an attempt may start. Otherwise it abandons the request.
 func (x *exchange) prepare(ctx context.Context) bool {
-	if x.abandonIfRejected(x.CrashDetector.Check(x.blamable)) || x.abandonIfPaused() || !x.runStages(ctx) {
+	if x.abandonIfRejected(x.CrashDetector.Check(x.blamable)) || x.abandonIfVersionGone() || x.abandonIfPaused() || !x.runStages(ctx) {
 		return false
 	}
 	if x.abandonIfOver() {
@@ -162,7 +167,7 @@
 
 // abandonWithoutUpstream abandons the request because no upstream of its pool is usable.
 func (x *exchange) abandonWithoutUpstream() {
-	if !x.abandonIfPaused() {
+	if !x.abandonIfVersionGone() && !x.abandonIfPaused() {
 		x.abandon(CauseNoUpstream, "no upstream of pool "+x.pool+" is usable", overloadRetryAfter)
 	}
 }
@@ -186,13 +191,14 @@
 	}
 }
 
-// pickCandidate selects an upstream that is not excluded, or an excluded one if no other is usable. unlimited leaves out those that take a limited number of requests.
+// pickCandidate selects an upstream that is not excluded, or an excluded one if no other is usable. For the rest of a stream it selects an ejected one before none. unlimited leaves out those that take a limited number of requests.
 func (x *exchange) pickCandidate(unlimited bool) (route.Upstream, bool) {
 	q := route.Query{
 		Pool:         x.pool,
 		Exclude:      x.excluded,
 		PreferDomain: x.preferredDomain,
 		LeastLoaded:  x.trial,
+		Version:      x.origin.Version,
 		Unlimited:    unlimited,
 	}
 	if x.route.Affinity {
@@ -203,6 +209,11 @@
 		q.Exclude = nil
 		up, ok = x.Table.PickRandomlySeeded(x.Now(), q)
 	}
+	if !ok && q.Version != "" {
+		// Upstreams of another version are no alternative, so one that seems to be faulty is better than none.
+		q.Ejected = true
+		up, ok = x.Table.PickRandomlySeeded(x.Now(), q)
+	}
 	return up, ok
 }
 
@@ -227,7 +238,7 @@
 		}
 		return true
 	case retry.Stop:
-		if x.abandonIfPaused() {
+		if x.abandonIfVersionGone() || x.abandonIfPaused() {
 			return false
 		}
 		x.abandon(x.cause, x.detail+": "+string(a.Reason), overloadRetryAfter)
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -55,6 +55,8 @@
 type Upstreams interface {
 	// MarkLeaving records that an upstream announced in a response that it is leaving.
 	MarkLeaving(i route.Incarnation)
+	// MayHaveRestarted reports whether the upstream may have been a later start of it, with another software version, at the given time.
+	MayHaveRestarted(i route.Incarnation, version string, at time.Time) bool
 }
 
 // Limits keeps to the request rates that upstreams name, over all hosts.
@@ -79,6 +81,7 @@
 	Table         *route.Table
 	Upstreams     Upstreams
 	Limits        Limits
+	Origins       Origins
 	Sender        Sender
 	Workers       Workers
 	CrashDetector CrashDetector
@@ -135,6 +138,9 @@
 		return false
 	}
 	x.pool = x.route.Pool(rand.Float64())
+	if !x.findOrigin() {
+		return false
+	}
 	x.blamable = x.blameRequest()
 	if x.route.Affinity {
 		x.preferredDomain = x.Table.PreferredDomain(x.arrived, x.pool, x.requestHead.affinityHash())
--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -13,6 +13,9 @@
 // retentionShare is how long an upstream is retained after its row disappeared during an outage or soon after it, as a share of the time within which a removed upstream must be forgotten. Live upstreams register again within that time.
 const retentionShare = 0.7
 
+// registrationTime is how long after its start an upstream may be known by the row of an earlier start.
+const registrationTime = 3 * time.Second
+
 // DecodeUpstream decodes a row of the upstream table.
 type DecodeUpstream func(key string, value []byte) (route.Upstream, error)
 
@@ -26,6 +29,8 @@
 
 	mu  sync.Mutex
 	ups map[string]route.Upstream
+	// startSeenAt is when this host first saw a row with the current start and software version of each upstream.
+	startSeenAt map[string]time.Time
 	// retainedUntil holds the end of the retention of each upstream whose row disappeared in this way.
 	retainedUntil map[string]time.Time
 	// leavers are the incarnations that are leaving or have left, whatever an outdated row says.
@@ -44,6 +49,7 @@
 		changed:       changed,
 		retention:     time.Duration(retentionShare * float64(forget)),
 		ups:           map[string]route.Upstream{},
+		startSeenAt:   map[string]time.Time{},
 		retainedUntil: map[string]time.Time{},
 		leavers:       leavers{},
 	}
@@ -128,8 +134,7 @@
 	up, err := m.decode(r.Key, r.Value)
 	if err != nil {
 		m.Log.WithError(err).WithField("upstream", r.Key).Warn("Failed to decode the row of an upstream. The upstream is not used.")
-		delete(m.ups, r.Key)
-		delete(m.retainedUntil, r.Key)
+		m.forget(r.Key)
 		return route.Upstream{}, false
 	}
 	return up, true
@@ -144,9 +149,23 @@
 		m.addLeaver(up.Incarnation(), false)
 	}
 	delete(m.retainedUntil, up.Name)
+	if old := m.ups[up.Name]; old.Incarnation() != up.Incarnation() || old.Version != up.Version {
+		m.startSeenAt[up.Name] = m.Now()
+	}
 	m.ups[up.Name] = up
 }
 
+// MayHaveRestarted reports whether the upstream may have been a later start of it, with another software version, at the given time. Its row was then outdated.
+func (m *Upstreams) MayHaveRestarted(i route.Incarnation, version string, at time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	up, ok := m.ups[i.Name]
+	if !ok || up.Version == version || up.StartedAtMS < i.StartedAtMS {
+		return false
+	}
+	return at.After(m.startSeenAt[i.Name].Add(-registrationTime))
+}
+
 // MarkLeaving records that an upstream announced in a response that it is leaving. The mark belongs to the incarnation, and goes with it.
 func (m *Upstreams) MarkLeaving(i route.Incarnation) {
 	m.markLeaving(i, true)
@@ -213,12 +232,17 @@
 
 // drop removes an upstream and remembers that its incarnation has left.
 func (m *Upstreams) drop(up route.Upstream) {
-	delete(m.ups, up.Name)
-	delete(m.retainedUntil, up.Name)
+	m.forget(up.Name)
 	m.addLeaver(up.Incarnation(), false)
 	m.Log.WithField("upstream", up.Name).Info("Upstream removed.")
 }
 
+func (m *Upstreams) forget(name string) {
+	delete(m.ups, name)
+	delete(m.startSeenAt, name)
+	delete(m.retainedUntil, name)
+}
+
 // OutageStarted records that the platform cannot be read.
 func (m *Upstreams) OutageStarted() {
 	m.mu.Lock()
--- /dev/null
+++ b/internal/root/relay/hosts/origins_test.go
@@ -0,0 +1,200 @@
+package hosts
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
+	"github.com/cornelwing/cornelwing/internal/root/route"
+)
+
+// originCluster is a group of hosts that share the origins of streams over loopback connections.
+type originCluster struct {
+	t         *testing.T
+	peers     []*Peers
+	stop      []context.CancelFunc
+	origins   []*Origins
+	histories []*origin.History
+}
+
+// streamLifetime is the longest time of a stream in these tests.
+const streamLifetime = time.Minute
+
+func newOriginCluster(t *testing.T, n int) *originCluster {
+	t.Helper()
+	c := &originCluster{t: t}
+	c.peers, c.stop = startPeers(t, n, time.Now, func(deps common.Deps, p *Peers) {
+		h := origin.NewHistory()
+		c.histories = append(c.histories, h)
+		c.origins = append(c.origins, NewOrigins(deps, p, h))
+	})
+	return c
+}
+
+func testOrigin(version string) origin.Origin {
+	return origin.Origin{
+		Pool:     "p",
+		Version:  version,
+		Upstream: route.Incarnation{Name: "u", Addr: "10.0.0.1:1"},
+		SentAt:   time.Now().Add(-time.Second),
+	}
+}
+
+// kill ends a host, which the others notice.
+func (c *originCluster) kill(i int) {
+	c.stop[i]()
+	for j, p := range c.peers {
+		if j != i {
+			p.roster.MarkDown(c.peers[i].roster.self, errors.New("killed"))
+		}
+	}
+}
+
+// copies returns how many hosts know the stream.
+func (c *originCluster) copies(k origin.Key) int {
+	n := 0
+	for _, o := range c.origins {
+		if _, ok := o.ledger.Find(time.Now(), k); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// record records the stream on a host, and waits until the copies have arrived.
+func (c *originCluster) record(host int, k origin.Key) {
+	c.t.Helper()
+	c.origins[host].Record(k, testOrigin("v1"), time.Minute)
+	want := 1 + min(originCopies, len(c.peers)-1)
+	for end := time.Now().Add(convergeTime); c.copies(k) < want; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			c.t.Fatalf("%d hosts know stream %d", c.copies(k), k)
+		}
+	}
+}
+
+func (c *originCluster) find(host int, k origin.Key) (string, bool) {
+	o, ok := c.origins[host].Find(context.Background(), k, "p", streamLifetime)
+	return o.Version, ok
+}
+
+// Guards against streams that can't go on although a host knows where they began (incident ORDER, rule LOST).
+func TestStreamOriginIsFoundThroughEveryHost(t *testing.T) {
+	for _, n := range []int{1, 2, 9, 36} {
+		Convey(fmt.Sprintf("Each of %d hosts finds a stream's origin", n), t, func() {
+			c := newOriginCluster(t, n)
+			c.record(0, 7)
+			So(c.copies(7), ShouldBeLessThanOrEqualTo, 1+originCopies+originLocalCopies)
+			for i := range n {
+				version, ok := c.find(i, 7)
+				So(ok, ShouldBeTrue)
+				So(version, ShouldEqual, "v1")
+			}
+		})
+	}
+}
+
+func TestStreamOriginOutlivesItsHostAndTwoMore(t *testing.T) {
+	Convey("Given nine hosts and streams that began at the first", t, func() {
+		c := newOriginCluster(t, 9)
+		for k := range origin.Key(30) {
+			c.record(0, k)
+		}
+		c.kill(0)
+		c.kill(3)
+		c.kill(5)
+		Convey("the others find them all", func() {
+			for k := range origin.Key(30) {
+				version, ok := c.find(1+int(k%2), k)
+				So(ok, ShouldBeTrue)
+				So(version, ShouldEqual, "v1")
+			}
+		})
+	})
+}
+
+func TestUnknownOriginIsGuessedOnlyFromAVersionThatHasLongBeenTheOnlyOne(t *testing.T) {
+	ups := func(versions ...string) []route.Upstream {
+		var out []route.Upstream
+		for _, v := range versions {
+			out = append(out, route.Upstream{Pool: "p", Version: v})
+		}
+		return out
+	}
+	now := time.Now()
+	cases := []struct {
+		name string
+		// since is when the other hosts learned their upstreams.
+		since   time.Time
+		own     []route.Upstream
+		others  []route.Upstream
+		version string
+	}{
+		{name: "no host knows upstreams", since: now},
+		{name: "the others have long seen one version", since: now.Add(-streamLifetime), own: ups("v1", "v1"), others: ups("v1", "v1"), version: "v1"},
+		{name: "the others have seen one version for a short time", since: now.Add(-streamLifetime / 2), own: ups("v1"), others: ups("v1")},
+		{name: "the others see two versions", since: now.Add(-streamLifetime), own: ups("v1"), others: ups("v1", "v2")},
+		{name: "this host sees two versions", since: now.Add(-streamLifetime), own: ups("v1", "v2"), others: ups("v1")},
+		{name: "upstreams state no version", since: now.Add(-streamLifetime), own: ups(""), others: ups("")},
+	}
+	for _, sc := range cases {
+		Convey("A host that has just started, where "+sc.name, t, func() {
+			c := newOriginCluster(t, 3)
+			for i, h := range c.histories {
+				list := sc.others
+				if i == 0 {
+					list = sc.own
+				}
+				at := sc.since
+				if i == 0 {
+					at = now
+				}
+				h.Confirm(at)
+				h.Sync(at, list)
+				for ; at.Before(now); at = at.Add(time.Second) {
+					h.Confirm(at)
+				}
+				h.Confirm(now)
+			}
+			version, ok := c.find(0, 7)
+			So(ok, ShouldEqual, sc.version != "")
+			So(version, ShouldEqual, sc.version)
+		})
+	}
+}
+
+func TestStreamOriginThatIsDisputedIsUnknown(t *testing.T) {
+	Convey("A stream that is said to have begun at two versions has no known origin", t, func() {
+		c := newOriginCluster(t, 3)
+		c.record(0, 7)
+		c.origins[0].Record(7, testOrigin("v2"), time.Minute)
+		_, ok := c.find(0, 7)
+		So(ok, ShouldBeFalse)
+	})
+}
+
+func TestOriginCopyChecksItselfWhenDecoded(t *testing.T) {
+	texts := []struct {
+		text  string
+		valid bool
+	}{
+		{text: `{"key":18446744073709551615,"origin":{"pool":"p","version":"v","upstream":{"name":"u","addr":"a"}},"age_ms":1,"keep_ms":1}`, valid: true},
+		{text: `{"key":1,"origin":{"pool":"p","version":"v","upstream":{"name":"u","addr":"a"}},"age_ms":-1}`},
+		{text: `{"key":1,"origin":{"pool":"p","version":"v","upstream":{"name":"u","addr":"a"}},"keep_ms":-1}`},
+		{text: `{"key":1,"origin":{"pool":"p","upstream":{"name":"u","addr":"a"}}}`},
+		{text: `{"key":-1}`},
+	}
+	Convey("A copy needs an origin and times that aren't negative", t, func() {
+		for _, c := range texts {
+			var m originCopy
+			So(json.Unmarshal([]byte(c.text), &m) == nil, ShouldEqual, c.valid)
+		}
+	})
+}
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -122,6 +122,8 @@
 	crashes *Crashes
 	// limits handles the messages about limits; it is set before Run is called.
 	limits *Limits
+	// origins handles the messages about the origins of streams; it is set before Run is called.
+	origins *Origins
 }
 
 // NewPeers returns Peers that accept connections from other hosts on the address.
@@ -221,6 +223,9 @@
 	if p.limits != nil {
 		p.limits.registerHandlers(mux)
 	}
+	if p.origins != nil {
+		p.origins.registerHandlers(mux)
+	}
 	mux.HandleFunc("POST "+pathProbe, func(http.ResponseWriter, *http.Request) {})
 	return mux
 }
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -27,6 +27,8 @@
 	Paused int `json:"paused"`
 	// Limited counts the upstreams that take a limited number of requests per second.
 	Limited int `json:"limited"`
+	// Streams counts the streams of which this host knows at which software version they began.
+	Streams int `json:"streams"`
 	// Blocked counts the requests and parts of prompts that are not sent because they crash upstreams, and CrashTrials how often this host allowed one more request with one of them.
 	Blocked     int `json:"blocked"`
 	CrashTrials int `json:"crash_trials"`
@@ -71,6 +73,7 @@
 	s.RowsRewritten = r.rowsRewritten.Load()
 	s.Paused = r.table.Paused(r.Now())
 	s.Limited = r.limits.Limited()
+	s.Streams = r.origins.Streams()
 	crashes := r.crashes.Stats()
 	s.Blocked = crashes.Blocked
 	s.CrashTrials = crashes.Trials
--- /dev/null
+++ b/internal/root/relay/origin/ledger.go
@@ -0,0 +1,92 @@
+package origin
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// maxStreams is the maximum number of streams whose origin is remembered. The oldest are forgotten first.
+	maxStreams = 16384
+	// maxRetention bounds how long an origin is remembered.
+	maxRetention = 10 * time.Minute
+)
+
+// record is what is remembered of one stream.
+type record struct {
+	origin  Origin
+	expires time.Time
+	// conflicting reports that the stream is said to have begun at two versions, so that neither is sure.
+	conflicting bool
+}
+
+// Ledger remembers where streams began. It is safe for concurrent use.
+type Ledger struct {
+	mu      sync.Mutex
+	records map[Key]*record
+	// order holds the keys in the order in which they were first added.
+	order []Key
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{
+		records: map[Key]*record{},
+	}
+}
+
+// Add remembers where a stream began, for the given time. A second version for the same stream makes its origin unknown.
+func (l *Ledger) Add(now time.Time, k Key, o Origin, keep time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	expires := now.Add(min(keep, maxRetention))
+	r, ok := l.records[k]
+	if !ok || !now.Before(r.expires) {
+		l.insert(now, k, &record{
+			origin:  o,
+			expires: expires,
+		})
+		return
+	}
+	r.conflicting = r.conflicting || !r.origin.matches(o)
+	if expires.After(r.expires) {
+		r.expires = expires
+	}
+}
+
+// insert adds a record and makes room for it. The caller holds the lock.
+func (l *Ledger) insert(now time.Time, k Key, r *record) {
+	if _, replaced := l.records[k]; !replaced {
+		l.order = append(l.order, k)
+	}
+	l.records[k] = r
+	for len(l.order) > 0 {
+		oldest := l.records[l.order[0]]
+		if len(l.order) <= maxStreams && now.Before(oldest.expires) {
+			return
+		}
+		delete(l.records, l.order[0])
+		l.order = l.order[1:]
+	}
+}
+
+// Find returns where the stream began, or a zero origin if that is not known. ok is false if the ledger holds no record of the stream.
+func (l *Ledger) Find(now time.Time, k Key) (o Origin, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.records[k]
+	if !ok || !now.Before(r.expires) {
+		return Origin{}, false
+	}
+	if r.conflicting {
+		return Origin{}, true
+	}
+	return r.origin, true
+}
+
+// Len returns how many streams the ledger remembers.
+func (l *Ledger) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
--- /dev/null
+++ b/internal/root/relay/origin/origin.go
@@ -0,0 +1,58 @@
+package origin
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/root/route"
+)
+
+// ErrInvalidOrigin is returned for an origin without a pool or a version.
+var ErrInvalidOrigin = errors.New("origin needs a pool and a version")
+
+// Key identifies a stream over all attempts of its caller.
+type Key uint64
+
+// KeyOf returns the key of the stream whose first event the caller received in the response to the request with the ID. Two accounts may use the same ID.
+func KeyOf(account, request string) Key {
+	return Key(xxhash.Sum64String(account + "\x00" + request))
+}
+
+// Origin is where a stream began. The zero value means that this is not known.
+type Origin struct {
+	Pool string `json:"pool"`
+	// Version is the software version of the upstream at the time of the send.
+	Version string `json:"version"`
+	// Upstream is the start of the upstream that began the stream.
+	Upstream route.Incarnation `json:"upstream"`
+	// SentAt is when the request was sent that began the stream, by the clock of this host.
+	SentAt time.Time `json:"-"`
+}
+
+// Known reports whether o says where the stream began.
+func (o Origin) Known() bool {
+	return o.Version != ""
+}
+
+// matches reports whether both describe the same pool and version.
+func (o Origin) matches(other Origin) bool {
+	return o.Pool == other.Pool && o.Version == other.Version
+}
+
+// UnmarshalJSON decodes an origin and checks that it has a pool and a version.
+func (o *Origin) UnmarshalJSON(b []byte) error {
+	type plain Origin
+	var p plain
+	if err := json.Unmarshal(b, &p); err != nil {
+		return fmt.Errorf("decode origin: %w", err)
+	}
+	if p.Pool == "" || p.Version == "" {
+		return fmt.Errorf("check origin: %w", ErrInvalidOrigin)
+	}
+	*o = Origin(p)
+	return nil
+}
--- a/internal/root/relay/plan/route.go
+++ b/internal/root/relay/plan/route.go
@@ -1,6 +1,9 @@
 package plan
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind determines whether requests of a route may run more than once and whether their responses are streams.
 type Kind int
@@ -80,6 +83,11 @@
 	return r.Targets[len(r.Targets)-1].Pool
 }
 
+// HasTarget reports whether requests of the route may be sent to the pool.
+func (r Route) HasTarget(pool string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Pool == pool })
+}
+
 // FinalStages returns the indices of the stages that no other stage depends on. The request itself needs their results.
 func (r Route) FinalStages() []int {
 	hasSuccessor := make([]bool, len(r.Stages))
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/grant"
 	"github.com/cornelwing/cornelwing/internal/root/relay/hosts"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
+	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 	"github.com/cornelwing/cornelwing/internal/root/route"
@@ -95,6 +96,8 @@
 	peers      *hosts.Peers
 	crashes    *hosts.Crashes
 	limits     *hosts.Limits
+	origins    *hosts.Origins
+	history    *origin.History
 	flow       *flow.Service
 	callers    *serve.Graceful
 	meter      *meter.Meter
@@ -117,6 +120,7 @@
 		table:      route.New(s.Host.Domain),
 		dispatcher: batch.NewDispatcher(deps, a.Workers),
 		meter:      meter.New(),
+		history:    origin.NewHistory(),
 	}
 	a.Eras.OnEnter(r.lease.Pause)
 	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync)
@@ -132,12 +136,14 @@
 	r.crashes = hosts.NewCrashes(deps, r.peers)
 	r.limits = hosts.NewLimits(deps, r.peers, r.applyLimit)
 	r.dispatcher.OnLimit(r.limits.Note)
+	r.origins = hosts.NewOrigins(deps, r.peers, r.history)
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
 		Plans:         r.plans,
 		Table:         r.table,
 		Upstreams:     r.upstreams,
 		Limits:        r.limits,
+		Origins:       r.origins,
 		Sender:        send.New(),
 		Workers:       r.peers,
 		CrashDetector: r.crashes,
@@ -183,7 +189,7 @@
 	restorePause := follow.WithRestorePause(r.restorePause)
 	tree := super.New(r.WithPart("root"), super.WithParts(
 		follow.NewFeed(r.Deps, eras, "configurations", r.adapter.Configurations, r.planSink, r.configPollTimeout(), follow.WithConfirmation(r.startConfirmation), follow.WithBatchPause(r.batchPause), restorePause),
-		follow.NewFeed(r.Deps, eras, "upstreams", r.adapter.Upstreams, r.upstreams, upstreamPollTimeout,
+		follow.NewFeed(r.Deps, eras, "upstreams", r.adapter.Upstreams, r.upstreams, upstreamPollTimeout, follow.WithConfirmation(r.startUpstreamsConfirmation),
 			follow.WithOutage(r.upstreams.OutageStarted, r.upstreams.OutageEnded), follow.WithBatchPause(r.batchPause), restorePause),
 		follow.NewFeed(r.Deps, eras, "hosts", r.adapter.Hosts, r.roster, hostPollTimeout, follow.WithBatchPause(r.batchPause), restorePause),
 		r.peers,
@@ -241,6 +247,12 @@
 	}
 }
 
+// startUpstreamsConfirmation records the time before a call for changes of the upstreams. The returned function records that the upstreams were up to date then.
+func (r *Relay) startUpstreamsConfirmation() func() {
+	requestedAt := r.Now()
+	return func() { r.history.Confirm(requestedAt) }
+}
+
 // sync updates the routing table and the queues from the plan and the upstreams.
 func (r *Relay) sync() {
 	// The lock covers both the reads and the updates. Otherwise a concurrent call could overwrite newer upstreams with those it read earlier.
@@ -264,6 +276,7 @@
 			Expected: defaultServiceTime,
 		})
 	}
+	r.history.Sync(r.Now(), ups)
 	r.table.Sync(specs, ups, r.roster.Count())
 	r.dispatcher.Sync(p, ups)
 	if loaded {
--- a/internal/root/route/entry.go
+++ b/internal/root/route/entry.go
@@ -207,12 +207,17 @@
 
 // usable reports whether the upstream may be sent a request. After an ejection it gets one request at a time until one succeeds.
 func (e *entry) usable(now time.Time) bool {
-	if e.up.Leaving || e.isEjected(now) || e.isPaused(now) || e.isHeld(now) {
+	if !e.mayReturn(now) || e.isEjected(now) {
 		return false
 	}
 	return e.ejections == 0 || e.inFlight == 0
 }
 
+// mayReturn reports whether nothing but an ejection keeps the upstream from being used.
+func (e *entry) mayReturn(now time.Time) bool {
+	return !e.up.Leaving && !e.isPaused(now) && !e.isHeld(now)
+}
+
 func (e *entry) isPaused(now time.Time) bool {
 	return now.Before(e.pausedUntil)
 }
--- a/internal/root/route/table.go
+++ b/internal/root/route/table.go
@@ -49,6 +49,10 @@
 	Exclude []string
 	// LeastLoaded chooses the upstream with the fewest requests over all domains, wherever the prompt's prefix is cached.
 	LeastLoaded bool
+	// Version is the software version of the upstream, or "" for any.
+	Version string
+	// Ejected includes upstreams that are ejected, for a request that no others can serve.
+	Ejected bool
 	// Unlimited excludes the upstreams that take a limited number of requests.
 	Unlimited bool
 	// Allow, if set, reports whether the upstream may be chosen.
@@ -59,7 +63,13 @@
 
 // matches reports whether the entry is usable and allowed by the query.
 func (q Query) matches(now time.Time, e *entry) bool {
-	if !e.usable(now) || (q.Unlimited && e.perSecond > 0) || slices.Contains(q.Exclude, e.up.Name) || (q.remote && e.up.Domain == q.PreferDomain) {
+	if q.Version != "" && e.up.Version != q.Version {
+		return false
+	}
+	if !e.usable(now) && !(q.Ejected && e.mayReturn(now)) {
+		return false
+	}
+	if (q.Unlimited && e.perSecond > 0) || slices.Contains(q.Exclude, e.up.Name) || (q.remote && e.up.Domain == q.PreferDomain) {
 		return false
 	}
 	return q.Allow == nil || q.Allow(e.up.Name)
@@ -223,6 +233,14 @@
 	return best
 }
 
+// HasVersion reports whether a pool has an upstream of the software version that is not leaving.
+func (t *Table) HasVersion(pool, version string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.pools[pool]
+	return ok && slices.ContainsFunc(p.entries, func(e *entry) bool { return !e.up.Leaving && e.up.Version == version })
+}
+
 // PickRandomlySeeded is Pick with a randomly seeded generator.
 func (t *Table) PickRandomlySeeded(now time.Time, q Query) (Upstream, bool) {
 	return t.Pick(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), q)
