--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -12,7 +12,7 @@
 	if !ok {
 		q.stats.Refused++
 		return nil, &Refused{
-			After: maxRetryAfter / 3,
+			After: min(max(q.nextTrialIn(now), minRetryAfter), maxRetryAfter),
 		}
 	}
 	if expectedWait+q.callTime(w) > w.HardTimeout {
@@ -31,12 +31,12 @@
 	return j, nil
 }
 
-// expectedWait returns how long a new job is expected to wait until its call starts, behind the jobs that go before it. It returns false if every worker is leaving or has failed more than once in a row.
+// expectedWait returns how long a new job is expected to wait until its call starts, behind the jobs that go before it. It returns false if every worker is leaving, or has failed more than once in a row and may not be tried now.
 func (q *Queue) expectedWait(now time.Time, job *Job) (time.Duration, bool) {
 	var speed float64
 	var soonest time.Duration = -1
 	for _, w := range q.workers {
-		if w.upstream.Leaving || w.faultCount > 1 {
+		if !w.expected(now) {
 			continue
 		}
 		speed += min(1/w.slowness(now), w.callShare(q.spec.Call))
@@ -65,6 +65,22 @@
 	return soonest + time.Duration(ahead/speed), true
 }
 
+// nextTrialIn returns how long it takes until a worker that has failed may be tried again, or until such a call is expected to end, but at most noWorkerRetryAfter.
+func (q *Queue) nextTrialIn(now time.Time) time.Duration {
+	soonest := noWorkerRetryAfter
+	for _, w := range q.workers {
+		if w.upstream.Leaving {
+			continue
+		}
+		wait := w.freeIn(now)
+		if w.calls > 0 {
+			wait = max(wait, w.expectedEnd.Sub(now))
+		}
+		soonest = min(soonest, max(0, wait))
+	}
+	return soonest
+}
+
 // goesAfter reports whether a waiting job does not delay a new one. Less urgent ones do not; of the same rank, those that calls take later do not delay work with inputs, as earlier stages have been run for it. New work without inputs is expected to wait for all, so that it does not keep what was accepted before it from being done.
 func (q *Queue) goesAfter(now time.Time, waiting, job *Job) bool {
 	if waiting.Rank != job.Rank {
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -15,6 +15,8 @@
 	// minRetryAfter and maxRetryAfter bound the delay after which a refused request is asked to retry.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
+	// noWorkerRetryAfter is the delay for work of a queue without workers.
+	noWorkerRetryAfter = time.Second
 	// itemTimeWeight is the weight of a new sample in the moving average of a piece's duration.
 	itemTimeWeight = 0.1
 	// minLocalityBytes is the value of Work.TransferBytes from which work waits for a worker in its preferred failure domain, as long as it can still be on time.
--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -56,6 +56,14 @@
 	return max(0, w.backoffUntil.Sub(now), w.pausedUntil.Sub(now), w.nextCall.Sub(now))
 }
 
+// expected reports whether new work may be accepted for the worker. One that has failed more than once in a row is tried with one call at a time, as nothing else shows that it works again.
+func (w *worker) expected(now time.Time) bool {
+	if w.upstream.Leaving {
+		return false
+	}
+	return w.faultCount <= 1 || (w.calls == 0 && w.freeIn(now) == 0)
+}
+
 // healthy reports whether the worker is not leaving, has no recent failures and works at about normal speed.
 func (w *worker) healthy(now time.Time) bool {
 	return !w.upstream.Leaving && w.faultCount == 0 && !now.Before(w.pausedUntil) && w.slowness(now) <= slowThreshold
