--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -10,7 +10,6 @@
 	"github.com/cornelwing/cornelwing/internal/root/crash"
 	"github.com/cornelwing/cornelwing/internal/root/crash/blame"
 	"github.com/cornelwing/cornelwing/internal/root/relay/flow"
-	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
@@ -55,12 +54,12 @@
 	done  chan struct{}
 }
 
-// NewCrashes returns the record of crashes on this host, which is shared with other hosts through peers. It must be called before peers runs.
-func NewCrashes(deps common.Deps, peers *Peers) *Crashes {
+// NewCrashes returns the record of crashes on this host, which is shared with other hosts through peers. reachable reports whether a connection to the address of an upstream can be opened. NewCrashes must be called before peers runs.
+func NewCrashes(deps common.Deps, peers *Peers, reachable func(ctx context.Context, addr string) bool) *Crashes {
 	c := &Crashes{
 		Deps:       deps.WithPart("crash"),
 		ledger:     blame.NewLedger(),
-		prober:     crash.NewProber(connects),
+		prober:     crash.NewProber(reachable),
 		peers:      peers,
 		background: func(f func()) { go f() },
 		gathered:   map[string]*gatheredCrash{},
@@ -70,17 +69,6 @@
 	return c
 }
 
-// connects reports whether a connection to the address can be opened.
-func connects(ctx context.Context, addr string) bool {
-	conn, err := send.Dialer(0).DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return false
-	}
-	// Nothing was sent over the connection, so an error of Close doesn't matter.
-	_ = conn.Close()
-	return true
-}
-
 // Stats returns counts for the metrics.
 func (c *Crashes) Stats() blame.Stats {
 	return c.ledger.Stats()
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -124,6 +124,8 @@
 	limits *Limits
 	// origins handles the messages about the origins of streams; it is set before Run is called.
 	origins *Origins
+	// tunnels carries connections for other hosts; it is set before Run is called.
+	tunnels *Tunnels
 }
 
 // NewPeers returns Peers that accept connections from other hosts on the address.
@@ -226,6 +228,9 @@
 	if p.origins != nil {
 		p.origins.registerHandlers(mux)
 	}
+	if p.tunnels != nil {
+		p.tunnels.registerHandlers(mux)
+	}
 	mux.HandleFunc("POST "+pathProbe, func(http.ResponseWriter, *http.Request) {})
 	return mux
 }
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -27,6 +27,10 @@
 	Paused int `json:"paused"`
 	// Limited counts the upstreams that take a limited number of requests per second.
 	Limited int `json:"limited"`
+	// CutPools counts the pools of which this host reaches no upstream by itself, Relayed the connections that it opened through other hosts, and Tunnels those that it keeps open for others.
+	CutPools int   `json:"cut_pools"`
+	Relayed  int64 `json:"relayed"`
+	Tunnels  int64 `json:"tunnels"`
 	// Streams counts the streams of which this host knows at which software version they began.
 	Streams int `json:"streams"`
 	// Blocked counts the requests and parts of prompts that are not sent because they crash upstreams, and CrashTrials how often this host allowed one more request with one of them.
@@ -73,6 +77,9 @@
 	s.RowsRewritten = r.rowsRewritten.Load()
 	s.Paused = r.table.Paused(r.Now())
 	s.Limited = r.limits.Limited()
+	s.CutPools = r.dialer.CutPools()
+	s.Relayed = r.dialer.Relayed()
+	s.Tunnels = r.tunnels.OpenCount()
 	s.Streams = r.origins.Streams()
 	crashes := r.crashes.Stats()
 	s.Blocked = crashes.Blocked
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 	"github.com/cornelwing/cornelwing/internal/root/relay/grant"
 	"github.com/cornelwing/cornelwing/internal/root/relay/hosts"
+	"github.com/cornelwing/cornelwing/internal/root/relay/links"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
@@ -69,7 +70,8 @@
 	Plan        func(value []byte) (*plan.Plan, error)
 	Upstream    follow.DecodeUpstream
 	HeaderCodec flow.HeaderCodec
-	Workers     batch.WorkerClient
+	// Workers returns the client for workers that connects by the dialer.
+	Workers func(d *links.Dialer) batch.WorkerClient
 }
 
 // HostTable is the table in which hosts register themselves.
@@ -98,6 +100,8 @@
 	limits     *hosts.Limits
 	origins    *hosts.Origins
 	history    *origin.History
+	dialer     *links.Dialer
+	tunnels    *hosts.Tunnels
 	flow       *flow.Service
 	callers    *serve.Graceful
 	meter      *meter.Meter
@@ -111,6 +115,7 @@
 
 // New returns a daemon for the platform that the adapter describes.
 func New(deps common.Deps, s setup.Relay, a Adapter) *Relay {
+	dialer := links.NewDialer(deps)
 	r := &Relay{
 		Deps:       deps,
 		settings:   s,
@@ -118,7 +123,8 @@
 		plans:      &plan.Active{},
 		lease:      grant.New(grant.SinceBoot, s.Keys.Revoke.D()-keyLeaseMargin),
 		table:      route.New(s.Host.Domain),
-		dispatcher: batch.NewDispatcher(deps, a.Workers),
+		dialer:     dialer,
+		dispatcher: batch.NewDispatcher(deps, a.Workers(dialer)),
 		meter:      meter.New(),
 		history:    origin.NewHistory(),
 	}
@@ -133,7 +139,8 @@
 	})
 	r.dispatcher.OnLeaving(r.upstreams.MarkLeaving)
 	r.dispatcher.OnReleased(r.peers.Release)
-	r.crashes = hosts.NewCrashes(deps, r.peers)
+	r.tunnels = hosts.NewTunnels(deps, r.peers, dialer)
+	r.crashes = hosts.NewCrashes(deps, r.peers, dialer.Reaches)
 	r.limits = hosts.NewLimits(deps, r.peers, r.applyLimit)
 	r.dispatcher.OnLimit(r.limits.Note)
 	r.origins = hosts.NewOrigins(deps, r.peers, r.history)
@@ -144,7 +151,7 @@
 		Upstreams:     r.upstreams,
 		Limits:        r.limits,
 		Origins:       r.origins,
-		Sender:        send.New(),
+		Sender:        send.New(dialer.DialContext),
 		Workers:       r.peers,
 		CrashDetector: r.crashes,
 		Lease:         r.lease,
@@ -277,6 +284,7 @@
 		})
 	}
 	r.history.Sync(r.Now(), ups)
+	r.dialer.Sync(ups)
 	r.table.Sync(specs, ups, r.roster.Count())
 	r.dispatcher.Sync(p, ups)
 	if loaded {
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -5,18 +5,15 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
-	"time"
 
 	"github.com/cornelwing/cornelwing/internal/jhttp"
 )
 
-// dialTimeout bounds the time for connecting to an upstream.
-const dialTimeout = 250 * time.Millisecond
-
 // Request is one request to an upstream.
 type Request struct {
 	Addr   string
@@ -61,12 +58,12 @@
 	transport *http.Transport
 }
 
-// New returns a client that opens a connection for each request. The transport therefore never resends a request, and a response cannot belong to an earlier request.
-func New() *Client {
+// New returns a client that opens a connection with dial for each request. The transport therefore never resends a request, and a response cannot belong to an earlier request.
+func New(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
 	return &Client{
 		transport: &http.Transport{
 			MaxResponseHeaderBytes: jhttp.MaxResponseHead,
-			DialContext:            Dialer(dialTimeout).DialContext,
+			DialContext:            dial,
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			ReadBufferSize:         bufferSize,
--- a/internal/root/relay/sync_test.go
+++ b/internal/root/relay/sync_test.go
@@ -22,8 +22,9 @@
 	)
 	Convey("When syncs run concurrently with a change, the routing table always has the newest address", t, func() {
 		r := New(common.NewQuietDeps("host-1", "d"), setup.Relay{}, Adapter{
-			Hosts: emptyHostTable{},
-			Eras:  follow.NewEras(common.NewQuietDeps("host-1", "d")),
+			Hosts:   emptyHostTable{},
+			Workers: noWorkers,
+			Eras:    follow.NewEras(common.NewQuietDeps("host-1", "d")),
 			Upstream: func(key string, value []byte) (route.Upstream, error) {
 				return route.Upstream{
 					Name: key,
