--- a/internal/root/relay/send/dialer.go
+++ b/internal/root/relay/send/dialer.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	// userTimeout is how long sent bytes may remain unacknowledged before the connection is closed.
-	userTimeout = 2 * time.Second
-	// keepAliveIdle, keepAliveInterval and keepAliveProbes configure TCP keep-alive, which detects an unresponsive peer on an idle connection.
+	// userTimeout is how long sent bytes may remain unacknowledged before the connection is closed. It also ends the keep-alive probes, whatever their number, so that it has to leave time for three of them.
+	userTimeout = 3500 * time.Millisecond
+	// keepAliveIdle, keepAliveInterval and keepAliveProbes configure TCP keep-alive, which detects an unresponsive peer on an idle connection. The kernel takes whole seconds.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveProbes   = 2
+	keepAliveProbes   = 3
 )
 
 // Dialer returns a dialer whose connections fail soon after the peer stops responding.
