--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -159,6 +159,9 @@
 	if head.statesLimit() {
 		x.Limits.Note(up, head.Limit.Rate(), sentAt)
 	}
+	if head.isOwn() {
+		x.Table.SetBrittle(up.Incarnation(), head.Brittle)
+	}
 	if head.Leaving {
 		x.Upstreams.MarkLeaving(up.Incarnation())
 	}
@@ -187,7 +190,11 @@
 
 // recordNotRun records a response which states that the upstream ran no part of the request.
 func (x *exchange) recordNotRun(up route.Upstream, head ResponseHead) retry.Event {
-	x.Table.Release(x.Now(), up.Name)
+	if head.wasFull() {
+		x.Table.RecordFull(x.Now(), up.Name)
+	} else {
+		x.Table.Release(x.Now(), up.Name)
+	}
 	x.setCause(CauseUpstreamRefused, "upstream ran nothing")
 	if head.StageResultLost {
 		x.setCause(CauseUpstreamRefused, "a result of a stage is gone")
--- a/internal/root/relay/flow/headers.go
+++ b/internal/root/relay/flow/headers.go
@@ -125,14 +125,25 @@
 	PauseFor time.Duration
 	// Limit is what the response states of the limit of the upstream.
 	Limit limit.Statement
+	// Brittle is how many requests per second the upstream can turn away for want of room without falling over, or 0 for any number.
+	Brittle int
 	// Load is the upstream's load, or nil if the response does not report it.
 	Load *stage.Load
 }
 
 // statesLimit reports whether the response states the limit of its upstream, or that there is none. Bytes that no upstream signed, and the response of another upstream at the address, state nothing.
 func (h ResponseHead) statesLimit() bool {
-	own := h.Signed || h.NotRun
-	return own && h.Limit.Known && !h.AddressReassigned && !h.OtherRequest
+	return h.isOwn() && h.Limit.Known
+}
+
+// isOwn reports whether the response is that of the upstream which the request was sent to.
+func (h ResponseHead) isOwn() bool {
+	return (h.Signed || h.NotRun) && !h.AddressReassigned && !h.OtherRequest
+}
+
+// wasFull reports whether the upstream turned the request away for want of room.
+func (h ResponseHead) wasFull() bool {
+	return h.NotRun && h.isOwn() && !h.StageResultLost && h.PauseFor == 0
 }
 
 // HeaderCodec translates between HTTP headers and their parsed values.
--- a/internal/root/route/entry.go
+++ b/internal/root/route/entry.go
@@ -115,6 +115,13 @@
 	// perSecond is the number of requests per second that the upstream takes from all hosts together, or 0 if it has named no limit. heldUntil is the time until which there is no permit for another one.
 	perSecond float64
 	heldUntil time.Time
+	// brittle is how many requests per second the upstream can turn away for want of room without falling over, or 0 for any number. probeAt is the time from which this host may send one more request there than it is known to have room for.
+	brittle int
+	probeAt time.Time
+	// slotFreedAt is when the last request of this host ended that the upstream ran.
+	slotFreedAt time.Time
+	// rejectedAt is when the upstream last turned a request of this host away for want of room.
+	rejectedAt time.Time
 }
 
 func newEntry(up Upstream) *entry {
@@ -206,16 +213,16 @@
 }
 
 // usable reports whether the upstream may be sent a request. After an ejection it gets one request at a time until one succeeds.
-func (e *entry) usable(now time.Time) bool {
-	if !e.mayReturn(now) || e.isEjected(now) {
+func (e *entry) usable(now time.Time, hosts int) bool {
+	if !e.mayReturn(now, hosts) || e.isEjected(now) {
 		return false
 	}
 	return e.ejections == 0 || e.inFlight == 0
 }
 
 // mayReturn reports whether nothing but an ejection keeps the upstream from being used.
-func (e *entry) mayReturn(now time.Time) bool {
-	return !e.up.Leaving && !e.isPaused(now) && !e.isHeld(now)
+func (e *entry) mayReturn(now time.Time, hosts int) bool {
+	return !e.up.Leaving && !e.isPaused(now) && !e.isHeld(now) && !e.isFull(now, hosts)
 }
 
 func (e *entry) isPaused(now time.Time) bool {
--- a/internal/root/route/table.go
+++ b/internal/root/route/table.go
@@ -59,6 +59,8 @@
 	Allow func(upstream string) bool
 	// remote excludes the upstreams of the domain PreferDomain.
 	remote bool
+	// hosts is the number of hosts that send requests to the pool.
+	hosts int
 }
 
 // matches reports whether the entry is usable and allowed by the query.
@@ -66,7 +68,7 @@
 	if q.Version != "" && e.up.Version != q.Version {
 		return false
 	}
-	if !e.usable(now) && !(q.Ejected && e.mayReturn(now)) {
+	if !e.usable(now, q.hosts) && !(q.Ejected && e.mayReturn(now, q.hosts)) {
 		return false
 	}
 	if (q.Unlimited && e.perSecond > 0) || slices.Contains(q.Exclude, e.up.Name) || (q.remote && e.up.Domain == q.PreferDomain) {
@@ -123,6 +125,8 @@
 	hosts  int
 	pools  map[string]*pool
 	byName map[string]*entry
+	// pickedAt is the time of the last choice.
+	pickedAt time.Time
 }
 
 // New returns an empty table for a host in the failure domain.
@@ -153,16 +157,23 @@
 		}
 	}
 	names := make(map[string]*entry, len(ups))
+	added := map[*pool][]*entry{}
 	for _, u := range ups {
 		p, ok := pools[u.Pool]
 		if !ok {
 			continue
 		}
 		e := t.entryFor(u)
+		if e != t.byName[u.Name] {
+			added[p] = append(added[p], e)
+		}
 		names[u.Name] = e
 		p.entries = append(p.entries, e)
 		p.byDomain[u.Domain] = append(p.byDomain[u.Domain], e)
 	}
+	for p, entries := range added {
+		p.inheritBrittle(t.pickedAt, t.hosts, entries)
+	}
 	t.pools = pools
 	t.byName = names
 }
@@ -192,6 +203,7 @@
 func (t *Table) Pick(now time.Time, rng *rand.Rand, q Query) (Upstream, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.pickedAt = now
 	p, ok := t.pools[q.Pool]
 	if !ok || len(p.entries) == 0 {
 		return Upstream{}, false
@@ -199,10 +211,14 @@
 	if q.PreferDomain == "" {
 		q.PreferDomain = t.domain
 	}
+	q.hosts = t.hosts
 	e := t.choose(now, rng, p, q)
 	if e == nil {
 		return Upstream{}, false
 	}
+	if e.exceedsKnownRoom(now, t.hosts) {
+		e.postponeProbe(now, t.hosts)
+	}
 	e.setInFlight(now, e.inFlight+1)
 	p.total.Load += t.hosts
 	up := e.up
@@ -256,6 +272,7 @@
 	}
 	best := highestRanked(now, p.entries, Query{
 		Affinity: affinity,
+		hosts:    t.hosts,
 	})
 	if best == nil {
 		return t.domain
@@ -368,9 +385,13 @@
 	e.setInFlight(now, max(0, e.inFlight-1))
 	p.total.Load -= t.hosts
 	if ok {
+		e.slotFreedAt = now
 		e.recordSuccess(now, took, loadRatio)
 		return
 	}
+	if e.brittle > 0 {
+		e.postponeProbe(now, t.hosts)
+	}
 	if e.recordFailure(now, took, p.expected) && t.mayEject(now, p, e) {
 		e.eject(now)
 	}
--- a/internal/stand/serv/respond.go
+++ b/internal/stand/serv/respond.go
@@ -19,7 +19,8 @@
 	h := w.Header()
 	h.Set("Request-Id", id)
 	h.Set("Server-Stamp", "stamp."+s.ID)
-	h.Set("Server-Load", "1,0,8")
+	time.Sleep(s.WorkTime)
+	s.stateLoad(w)
 	if s.Unframed {
 		// net/http then neither adds a length nor uses chunks.
 		h.Set("Transfer-Encoding", "identity")
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -43,6 +44,10 @@
 	Events int
 	// NeedsInputs rejects requests without an Inputs header, which carries the results of stages.
 	NeedsInputs bool
+	// Room is how many requests the server runs at once. It turns away further ones, and states its load. 0 means no bound.
+	Room int
+	// WorkTime is how long the server runs a request before it responds.
+	WorkTime time.Duration
 	// BodyBytes is the minimum size of a plain body, which is padded to it.
 	BodyBytes int
 	// EventDelay is the pause before each event of a streamed response.
@@ -54,6 +59,15 @@
 	http *http.Server
 
 	mu sync.Mutex
+	// running counts the requests that run, and full holds the times at which one was turned away for want of room.
+	running int
+	full    []time.Time
+	// brittle is how many requests a second the server may turn away for want of room without falling over, or 0 for any number. falls counts how often it fell over.
+	brittle      int
+	brittleSince time.Time
+	falls        int
+	// downUntil is when the server is back after it fell over.
+	downUntil time.Time
 	// crashOn is the request body that crashes the server. If crashOn is empty, no request crashes the server.
 	crashOn string
 	// crashPart is the ID of the prompt part that crashes the server as soon as it begins to respond to a request with it, unless it is the last part. Empty means none.
@@ -218,6 +232,9 @@
 		if s.leaving {
 			w.Header().Set("Server-Leaving", "1")
 		}
+		if s.brittle > 0 {
+			w.Header().Set("Server-Brittle", strconv.Itoa(s.brittle))
+		}
 		s.mu.Unlock()
 		h.ServeHTTP(w, r)
 	})
@@ -322,6 +339,10 @@
 		return
 	}
 	id := r.Header.Get("Request-Id")
+	if !s.enter(w) {
+		return
+	}
+	defer s.leave()
 	b := s.nextBehavior()
 	if s.crashesOn(string(body)) {
 		b = Crash
