--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -64,7 +64,7 @@
 		background: func(f func()) { go f() },
 		gathered:   map[string]*gatheredCrash{},
 	}
-	peers.crashes = c
+	peers.services = append(peers.services, c)
 	peers.roster.OnJoin(c.notifyJoined)
 	return c
 }
--- a/internal/root/relay/hosts/limits.go
+++ b/internal/root/relay/hosts/limits.go
@@ -94,7 +94,7 @@
 		source: fmt.Sprintf("%s/%d", deps.Host, deps.Now().UnixNano()),
 		apply:  apply,
 	}
-	peers.limits = l
+	peers.services = append(peers.services, l)
 	return l
 }
 
--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -98,7 +98,7 @@
 		ledger:  origin.NewLedger(),
 		history: history,
 	}
-	peers.origins = o
+	peers.services = append(peers.services, o)
 	return o
 }
 
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -118,14 +118,13 @@
 	picker queuePicker
 	// knowledge is what this host and the others tell each other after the store was restored; it is set before Run is called.
 	knowledge Knowledge
-	// crashes handles crash updates from other hosts; it is set before Run is called.
-	crashes *Crashes
-	// limits handles the messages about limits; it is set before Run is called.
-	limits *Limits
-	// origins handles the messages about the origins of streams; it is set before Run is called.
-	origins *Origins
-	// tunnels carries connections for other hosts; it is set before Run is called.
-	tunnels *Tunnels
+	// services handle the other messages of hosts; all are added before Run is called.
+	services []peerService
+}
+
+// peerService handles a kind of messages from other hosts.
+type peerService interface {
+	registerHandlers(mux *http.ServeMux)
 }
 
 // NewPeers returns Peers that accept connections from other hosts on the address.
@@ -219,17 +218,8 @@
 	if p.knowledge != nil {
 		mux.HandleFunc("POST "+pathCatchUp, p.tellNewer)
 	}
-	if p.crashes != nil {
-		p.crashes.registerHandlers(mux)
-	}
-	if p.limits != nil {
-		p.limits.registerHandlers(mux)
-	}
-	if p.origins != nil {
-		p.origins.registerHandlers(mux)
-	}
-	if p.tunnels != nil {
-		p.tunnels.registerHandlers(mux)
+	for _, s := range p.services {
+		s.registerHandlers(mux)
 	}
 	mux.HandleFunc("POST "+pathProbe, func(http.ResponseWriter, *http.Request) {})
 	return mux
--- a/internal/root/relay/hosts/tunnels.go
+++ b/internal/root/relay/hosts/tunnels.go
@@ -63,7 +63,7 @@
 		preferred: map[string]time.Time{},
 		avoided:   map[string]time.Time{},
 	}
-	peers.tunnels = t
+	peers.services = append(peers.services, t)
 	dialer.UseRelay(t)
 	return t
 }
