--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cornelwing/cornelwing/internal/stand"
 )
 
 // Run is one request that a server has started to run.
@@ -96,11 +98,16 @@
 
 // Start starts the server on a loopback address.
 func (s *Server) Start() error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// Servers of tests that run at the same time have the same IDs, so the address of a closed one must not be assigned to another.
+	addr, err := stand.FreeAddr()
+	if err != nil {
+		return fmt.Errorf("find address for server %s: %w", s.ID, err)
+	}
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return fmt.Errorf("listen for server %s: %w", s.ID, err)
 	}
-	s.addr = ln.Addr().String()
+	s.addr = addr
 	s.results = map[string]bool{}
 	s.stopped = make(chan struct{})
 	mux := http.NewServeMux()
