--- a/internal/stand/rows/store.go
+++ b/internal/stand/rows/store.go
@@ -126,11 +126,17 @@
 	return s.calls[path]
 }
 
-// Put writes a row unconditionally.
+// Put writes a row of the partition with the empty name unconditionally.
 func (s *Store) Put(table, key string, value []byte) {
+	s.PutIn(table, "", key, value)
+}
+
+// PutIn writes a row of a partition unconditionally.
+func (s *Store) PutIn(table, part, key string, value []byte) {
 	s.Run(Tx{
 		Puts: []Row{{
 			Table: table,
+			Part:  part,
 			Key:   key,
 			Value: value,
 		}},
@@ -147,6 +153,19 @@
 	})
 }
 
+// Clear removes all rows of a table.
+func (s *Store) Clear(table string) {
+	var tx Tx
+	s.mu.Lock()
+	for _, r := range s.rows {
+		if r.Table == table {
+			tx.Remove = append(tx.Remove, r)
+		}
+	}
+	s.mu.Unlock()
+	s.Run(tx)
+}
+
 // Compact drops the history, so that changes since an older version can't be read any more.
 func (s *Store) Compact() {
 	s.mu.Lock()
