--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -59,7 +59,6 @@
 func TestHalfLoadIsServed(t *testing.T) {
 	for _, s := range deployments(t) {
 		t.Run(s.Name, func(t *testing.T) {
-			t.Parallel()
 			sum := played(s, 0.5).Sum()
 			if sum.Refused > 0 || share(sum.OnTime, sum.Offered) < 0.97 {
 				t.Errorf("%d of %d requests were on time, %d refused", sum.OnTime, sum.Offered, sum.Refused)
@@ -79,7 +78,6 @@
 				d, name = s, s.Name+", bursts"
 			}
 			t.Run(name, func(t *testing.T) {
-				t.Parallel()
 				sum := played(d, load).Sum()
 				if got := share(sum.OnTime, sum.Limit); got < minShareOfLimit {
 					t.Errorf("on time: %.3f of what could be", got)
