--- a/internal/root/relay/hosts/tunnels.go
+++ b/internal/root/relay/hosts/tunnels.go
@@ -77,21 +77,39 @@
 	mux.HandleFunc("POST "+pathTunnel, t.serve)
 }
 
-// Open connects to the upstream with the name through another host.
+// Open connects to the upstream with the name through another host. It returns links.ErrUnfinished if other hosts answered, but the time was too short to find one that has a link.
 func (t *Tunnels) Open(ctx context.Context, upstream string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
 	defer cancel()
-	var ways []links.Try
-	for _, h := range t.candidates() {
-		ways = append(ways, func(ctx context.Context) (net.Conn, error) { return t.openThrough(ctx, h, upstream) })
+	search := newTunnelSearch(t.candidates())
+	ways := make([]links.Try, min(tunnelTries, len(search.untried)))
+	for i := range ways {
+		ways[i] = func(ctx context.Context) (net.Conn, error) { return t.openThroughNext(ctx, search, upstream) }
 	}
 	c, _, err := links.Race(ctx, tunnelPatience, ways)
+	if err != nil && ctx.Err() != nil && search.refusals() > 0 {
+		return nil, fmt.Errorf("open tunnel: %w: %w", links.ErrUnfinished, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("open tunnel: %w", err)
 	}
 	return c, nil
 }
 
+// openThroughNext opens a tunnel through the next host of the search. If that host has no link, the hosts that it names go next.
+func (t *Tunnels) openThroughNext(ctx context.Context, search *tunnelSearch, upstream string) (net.Conn, error) {
+	h, ok := search.next()
+	if !ok {
+		return nil, errNoCandidate
+	}
+	c, err := t.openThrough(ctx, h, upstream)
+	var noLink *noLinkError
+	if errors.As(err, &noLink) {
+		search.recordRefusal(noLink.linked)
+	}
+	return c, err
+}
+
 // candidates returns the hosts to try, in random order but for what is known of them. One that worked goes first, then one of the own failure domain and those of others, as a whole domain may be without links.
 func (t *Tunnels) candidates() []Host {
 	live := t.peers.roster.LiveOthers()
@@ -117,8 +135,21 @@
 	if len(preferred) < preferredPeers && rand.IntN(2) == 0 {
 		out = append(untried, preferred...)
 	}
-	out = append(out, avoided...)
-	return out[:min(tunnelTries, len(out))]
+	return append(out, avoided...)
+}
+
+// linkedHosts returns the names of hosts that have opened connections for this host lately.
+func (t *Tunnels) linkedHosts() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Now()
+	var out []string
+	for name, until := range t.preferred {
+		if now.Before(until) && len(out) < maxLinkedHosts {
+			out = append(out, name)
+		}
+	}
+	return out
 }
 
 // remember records whether the host could connect to an upstream.
@@ -148,9 +179,7 @@
 	}
 	resp, err := t.peers.http.RoundTrip(req)
 	if err == nil && resp.StatusCode != http.StatusOK {
-		err = errors.Errorf("status %d", resp.StatusCode)
-		// The response is not needed, so an error of Close doesn't matter.
-		_ = resp.Body.Close()
+		err = refusalOf(resp)
 	}
 	if err != nil {
 		end()
@@ -181,7 +210,7 @@
 	}
 	conn, err := t.dialer.DialForPeer(r.Context(), r.URL.Query().Get(upstreamParam))
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadGateway)
+		t.refuse(w, err)
 		return
 	}
 	defer conn.Close()
--- a/internal/root/relay/hosts/tunnels_test.go
+++ b/internal/root/relay/hosts/tunnels_test.go
@@ -207,6 +207,7 @@
 func (c *tunnelCluster) connectThroughOthers(host int) (carrier int, ok bool) {
 	conn, err := c.dialers[host].DialContext(context.Background(), "tcp", deadAddr)
 	if err != nil {
+		c.t.Logf("host %d: %v", host, err)
 		return 0, false
 	}
 	upstream := <-c.accepted
--- a/internal/root/relay/links/dialer.go
+++ b/internal/root/relay/links/dialer.go
@@ -30,11 +30,13 @@
 	ErrUnknownUpstream = errors.New("upstream is not known")
 	// ErrNoLink is returned if this host reaches no upstream of the pool by itself, or just now through no other host.
 	ErrNoLink = errors.New("no link to the upstream")
+	// ErrUnfinished is returned if the time for finding a host with a link ended before enough hosts were tried.
+	ErrUnfinished = errors.New("search for a host with a link did not finish")
 )
 
 // Relay opens connections through other hosts.
 type Relay interface {
-	// Open connects to the upstream with the name through another host.
+	// Open connects to the upstream with the name through another host. It returns ErrUnfinished if its time ended too early to tell that no host can.
 	Open(ctx context.Context, upstream string) (net.Conn, error)
 }
 
@@ -182,7 +184,8 @@
 		return nil, ErrNoLink
 	}
 	c, err := d.relay.Open(ctx, up.Name)
-	if err == nil || ctx.Err() == nil {
+	// An unfinished search does not show that no host has a link.
+	if err == nil || ctx.Err() == nil && !errors.Is(err, ErrUnfinished) {
 		d.recordRelay(up.Pool, err == nil)
 	}
 	if err != nil {
--- a/internal/root/relay/links/dialer_test.go
+++ b/internal/root/relay/links/dialer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -178,3 +180,29 @@
 		})
 	})
 }
+
+// Guards against a host that stops asking others because it was too slow to ask enough of them.
+func TestOnlyFinishedSearchForAnotherHostCausesPause(t *testing.T) {
+	cases := []struct {
+		name  string
+		err   error
+		tries int
+	}{
+		{name: "no host has a link", err: errTest, tries: 1},
+		{name: "search did not finish", err: fmt.Errorf("%w: %w", ErrUnfinished, errTest), tries: 5},
+	}
+	Convey("Connections through other hosts pause after a search that", t, func() {
+		for _, c := range cases {
+			n := &network{
+				direct:  errTest,
+				relayed: c.err,
+			}
+			d := newTestDialer(n, 3)
+			So(dial(d, "p0:1"), ShouldNotBeNil)
+			for range 5 {
+				So(dial(d, "p1:1"), ShouldNotBeNil)
+			}
+			So(c.name+": "+strconv.Itoa(n.relayedTries), ShouldEqual, c.name+": "+strconv.Itoa(c.tries))
+		}
+	})
+}
