--- /dev/null
+++ b/internal/root/relay/backup/backup_test.go
@@ -0,0 +1,210 @@
+package backup
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
+	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
+)
+
+func noVersions() []string { return nil }
+
+func twoVersions() []string { return []string{"v1", "v2"} }
+
+func TestStreamsSavedByOneProcessAreFoundByTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemoryTable()
+		p := start(t, table, "a", true, twoVersions)
+		time.Sleep(time.Second)
+		const streams = 2*maxStreamsPerRow + 1
+		for k := range origin.Key(streams) {
+			p.Save(k, originAt("v"+strconv.Itoa(int(k))), 10*time.Second)
+		}
+		time.Sleep(mixedWriteDelay + 10*callTime)
+		p.kill()
+		time.Sleep(5 * time.Second)
+		next := start(t, table, "a", true, twoVersions)
+		for k := range origin.Key(streams) {
+			o, found := next.Find(t.Context(), k)
+			if !found || o.Version != "v"+strconv.Itoa(int(k)) {
+				t.Fatalf("stream %d: found %t at %q", k, found, o.Version)
+			}
+			if age := time.Since(o.SentAt).Round(time.Second); age != 5*time.Second {
+				t.Fatalf("stream %d was sent %s ago", k, age)
+			}
+		}
+		if _, found := next.Find(t.Context(), streams); found {
+			t.Error("a stream that nobody saved was found")
+		}
+		time.Sleep(6 * time.Second)
+		if _, found := next.Find(t.Context(), 0); found {
+			t.Error("a stream was found after its caller's time")
+		}
+		next.kill()
+	})
+}
+
+func TestStreamOfTwoVersionsInTheStoreIsNotSure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemoryTable()
+		for _, v := range twoVersions() {
+			p := start(t, table, v, false, twoVersions)
+			p.Save(7, originAt(v), time.Minute)
+			time.Sleep(3 * time.Second)
+			p.kill()
+		}
+		next := start(t, table, "c", false, twoVersions)
+		if o, found := next.Find(t.Context(), 7); !found || o.Known() {
+			t.Errorf("found %t at %q", found, o.Version)
+		}
+		next.kill()
+	})
+}
+
+// Guards against a herd of taken-up streams of which each reads the table.
+func TestManyLookupsShareOneRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemoryTable()
+		p := start(t, table, "a", false, noVersions)
+		time.Sleep(time.Second)
+		before := table.counts().reads
+		var wg sync.WaitGroup
+		for k := range origin.Key(500) {
+			wg.Go(func() { p.Find(t.Context(), k) })
+		}
+		wg.Wait()
+		if got := table.counts().reads - before; got != 1 {
+			t.Errorf("%d reads", got)
+		}
+		p.kill()
+	})
+}
+
+func TestLookupEndsWithItsContextWhileTheStoreIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(common.NewQuietDeps("a", "d"), slowTable{newMemoryTable()}, origin.NewHistory(), func() time.Duration { return 0 }, func() bool { return true })
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		if _, found := b.Find(ctx, 7); found || time.Since(began) != 100*time.Millisecond {
+			t.Errorf("found %t after %s", found, time.Since(began))
+		}
+		time.Sleep(slowReadTime)
+	})
+}
+
+func TestStreamsWaitWhileTheStoreTakesNoWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemoryTable()
+		p := start(t, table, "a", true, twoVersions)
+		time.Sleep(time.Second)
+		table.setFailing(true)
+		before := table.counts().writes
+		for k := range origin.Key(maxPending + 10) {
+			p.Save(k, originAt("v1"), time.Hour)
+		}
+		time.Sleep(10 * time.Second)
+		if got := table.counts().writes - before; got > 25 {
+			t.Errorf("%d writes in 10 s of failures", got)
+		}
+		table.setFailing(false)
+		time.Sleep(5 * time.Second)
+		for k := range origin.Key(maxPending + 10) {
+			if _, found := p.Find(t.Context(), k); found != (k >= 10) {
+				t.Fatalf("stream %d: found %t", k, found)
+			}
+		}
+		p.kill()
+	})
+}
+
+// At rest a fleet writes one row each confirmInterval, whatever its size, and reads once each cleanInterval.
+func TestOnlyOneHostWritesAtRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemoryTable()
+		const hosts, minutes = 36, 10
+		for i := range hosts {
+			p := start(t, table, strconv.Itoa(i), i == 0, func() []string { return []string{"v1"} })
+			defer p.kill()
+		}
+		time.Sleep(minutes * time.Minute)
+		if limit := int(minutes*time.Minute/confirmInterval) + 2; table.counts().writes > limit {
+			t.Errorf("%d writes, at most %d expected", table.counts().writes, limit)
+		}
+		if limit := hosts + int(minutes*time.Minute/cleanInterval) + 1; table.counts().reads > limit {
+			t.Errorf("%d reads, at most %d expected", table.counts().reads, limit)
+		}
+	})
+}
+
+func TestExpiredRowsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemoryTable()
+		p := start(t, table, "a", true, twoVersions)
+		const rows = 3 * maxRemoved
+		for k := range origin.Key(rows) {
+			p.Save(k, originAt("v1"), 20*time.Second)
+			time.Sleep(2 * mixedWriteDelay)
+		}
+		p.Save(rows, originAt("v1"), time.Hour)
+		time.Sleep(2*cleanInterval + time.Minute)
+		got := table.counts()
+		if got.rows != 2 {
+			t.Errorf("%d rows are left, of versions and of one stream expected", got.rows)
+		}
+		if got.mostRemoved > maxRemoved {
+			t.Errorf("%d rows removed by one call", got.mostRemoved)
+		}
+		p.kill()
+	})
+}
+
+func TestDamagedRowsAreIgnored(t *testing.T) {
+	values := []struct {
+		key, value string
+	}{
+		{key: "versions", value: `{"at_ms":1,"pools":{"p":{"version":"v1","since_ms":2}}}`},
+		{key: "versions", value: `{"at_ms":99999999,"pools":{"p":{"version":"v1","since_ms":-99999999}}}`},
+		{key: "versions", value: `{"at_ms":"x"}`},
+		{key: "versions", value: ``},
+		{key: "streams/a/1", value: `{"streams":[{"key":7,"origin":{"pool":"p","version":"v1"},"sent_ms":9,"until_ms":1}]}`},
+		{key: "streams/a/1", value: `{"streams":[{"key":7,"origin":{"pool":"p"},"sent_ms":0,"until_ms":99999999}]}`},
+		{key: "streams/a/1", value: `{"streams":[{"key":-7}]}`},
+		{key: "streams/a/1", value: `[`},
+		{key: "unknown", value: `{"streams":[{"key":7,"origin":{"pool":"p","version":"v1"},"sent_ms":0,"until_ms":99999999}]}`},
+	}
+	for _, v := range values {
+		synctest.Test(t, func(t *testing.T) {
+			table := newMemoryTable()
+			table.rows[v.key] = []byte(v.value)
+			p := start(t, table, "a", false, func() []string { return []string{"v1"} })
+			time.Sleep(time.Second)
+			if _, found := p.Find(t.Context(), 7); found {
+				t.Errorf("%s: a stream was found", v.value)
+			}
+			if p.history.Settled(time.Now(), "p", 5*time.Second) {
+				t.Errorf("%s: the version counts as the only one for long", v.value)
+			}
+			p.kill()
+		})
+	}
+}
+
+// slowReadTime is how long a read of a slowTable takes.
+const slowReadTime = 10 * time.Second
+
+// slowTable is a table of a slow store.
+type slowTable struct {
+	*memoryTable
+}
+
+func (s slowTable) Read(ctx context.Context) ([]follow.Row, int64, error) {
+	time.Sleep(slowReadTime)
+	return s.memoryTable.Read(ctx)
+}
--- /dev/null
+++ b/internal/root/relay/backup/table_test.go
@@ -0,0 +1,206 @@
+package backup
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
+	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
+	"github.com/cornelwing/cornelwing/internal/root/route"
+)
+
+// callTime is how long a call to memoryTable takes.
+const callTime = 5 * time.Millisecond
+
+var errTable = errors.New("refused")
+
+// memoryTable is a table of a store whose clock began at the start of the test.
+type memoryTable struct {
+	began time.Time
+
+	mu   sync.Mutex
+	rows map[string][]byte
+	// failing makes all calls fail.
+	failing                bool
+	reads, writes, removes int
+	mostRemoved            int
+}
+
+func newMemoryTable() *memoryTable {
+	return &memoryTable{
+		began: time.Now(),
+		rows:  map[string][]byte{},
+	}
+}
+
+// begin counts a call, and returns an error while calls fail.
+func (t *memoryTable) begin(count *int) error {
+	time.Sleep(callTime)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	*count++
+	if t.failing {
+		return errTable
+	}
+	return nil
+}
+
+func (t *memoryTable) Read(context.Context) ([]follow.Row, int64, error) {
+	if err := t.begin(&t.reads); err != nil {
+		return nil, 0, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []follow.Row
+	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
+		out = append(out, follow.Row{
+			Key:   key,
+			Value: t.rows[key],
+		})
+	}
+	return out, time.Since(t.began).Milliseconds(), nil
+}
+
+func (t *memoryTable) Put(_ context.Context, key string, value []byte) error {
+	if err := t.begin(&t.writes); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows[key] = value
+	return nil
+}
+
+func (t *memoryTable) RemoveAll(_ context.Context, keys []string) error {
+	if err := t.begin(&t.removes); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mostRemoved = max(t.mostRemoved, len(keys))
+	for _, key := range keys {
+		delete(t.rows, key)
+	}
+	return nil
+}
+
+// tableCounts counts the calls to a memoryTable and the rows in it.
+type tableCounts struct {
+	reads, writes, mostRemoved, rows int
+}
+
+func (t *memoryTable) counts() tableCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return tableCounts{
+		reads:       t.reads,
+		writes:      t.writes,
+		mostRemoved: t.mostRemoved,
+		rows:        len(t.rows),
+	}
+}
+
+func (t *memoryTable) isFailing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failing
+}
+
+func (t *memoryTable) setFailing(failing bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failing = failing
+}
+
+// processTable is the table as one process reaches it, until it is killed.
+type processTable struct {
+	Table
+	killed atomic.Bool
+}
+
+func (t *processTable) Put(ctx context.Context, key string, value []byte) error {
+	if t.killed.Load() {
+		return errTable
+	}
+	return t.Table.Put(ctx, key, value)
+}
+
+// process is one process of a host with its backup.
+type process struct {
+	*Backup
+	history *origin.History
+	kill    func()
+	// stoppedUntil is until when the process does not follow the versions, in nanoseconds since 1970.
+	stoppedUntil atomic.Int64
+	// known holds the versions that the process knows.
+	known atomic.Pointer[[]string]
+}
+
+// stopFollowing makes the process not follow the versions for a while, as when it cannot reach the store.
+func (p *process) stopFollowing(d time.Duration) {
+	p.stoppedUntil.Store(time.Now().Add(d).UnixNano())
+}
+
+// start starts a process of a host that follows the versions of the pool p as the function returns them.
+func start(t *testing.T, table Table, name string, first bool, versions func() []string) *process {
+	t.Helper()
+	h := origin.NewHistory()
+	sinceBoot := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	reached := &processTable{
+		Table: table,
+	}
+	p := &process{
+		Backup:  New(common.NewQuietDeps(name, "d"), reached, h, sinceBoot, func() bool { return first }),
+		history: h,
+		kill: func() {
+			reached.killed.Store(true)
+			cancel()
+			wg.Wait()
+			// A read in progress goes on for a moment.
+			time.Sleep(2 * callTime)
+		},
+	}
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			if time.Now().UnixNano() >= p.stoppedUntil.Load() {
+				seen := versions()
+				h.Sync(time.Now(), upstreams(seen))
+				h.Confirm(time.Now())
+				p.known.Store(&seen)
+			}
+			common.Sleep(ctx, 100*time.Millisecond)
+		}
+	})
+	wg.Go(func() { _ = p.Run(ctx, func() {}) })
+	return p
+}
+
+func upstreams(versions []string) []route.Upstream {
+	var out []route.Upstream
+	for _, v := range versions {
+		out = append(out, route.Upstream{
+			Pool:    "p",
+			Version: v,
+		})
+	}
+	return out
+}
+
+func originAt(version string) origin.Origin {
+	return origin.Origin{
+		Pool:     "p",
+		Version:  version,
+		Upstream: route.Incarnation{Name: "u", Addr: "10.0.0.1:1"},
+		SentAt:   time.Now(),
+	}
+}
--- a/internal/root/relay/flow/resume.go
+++ b/internal/root/relay/flow/resume.go
@@ -20,8 +20,8 @@
 
 // Origins knows at which software version streams began, over all hosts. A stream may continue only at the version that began it, as what two versions write does not fit together.
 type Origins interface {
-	// Record remembers where a stream began, for as long as its caller may resume it.
-	Record(k origin.Key, o origin.Origin, keep time.Duration)
+	// Record remembers where a stream began, for as long as its caller may resume it. lifetime is the longest time of a stream of its route.
+	Record(k origin.Key, o origin.Origin, keep, lifetime time.Duration)
 	// Find returns where a stream began, or false if that can't be learned. pool and lifetime are the pool and the longest time of a stream of its route.
 	Find(ctx context.Context, k origin.Key, pool string, lifetime time.Duration) (origin.Origin, bool)
 }
@@ -82,7 +82,7 @@
 		x.origin.SentAt = sentAt
 	}
 	if x.route.Resumable && x.origin.Known() {
-		x.Origins.Record(x.originKey, x.origin, x.keepOrigin())
+		x.Origins.Record(x.originKey, x.origin, x.keepOrigin(), x.streamLifetime())
 	}
 }
 
--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -23,15 +23,22 @@
 	originAsked      = originCopies + 1
 	originLocalAsked = originLocalCopies + 1
 	originAskedLater = 6
+	// backupWriterRank is the key by which the hosts of a failure domain are ranked for writing to the store.
+	backupWriterRank = "backup/streams"
+	// maxOriginCopies is how many origins one message holds.
+	maxOriginCopies = 500
 	// originTimeout is the timeout of a question for an origin, and originCopyTimeout that of the message with a copy.
 	originTimeout     = 250 * time.Millisecond
 	originCopyTimeout = time.Second
+	// originStoreTimeout is the timeout for reading an origin from the store.
+	originStoreTimeout = 300 * time.Millisecond
 )
 
 // Paths of the messages about the origins of streams.
 const (
-	pathOriginCopy = "/origin/copy"
-	pathOrigin     = "/origin"
+	pathOriginCopy   = "/origin/copy"
+	pathOriginBackup = "/origin/backup"
+	pathOrigin       = "/origin"
 )
 
 // errInvalidOriginAge is returned for an origin with a negative age, or one that is to be kept for a negative time.
@@ -82,21 +89,31 @@
 	Sole *origin.Sole `json:"sole,omitempty"`
 }
 
-// Origins knows where streams began, over all hosts. Each stream's origin is kept by the host that began it and by a few others, the first in the ranking for the stream.
+// OriginBackup keeps origins in the platform's store.
+type OriginBackup interface {
+	// Save writes soon where a stream began, which its caller may resume for the given time.
+	Save(k origin.Key, o origin.Origin, keep time.Duration)
+	// Find returns where a stream began, or false if the store does not hold it.
+	Find(ctx context.Context, k origin.Key) (origin.Origin, bool)
+}
+
+// Origins knows where streams began, over all hosts. Each stream's origin is kept by the host that began it and by a few others, the first in the ranking for the stream. While a pool has several versions, or had them as long ago as a stream lasts, one host of each failure domain also writes them to the store, in case all hosts are lost.
 type Origins struct {
 	common.Deps
 	peers   *Peers
 	ledger  *origin.Ledger
 	history *origin.History
+	backup  OriginBackup
 }
 
 // NewOrigins returns the origins that this host knows, which are shared with other hosts through peers. It must be called before peers runs.
-func NewOrigins(deps common.Deps, peers *Peers, history *origin.History) *Origins {
+func NewOrigins(deps common.Deps, peers *Peers, history *origin.History, backup OriginBackup) *Origins {
 	o := &Origins{
 		Deps:    deps.WithPart("origins"),
 		peers:   peers,
 		ledger:  origin.NewLedger(),
 		history: history,
+		backup:  backup,
 	}
 	peers.services = append(peers.services, o)
 	return o
@@ -109,19 +126,19 @@
 
 func (o *Origins) registerHandlers(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+pathOriginCopy, o.handleCopy)
+	mux.HandleFunc("POST "+pathOriginBackup, o.handleBackup)
 	mux.HandleFunc("POST "+pathOrigin, o.handleQuestion)
 }
 
-// Record remembers where a stream began, for as long as its caller may resume it, and tells a few other hosts.
-func (o *Origins) Record(k origin.Key, begun origin.Origin, keep time.Duration) {
+// Record remembers where a stream began, for as long as its caller may resume it, and tells a few other hosts. lifetime is the longest time of a stream of its route.
+func (o *Origins) Record(k origin.Key, begun origin.Origin, keep, lifetime time.Duration) {
 	now := o.Now()
-	o.ledger.Add(now, k, begun, keep)
-	m := originCopy{
+	o.ledger.AddOwn(now, k, begun, keep)
+	m := o.copyOf(now, origin.Entry{
 		Key:    k,
 		Origin: begun,
-		AgeMS:  max(0, now.Sub(begun.SentAt).Milliseconds()),
-		KeepMS: max(0, keep.Milliseconds()),
-	}
+		Keep:   keep,
+	})
 	for _, h := range spread(o.ranked(k), o.Domain, originCopies, originLocalCopies) {
 		go func() {
 			if err := o.peers.postWithin(originCopyTimeout, h, pathOriginCopy, m, nil); err != nil {
@@ -129,6 +146,51 @@
 			}
 		}()
 	}
+	if !o.history.Settled(now, begun.Pool, lifetime) {
+		o.save([]originCopy{m})
+	}
+}
+
+// SaveOwn has the origins of all streams in the pool that this host began written to the store.
+func (o *Origins) SaveOwn(pool string) {
+	now := o.Now()
+	for entries := range slices.Chunk(o.ledger.Own(now, pool), maxOriginCopies) {
+		copies := make([]originCopy, 0, len(entries))
+		for _, e := range entries {
+			copies = append(copies, o.copyOf(now, e))
+		}
+		o.save(copies)
+	}
+}
+
+// save has origins written to the store by the host that does so for this failure domain.
+func (o *Origins) save(copies []originCopy) {
+	writer := o.peers.roster.firstInDomain(backupWriterRank, o.Domain)
+	if writer.Name == o.Host {
+		o.writeToStore(copies)
+		return
+	}
+	go func() {
+		if err := o.peers.postWithin(originCopyTimeout, writer, pathOriginBackup, copies, nil); err != nil {
+			o.Log.WithError(err).WithField("host", writer.Name).Info("Failed to have origins of streams written to the store.")
+		}
+	}()
+}
+
+func (o *Origins) writeToStore(copies []originCopy) {
+	now := o.Now()
+	for _, m := range copies {
+		o.backup.Save(m.Key, m.origin(now), time.Duration(m.KeepMS)*time.Millisecond)
+	}
+}
+
+func (o *Origins) copyOf(now time.Time, e origin.Entry) originCopy {
+	return originCopy{
+		Key:    e.Key,
+		Origin: e.Origin,
+		AgeMS:  max(0, now.Sub(e.Origin.SentAt).Milliseconds()),
+		KeepMS: max(0, e.Keep.Milliseconds()),
+	}
 }
 
 // ranked returns the other hosts that are up, ranked for the stream.
@@ -154,41 +216,85 @@
 	return out
 }
 
-// Find returns where the stream began, according to this host or others. If none knows, the stream began at the version that all upstreams of the pool have had for at least the given lifetime of a stream. ok is false if there is no such version.
+// Find returns where the stream began, according to this host, to others or to the store. If none knows, the stream began at the version that all upstreams of the pool have had for at least the given lifetime of a stream, or had until just now. ok is false if there is no such version.
 func (o *Origins) Find(ctx context.Context, k origin.Key, pool string, lifetime time.Duration) (begun origin.Origin, ok bool) {
 	if known, found := o.ledger.Find(o.Now(), k); found {
 		return known, known.Known()
 	}
-	var sole []origin.Sole
-	if s, known := o.history.Sole(o.Now(), pool); known {
-		sole = append(sole, s)
+	asked := o.askOthers(ctx, originQuestion{
+		Key:  k,
+		Pool: pool,
+	})
+	if asked.found {
+		return asked.origin, asked.origin.Known()
+	}
+	if version := origin.AgreedVersion(o.withOwn(asked.soles, pool), lifetime); version != "" {
+		return atVersion(pool, version), true
+	}
+	ctx, cancel := context.WithTimeout(ctx, originStoreTimeout)
+	defer cancel()
+	if saved, found := o.backup.Find(ctx, k); found {
+		return saved, saved.Known()
+	}
+	// The store may just have told this host what earlier ones knew of the pool.
+	soles := o.withOwn(asked.soles, pool)
+	version := origin.AgreedVersion(soles, lifetime)
+	if version == "" && asked.complete {
+		version = origin.PreviousVersion(soles, lifetime)
+	}
+	return atVersion(pool, version), version != ""
+}
+
+// withOwn returns the statements of other hosts on a pool and that of this host, if it has one.
+func (o *Origins) withOwn(soles []origin.Sole, pool string) []origin.Sole {
+	s, known := o.history.Sole(o.Now(), pool)
+	if !known {
+		return soles
+	}
+	return append(slices.Clone(soles), s)
+}
+
+func atVersion(pool, version string) origin.Origin {
+	return origin.Origin{
+		Pool:    pool,
+		Version: version,
 	}
-	ranked := o.ranked(k)
+}
+
+// answersOfOthers is what other hosts have answered to a question.
+type answersOfOthers struct {
+	// found reports that a host knows the stream, whose origin is zero if it is not sure.
+	found  bool
+	origin origin.Origin
+	soles  []origin.Sole
+	// complete reports that all that were asked have answered and know the upstreams.
+	complete bool
+}
+
+// askOthers asks the hosts that may know a stream, and if none does, some more.
+func (o *Origins) askOthers(ctx context.Context, q originQuestion) answersOfOthers {
+	ranked := o.ranked(q.Key)
 	first := spread(ranked, o.Domain, originAsked, originLocalAsked)
 	later := slices.DeleteFunc(ranked, func(h Host) bool { return slices.Contains(first, h) })
 	later = later[:min(originAskedLater, len(later))]
+	var all answersOfOthers
 	for _, round := range [][]Host{first, later} {
-		answers := o.ask(ctx, round, originQuestion{
-			Key:  k,
-			Pool: pool,
-		})
-		for _, a := range answers {
-			if a.Conflicting {
-				return origin.Origin{}, false
-			}
-			if a.Copy != nil {
-				return a.Copy.origin(o.Now()), true
-			}
-			if a.Sole != nil {
-				sole = append(sole, *a.Sole)
+		for _, a := range o.ask(ctx, round, q) {
+			switch {
+			case a.Conflicting:
+				all.found = true
+				return all
+			case a.Copy != nil:
+				all.found = true
+				all.origin = a.Copy.origin(o.Now())
+				return all
+			case a.Sole != nil:
+				all.soles = append(all.soles, *a.Sole)
 			}
 		}
 	}
-	version := origin.AgreedVersion(sole, lifetime)
-	return origin.Origin{
-		Pool:    pool,
-		Version: version,
-	}, version != ""
+	all.complete = len(all.soles) == len(first)+len(later)
+	return all
 }
 
 // ask asks the hosts at the same time. It returns once one of them knows the stream, or all have answered or failed.
@@ -228,6 +334,13 @@
 	}
 }
 
+func (o *Origins) handleBackup(w http.ResponseWriter, r *http.Request) {
+	var copies []originCopy
+	if decodeBody(w, r, &copies) {
+		o.writeToStore(copies)
+	}
+}
+
 func (o *Origins) handleQuestion(w http.ResponseWriter, r *http.Request) {
 	var q originQuestion
 	if !decodeBody(w, r, &q) {
--- a/internal/root/relay/hosts/roster.go
+++ b/internal/root/relay/hosts/roster.go
@@ -259,7 +259,31 @@
 func (r *Roster) Owner(queue string) (Host, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	domain := batch.DomainOf(queue)
+	best := r.first(queue, batch.DomainOf(queue))
+	if best == nil {
+		return r.self, nil
+	}
+	return best.host, best.down
+}
+
+// IsFirst reports whether this host is the first in the ranking for the key. It is not until the table of hosts has been read.
+func (r *Roster) IsFirst(key string) bool {
+	return r.Loaded() && r.firstInDomain(key, "").Name == r.self.Name
+}
+
+// firstInDomain returns the first host in the ranking for the key that is up and not about to stop, in the failure domain if any host there is up. If there is none, it returns this host.
+func (r *Roster) firstInDomain(key, domain string) Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	best := r.first(key, domain)
+	if best == nil {
+		return r.self
+	}
+	return best.host
+}
+
+// first returns the first host in the ranking for the key, or nil if there is none. A host of the failure domain goes before all others, unless domain is "". The caller holds the lock.
+func (r *Roster) first(key, domain string) *hostState {
 	outside := func(s *hostState) bool { return domain != "" && s.host.Domain != domain }
 	var best *hostState
 	for _, s := range r.states {
@@ -269,14 +293,11 @@
 		switch {
 		case best == nil, outside(best) && !outside(s):
 			best = s
-		case outside(best) == outside(s) && compareForKey(queue, s, best) < 0:
+		case outside(best) == outside(s) && compareForKey(key, s, best) < 0:
 			best = s
 		}
 	}
-	if best == nil {
-		return r.self, nil
-	}
-	return best.host, best.down
+	return best
 }
 
 // LiveOthers returns the other hosts that are up.
--- a/internal/root/relay/origin/history_test.go
+++ b/internal/root/relay/origin/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,6 +86,125 @@
 	})
 }
 
+// Guards against a version that counts as the only one for longer than it was.
+func TestEarlierHostsAreBelievedOnlyWhereNothingCameBetween(t *testing.T) {
+	const long = time.Minute
+	now := time.Unix(1000, 0)
+	before := func(d time.Duration) time.Time { return now.Add(-d) }
+	earlier := func(version string, to time.Duration) Period {
+		return Period{Version: version, From: before(long), To: before(to)}
+	}
+	cases := []struct {
+		name string
+		// play feeds the history, which is asked at now.
+		play func(h *History)
+		want Sole
+	}{
+		{name: "the same version all along", want: Sole{Version: "v1", ForMS: long.Milliseconds()}, play: func(h *History) {
+			h.Sync(before(2*time.Second), upstreams("v1"))
+			h.AddEarlier("p", earlier("v1", 3*time.Second))
+		}},
+		{name: "told before the first reading", want: Sole{Version: "v1", ForMS: long.Milliseconds()}, play: func(h *History) {
+			h.AddEarlier("p", earlier("v1", 3*time.Second))
+			h.Sync(before(2*time.Second), upstreams("v1"))
+		}},
+		{name: "another version", want: Sole{Version: "v1", ForMS: 2000}, play: func(h *History) {
+			h.Sync(before(2*time.Second), upstreams("v1"))
+			h.AddEarlier("p", earlier("v2", 3*time.Second))
+		}},
+		{name: "several versions, which do not become one", want: Sole{Version: "v1", ForMS: 2000}, play: func(h *History) {
+			h.Sync(before(2*time.Second), upstreams("v1"))
+			h.AddEarlier("p", earlier("", 3*time.Second))
+		}},
+		{name: "nobody read for long", want: Sole{Version: "v1", ForMS: 2000}, play: func(h *History) {
+			h.Sync(before(2*time.Second), upstreams("v1"))
+			h.AddEarlier("p", earlier("v1", 3*time.Second+maxGap))
+		}},
+		{name: "this host saw the version change", want: Sole{Version: "v1", ForMS: 1000}, play: func(h *History) {
+			h.Sync(before(3*time.Second), upstreams("v1"))
+			h.Sync(before(2*time.Second), upstreams("v1", "v2"))
+			h.Sync(before(time.Second), upstreams("v1"))
+			h.AddEarlier("p", earlier("v1", 0))
+		}},
+		{name: "this host saw the version change, and then read nothing for a while", want: Sole{Version: "v1", ForMS: 500}, play: func(h *History) {
+			h.Confirm(before(9 * time.Second))
+			h.Sync(before(9*time.Second), upstreams("v1"))
+			h.Sync(before(8*time.Second), upstreams("v1", "v2"))
+			h.Sync(before(7*time.Second), upstreams("v1"))
+			h.Confirm(before(500 * time.Millisecond))
+			h.AddEarlier("p", earlier("v1", 8500*time.Millisecond))
+		}},
+		{name: "this host read nothing for a while", want: Sole{Version: "v1", ForMS: long.Milliseconds()}, play: func(h *History) {
+			h.Confirm(before(9 * time.Second))
+			h.Sync(before(9*time.Second), upstreams("v1"))
+			h.Confirm(before(500 * time.Millisecond))
+			h.AddEarlier("p", earlier("v1", time.Second))
+		}},
+	}
+	Convey("What earlier hosts knew", t, func() {
+		for _, c := range cases {
+			h := NewHistory()
+			c.play(h)
+			h.Confirm(now)
+			s, ok := h.Sole(now, "p")
+			So(ok, ShouldBeTrue)
+			So(fmt.Sprintf("%s: %+v", c.name, s), ShouldEqual, fmt.Sprintf("%s: %+v", c.name, c.want))
+		}
+	})
+}
+
+func TestPreviousVersionIsKnownOnlyToHostsThatSawTheNextOneCome(t *testing.T) {
+	Convey("Given a pool of one version, beside which a second comes", t, func() {
+		h := NewHistory()
+		now := time.Unix(100, 0)
+		h.Sync(now, upstreams("v1"))
+		h.Confirm(now)
+		now = now.Add(2 * time.Second)
+		So(h.Sync(now, upstreams("v1", "v2")), ShouldResemble, []string{"p"})
+		So(h.Sync(now, upstreams("v1", "v2", "v3")), ShouldBeEmpty)
+		h.Confirm(now)
+		s, _ := h.Sole(now, "p")
+		So(s, ShouldResemble, Sole{Previous: "v1", PreviousForMS: 2000})
+		So(h.Mixed(), ShouldBeTrue)
+		Convey("a host that starts then does not know it", func() {
+			h := NewHistory()
+			h.Sync(now, upstreams("v1", "v2"))
+			h.Confirm(now)
+			s, _ := h.Sole(now, "p")
+			So(s, ShouldResemble, Sole{})
+		})
+		Convey("nor does one that read nothing for long", func() {
+			now = now.Add(maxSilence + time.Second)
+			h.Confirm(now)
+			s, _ := h.Sole(now, "p")
+			So(s, ShouldResemble, Sole{})
+		})
+		Convey("nor once the first version has left", func() {
+			h.Sync(now, upstreams("v2"))
+			s, _ := h.Sole(now, "p")
+			So(s, ShouldResemble, Sole{Version: "v2"})
+			So(h.Mixed(), ShouldBeFalse)
+		})
+	})
+	cases := []struct {
+		name       string
+		statements []Sole
+		version    string
+	}{
+		{name: "no statement"},
+		{name: "seen by all", statements: []Sole{{Previous: "v1", PreviousForMS: 10}, {Previous: "v1", PreviousForMS: 1000}}, version: "v1"},
+		{name: "too short", statements: []Sole{{Previous: "v1", PreviousForMS: 999}}},
+		{name: "one has just started", statements: []Sole{{Previous: "v1", PreviousForMS: 1000}, {}}},
+		{name: "another version", statements: []Sole{{Previous: "v1", PreviousForMS: 1000}, {Previous: "v2", PreviousForMS: 1000}}},
+		{name: "one sees a single version", statements: []Sole{{Previous: "v1", PreviousForMS: 1000}, {Version: "v1", ForMS: 1000, Previous: "v1"}}},
+	}
+	Convey("Statements of hosts on the version before", t, func() {
+		for _, c := range cases {
+			So(c.name+": "+PreviousVersion(c.statements, time.Second), ShouldEqual, c.name+": "+c.version)
+		}
+	})
+}
+
 func TestSoleChecksItselfWhenDecoded(t *testing.T) {
 	Convey("A negative time is refused", t, func() {
 		var s Sole
--- a/internal/root/relay/origin/ledger.go
+++ b/internal/root/relay/origin/ledger.go
@@ -18,6 +18,16 @@
 	expires time.Time
 	// conflicting reports that the stream is said to have begun at two versions, so that neither is sure.
 	conflicting bool
+	// own reports that this host began the stream.
+	own bool
+}
+
+// Entry is a stream in a ledger.
+type Entry struct {
+	Key    Key
+	Origin Origin
+	// Keep is how long its origin is still remembered.
+	Keep time.Duration
 }
 
 // Ledger remembers where streams began. It is safe for concurrent use.
@@ -37,6 +47,33 @@
 
 // Add remembers where a stream began, for the given time. A second version for the same stream makes its origin unknown.
 func (l *Ledger) Add(now time.Time, k Key, o Origin, keep time.Duration) {
+	l.add(now, k, o, keep, false)
+}
+
+// AddOwn is Add for a stream that this host began.
+func (l *Ledger) AddOwn(now time.Time, k Key, o Origin, keep time.Duration) {
+	l.add(now, k, o, keep, true)
+}
+
+// Own returns the streams in the pool that this host began and whose origin is sure.
+func (l *Ledger) Own(now time.Time, pool string) []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Entry
+	for k, r := range l.records {
+		if !r.own || r.conflicting || r.origin.Pool != pool || !now.Before(r.expires) {
+			continue
+		}
+		out = append(out, Entry{
+			Key:    k,
+			Origin: r.origin,
+			Keep:   r.expires.Sub(now),
+		})
+	}
+	return out
+}
+
+func (l *Ledger) add(now time.Time, k Key, o Origin, keep time.Duration, own bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	expires := now.Add(min(keep, maxRetention))
@@ -45,10 +82,12 @@
 		l.insert(now, k, &record{
 			origin:  o,
 			expires: expires,
+			own:     own,
 		})
 		return
 	}
 	r.conflicting = r.conflicting || !r.origin.matches(o)
+	r.own = r.own || own
 	if expires.After(r.expires) {
 		r.expires = expires
 	}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/backup"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/flow"
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
@@ -41,6 +42,8 @@
 	// drainWaitShare and drainEndShare divide the termination grace period: a stopping host accepts requests for the first share of it and must have ended its requests by the second.
 	drainWaitShare = 0.36
 	drainEndShare  = 0.92
+	// backupRank is the key by which the hosts are ranked for the backups that one of them writes for all.
+	backupRank = "backup/versions"
 	// retryBudgetShare is the share of the configured retry budget that is used, as each host counts only its own retries.
 	retryBudgetShare = 0.85
 	// defaultServiceTime is the expected time of a request at an upstream that has served none yet.
@@ -61,6 +64,8 @@
 	ConfigKey      string
 	Upstreams      follow.Source
 	Hosts          HostTable
+	// Backups holds what must outlive all hosts.
+	Backups backup.Table
 	// Plan decodes a row of Configurations, and Upstream a row of Upstreams.
 	Plan        func(value []byte) (*plan.Plan, error)
 	Upstream    follow.DecodeUpstream
@@ -95,6 +100,7 @@
 	limits     *hosts.Limits
 	origins    *hosts.Origins
 	history    *origin.History
+	backup     *backup.Backup
 	dialer     *links.Dialer
 	tunnels    *hosts.Tunnels
 	flow       *flow.Service
@@ -138,7 +144,8 @@
 	r.crashes = hosts.NewCrashes(deps, r.peers, dialer.Reaches)
 	r.limits = hosts.NewLimits(deps, r.peers, r.applyLimit)
 	r.dispatcher.OnLimit(r.limits.Note)
-	r.origins = hosts.NewOrigins(deps, r.peers, r.history)
+	r.backup = backup.New(deps, a.Backups, r.history, grant.SinceBoot, func() bool { return r.roster.IsFirst(backupRank) })
+	r.origins = hosts.NewOrigins(deps, r.peers, r.history, r.backup)
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
 		Plans:         r.plans,
@@ -195,6 +202,7 @@
 			follow.WithOutage(r.upstreams.OutageStarted, r.upstreams.OutageEnded), follow.WithBatchPause(r.batchPause), restorePause),
 		follow.NewFeed(r.Deps, eras, "hosts", r.adapter.Hosts, r.roster, hostPollTimeout, follow.WithBatchPause(r.batchPause), restorePause),
 		r.peers,
+		r.backup,
 		super.Func{
 			Label: "presence",
 			Body:  r.register,
@@ -278,7 +286,7 @@
 			Expected: defaultServiceTime,
 		})
 	}
-	r.history.Sync(r.Now(), ups)
+	r.syncVersions(ups)
 	r.dialer.Sync(ups)
 	r.table.Sync(specs, ups, r.roster.Count())
 	r.dispatcher.Sync(p, ups)
@@ -286,3 +294,11 @@
 		r.synced.Store(true)
 	}
 }
+
+// syncVersions records the software versions of the upstreams. Where several serve now, it has the origins of the streams in progress written to the store.
+func (r *Relay) syncVersions(ups []route.Upstream) {
+	for _, pool := range r.history.Sync(r.Now(), ups) {
+		r.origins.SaveOwn(pool)
+	}
+	r.backup.Wake()
+}
--- a/internal/stand/rows/store.go
+++ b/internal/stand/rows/store.go
@@ -45,6 +45,8 @@
 	// calls counts the calls by path, and sentBytes the bytes of the bodies of all responses.
 	calls     map[string]int
 	sentBytes int
+	// writes counts the rows that were written or removed, by table.
+	writes map[string]int
 }
 
 // Copy is a copy of the rows of a store.
@@ -98,6 +100,7 @@
 		changed: make(chan struct{}),
 		start:   time.Now(),
 		calls:   map[string]int{},
+		writes:  map[string]int{},
 	}
 }
 
@@ -126,6 +129,13 @@
 	return s.calls[path]
 }
 
+// WritesTo returns how many rows of a table were written or removed.
+func (s *Store) WritesTo(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes[table]
+}
+
 // Put writes a row of the partition with the empty name unconditionally.
 func (s *Store) Put(table, key string, value []byte) {
 	s.PutIn(table, "", key, value)
@@ -194,12 +204,14 @@
 	}
 	s.ver++
 	for _, r := range tx.Puts {
+		s.writes[r.Table]++
 		r.Ver = s.ver
 		s.deleteLocked(r)
 		s.rows = append(s.rows, r)
 		s.history = append(s.history, r)
 	}
 	for _, r := range tx.Remove {
+		s.writes[r.Table]++
 		s.deleteLocked(r)
 		r.Ver = s.ver
 		r.Value = nil
