--- a/internal/root/crash/blame/crash.go
+++ b/internal/root/crash/blame/crash.go
@@ -100,6 +100,20 @@
 	return max(0, now.Sub(at).Milliseconds())
 }
 
+// WithAge returns the update as it reads when the given time has passed.
+func (u Update) WithAge(passed time.Duration) Update {
+	var out Update
+	for _, c := range u.Crashes {
+		c.AgeMS += passed.Milliseconds()
+		out.Crashes = append(out.Crashes, c)
+	}
+	for _, s := range u.Survivals {
+		s.AgeMS += passed.Milliseconds()
+		out.Survivals = append(out.Survivals, s)
+	}
+	return out
+}
+
 // Empty reports whether the update says nothing.
 func (u Update) Empty() bool {
 	return len(u.Crashes) == 0 && len(u.Survivals) == 0
--- a/internal/root/relay/backup/backup.go
+++ b/internal/root/relay/backup/backup.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/crash/blame"
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 )
@@ -60,8 +61,19 @@
 	// rowsWritten counts the rows with streams since this process started.
 	rowsWritten int
 
+	// onCrashes is called with what the store holds of crashes, each time that it is read.
+	onCrashes func(u blame.Update)
+
 	mu      sync.Mutex
 	pending []pendingStream
+	// crashes is what is to be written of crashes, or nil.
+	crashes *savedCrashes
+}
+
+// savedCrashes is what was known of crashes at a time.
+type savedCrashes struct {
+	evidence blame.Update
+	at       time.Time
 }
 
 // pendingStream is a stream that is to be written.
@@ -81,10 +93,27 @@
 		clock: clock{
 			sinceBoot: sinceBoot,
 		},
-		wake: make(chan struct{}, 1),
+		wake:      make(chan struct{}, 1),
+		onCrashes: func(blame.Update) {},
 	}
 }
 
+// OnCrashes sets the function that is called with what the store holds of crashes, each time that it is read. It must be called before Run.
+func (b *Backup) OnCrashes(f func(u blame.Update)) {
+	b.onCrashes = f
+}
+
+// SaveCrashes writes soon what crashes upstreams, in place of what was written before.
+func (b *Backup) SaveCrashes(u blame.Update) {
+	b.mu.Lock()
+	b.crashes = &savedCrashes{
+		evidence: u,
+		at:       b.Now(),
+	}
+	b.mu.Unlock()
+	b.Wake()
+}
+
 // Name returns the part's name in the supervision tree.
 func (b *Backup) Name() string {
 	return "backup"
@@ -120,6 +149,7 @@
 	for ctx.Err() == nil {
 		b.readFirst(ctx)
 		b.writeVersions(ctx)
+		b.writeCrashes(ctx)
 		if b.hasPending() {
 			common.Sleep(ctx, b.delay())
 			b.writeStreams(ctx)
@@ -215,6 +245,31 @@
 	b.writtenAt = now
 }
 
+// writeCrashes writes what is to be written of crashes. If that fails, it is tried again.
+func (b *Backup) writeCrashes(ctx context.Context) {
+	b.mu.Lock()
+	saved := b.crashes
+	b.mu.Unlock()
+	nowMS, known := b.clock.now()
+	if saved == nil || !known {
+		return
+	}
+	row := crashesRow{
+		AtMS:     nowMS - b.Now().Sub(saved.at).Milliseconds(),
+		Evidence: saved.evidence,
+	}
+	err := putJSON(ctx, b.table, crashesKey, row.fitting())
+	b.recordWrite(err)
+	if err != nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.crashes == saved {
+		b.crashes = nil
+	}
+}
+
 // writeStreams writes the streams that wait for it. Those that cannot be written wait on.
 func (b *Backup) writeStreams(ctx context.Context) {
 	nowMS, known := b.clock.now()
--- a/internal/root/relay/backup/reader.go
+++ b/internal/root/relay/backup/reader.go
@@ -108,7 +108,7 @@
 	close(current.done)
 }
 
-// decode returns the streams in the rows and the keys of the expired rows, and passes the versions on to the history. Rows that are not valid are ignored.
+// decode returns the streams in the rows and the keys of the expired rows, and passes on what they hold of versions and crashes. Rows that are not valid are ignored.
 func (b *Backup) decode(rows []follow.Row, nowMS int64) (streams *origin.Ledger, expired []string) {
 	streams = origin.NewLedger()
 	for _, row := range rows {
@@ -116,6 +116,8 @@
 		switch {
 		case row.Key == versionsKey:
 			err = b.decodeVersions(row.Value, nowMS)
+		case row.Key == crashesKey:
+			err = b.decodeCrashes(row.Value, nowMS)
 		case holdsStreams(row.Key):
 			var old bool
 			old, err = b.decodeStreams(row.Value, nowMS, streams)
@@ -150,6 +152,18 @@
 	return nil
 }
 
+func (b *Backup) decodeCrashes(value []byte, nowMS int64) error {
+	var row crashesRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		return fmt.Errorf("decode row: %w", err)
+	}
+	if row.AtMS > nowMS {
+		return fmt.Errorf("check row: %w", ErrInvalidRow)
+	}
+	b.onCrashes(row.Evidence.WithAge(time.Duration(nowMS-row.AtMS) * time.Millisecond))
+	return nil
+}
+
 // decodeStreams adds the streams of a row, and reports whether all of them have expired.
 func (b *Backup) decodeStreams(value []byte, nowMS int64, into *origin.Ledger) (expired bool, err error) {
 	var row streamsRow
--- a/internal/root/relay/backup/rows.go
+++ b/internal/root/relay/backup/rows.go
@@ -1,21 +1,27 @@
 package backup
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
 
+	"github.com/cornelwing/cornelwing/internal/root/crash/blame"
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 )
 
 const (
 	// versionsKey is the key of the row with the versions of all pools.
 	versionsKey = "versions"
+	// crashesKey is the key of the row with what crashes upstreams.
+	crashesKey = "crashes"
 	// streamsPrefix begins the keys of rows with streams.
 	streamsPrefix = "streams/"
-	// maxStreamsPerRow bounds the size of a row, of which the store takes 64 KiB.
+	// maxRowBytes is less than what the store takes, 64 KiB, and maxStreamsPerRow keeps rows with streams below it.
+	maxRowBytes      = 60 << 10
 	maxStreamsPerRow = 150
 )
 
@@ -88,6 +94,26 @@
 	return nil
 }
 
+// crashesRow is the row with what crashes upstreams at a time of the store's clock, in milliseconds.
+type crashesRow struct {
+	AtMS     int64        `json:"at_ms"`
+	Evidence blame.Update `json:"evidence"`
+}
+
+// fitting returns the row without its oldest crashes, as far as it would be too large for the store with them.
+func (r crashesRow) fitting() crashesRow {
+	for {
+		encoded, err := json.Marshal(r)
+		if err != nil || len(encoded) <= maxRowBytes || len(r.Evidence.Crashes) == 0 {
+			return r
+		}
+		kept := slices.SortedFunc(slices.Values(r.Evidence.Crashes), func(a, b blame.CrashRecord) int {
+			return cmp.Compare(a.AgeMS, b.AgeMS)
+		})
+		r.Evidence.Crashes = kept[:len(kept)/2]
+	}
+}
+
 // holdsStreams reports whether the row with the key holds streams.
 func holdsStreams(key string) bool {
 	return strings.HasPrefix(key, streamsPrefix)
--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -38,6 +38,8 @@
 	ledger *blame.Ledger
 	prober *crash.Prober
 	peers  *Peers
+	// save keeps what crashes upstreams in the platform's store.
+	save func(u blame.Update)
 	// background runs a function that sends messages to other hosts in a goroutine of its own.
 	background func(f func())
 	// assessing serializes assessments, so that each uses the answers to the survey of the one before.
@@ -61,6 +63,7 @@
 		ledger:     blame.NewLedger(),
 		prober:     crash.NewProber(reachable),
 		peers:      peers,
+		save:       func(blame.Update) {},
 		background: func(f func()) { go f() },
 		gathered:   map[string]*gatheredCrash{},
 	}
@@ -69,6 +72,17 @@
 	return c
 }
 
+// SaveWith sets what keeps in the platform's store what crashes upstreams. It must be called before peers runs.
+func (c *Crashes) SaveWith(save func(u blame.Update)) {
+	c.save = save
+}
+
+// Restore takes over what was known of crashes before all hosts were lost.
+func (c *Crashes) Restore(u blame.Update) {
+	c.ledger.Merge(c.Now(), u)
+	c.updateVerdict()
+}
+
 // Stats returns counts for the metrics.
 func (c *Crashes) Stats() blame.Stats {
 	return c.ledger.Stats()
@@ -182,6 +196,9 @@
 	}
 	c.updateVerdict()
 	if untold := c.ledger.TakeUntold(c.Now()); len(untold) > 0 {
+		if c.peers.roster.selfInTop(countersKey, 1) {
+			c.save(c.ledger.Evidence(c.Now(), c.ledger.Blocked()))
+		}
 		c.background(func() { c.notify(c.peers.roster.LiveOthers(), untold) })
 	}
 }
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -140,11 +140,13 @@
 	})
 	r.dispatcher.OnLeaving(r.upstreams.MarkLeaving)
 	r.dispatcher.OnReleased(r.peers.Release)
+	r.backup = backup.New(deps, a.Backups, r.history, grant.SinceBoot, func() bool { return r.roster.IsFirst(backupRank) })
 	r.tunnels = hosts.NewTunnels(deps, r.peers, dialer)
 	r.crashes = hosts.NewCrashes(deps, r.peers, dialer.Reaches)
+	r.crashes.SaveWith(r.backup.SaveCrashes)
+	r.backup.OnCrashes(r.crashes.Restore)
 	r.limits = hosts.NewLimits(deps, r.peers, r.applyLimit)
 	r.dispatcher.OnLimit(r.limits.Note)
-	r.backup = backup.New(deps, a.Backups, r.history, grant.SinceBoot, func() bool { return r.roster.IsFirst(backupRank) })
 	r.origins = hosts.NewOrigins(deps, r.peers, r.history, r.backup)
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
