--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -81,8 +81,11 @@
 	return soonest
 }
 
-// goesAfter reports whether a waiting job does not delay a new one. Less urgent ones do not; of the same rank, those that calls take later do not delay work with inputs, as earlier stages have been run for it. New work without inputs is expected to wait for all, so that it does not keep what was accepted before it from being done.
+// goesAfter reports whether a waiting job does not delay a new one. New requests do not delay resumed ones. Less urgent ones do not; of the same rank, those that calls take later do not delay work with inputs, as earlier stages have been run for it. New work without inputs is expected to wait for all, so that it does not keep what was accepted before it from being done.
 func (q *Queue) goesAfter(now time.Time, waiting, job *Job) bool {
+	if waiting.Resumed != job.Resumed {
+		return job.Resumed
+	}
 	if waiting.Rank != job.Rank {
 		return waiting.Rank > job.Rank
 	}
--- a/internal/root/relay/batch/load_test.go
+++ b/internal/root/relay/batch/load_test.go
@@ -194,6 +194,42 @@
 }
 
 // TestBacklogIsSharedWhenMostWorkersSeemSlow guards against a growing backlog when lost responses make most workers seem slow during a burst. The one healthy worker can't process the backlog alone, so the others must be used too.
+// Guards against streams that callers take up after a loss of hosts, all at once and with little time left, and whose stages wait behind all new work (rule LOST, day rejoined on a site with three stages before each stream).
+func TestResumedWorkIsServedAsOftenAsNewWorkWhenOverloaded(t *testing.T) {
+	const (
+		resumedRank = 8
+		newRank     = 1
+		herd        = 20
+	)
+	s := newSimulation(specOf(10), "a", "b", "a", "b", "a")
+	rng := rand.New(rand.NewPCG(5, 5))
+	n := 0
+	load := func(until time.Time) {
+		for s.nextArrival.Before(until) {
+			n++
+			s.arrive(rng, 4*time.Millisecond, workOf(fmt.Sprintf("new-%d", n), 1).withRank(newRank).withTime(600*time.Millisecond, 1500*time.Millisecond))
+		}
+	}
+	load(start.Add(5 * time.Second))
+	for i := range herd {
+		w := workOf(fmt.Sprintf("resumed-%d", i), 1).withRank(resumedRank).withTime(-time.Second, 900*time.Millisecond)
+		w.Resumed = true
+		s.arrivedAt[w.Request] = s.now
+		if _, refused := s.q.Add(s.now, w); refused != nil {
+			s.lost[resumedRank]++
+		}
+	}
+	load(start.Add(8 * time.Second))
+	s.advance(s.now.Add(5 * time.Second))
+	fresh, resumed := s.shareWithin(newRank, time.Hour), s.shareWithin(resumedRank, time.Hour)
+	if resumed < fresh {
+		t.Errorf("%.2f of the resumed work was completed, and %.2f of the new", resumed, fresh)
+	}
+	if late := s.shareWithin(resumedRank, 900*time.Millisecond); late < resumed {
+		t.Errorf("%.2f of the resumed work was completed, but only %.2f in time", resumed, late)
+	}
+}
+
 func TestBacklogIsSharedWhenMostWorkersSeemSlow(t *testing.T) {
 	Convey("Given four workers of five that seem three times as slow", t, func() {
 		q := NewQueue(specOf(12))
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -59,10 +59,11 @@
 	return out
 }
 
-// compare orders jobs: those that can be on time come first, then by rank, by whether their results are needed in the domain, and by the time left to be on time. Of equal ones the earlier comes first.
+// compare orders jobs: those of resumed requests come first, then those that can be on time, then by rank, by whether their results are needed in the domain, and by the time left to be on time. Of equal ones the earlier comes first.
 func (q *Queue) compare(now time.Time, domain string, a, b *Job) int {
 	late := func(j *Job) bool { return now.Add(q.callTime(j.Work)).After(j.softDeadline) }
 	return cmp.Or(
+		common.CompareBool(!a.Resumed, !b.Resumed),
 		common.CompareBool(late(a), late(b)),
 		cmp.Compare(a.Rank, b.Rank),
 		common.CompareBool(a.Domain != domain, b.Domain != domain),
--- a/internal/root/relay/batch/work.go
+++ b/internal/root/relay/batch/work.go
@@ -33,6 +33,8 @@
 	ResultBytes int64 `json:"bytes"`
 	// Rank is the urgency of the work; 0 is the most urgent.
 	Rank int `json:"rank"`
+	// Resumed reports that the caller has got a part of the answer already. Such work goes first, as it has little time left and what was done for it would be lost.
+	Resumed bool `json:"resumed,omitempty"`
 	// Domain is the failure domain in which the work should run: the one that holds its inputs if they are large, otherwise the one in which the results are needed.
 	Domain string `json:"domain,omitempty"`
 	// TransferBytes is how many bytes of inputs or results cross from one failure domain to another if the worker is outside Domain.
--- a/internal/root/relay/flow/resume.go
+++ b/internal/root/relay/flow/resume.go
@@ -31,6 +31,11 @@
 	return x.route.Kind == plan.Stream && x.route.Resumable && x.requestHead.LastEvent != ""
 }
 
+// hasKnownBeginning reports whether the caller resumes a stream that a host is known to have begun, and does not only say so.
+func (x *exchange) hasKnownBeginning() bool {
+	return x.resumes() && x.origin.Upstream.Name != ""
+}
+
 // findOrigin finds out where the stream began that the caller resumes. It sends an error response and returns false if that can't be learned.
 func (x *exchange) findOrigin() bool {
 	if !x.resumes() {
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -204,6 +204,7 @@
 		ResultBytes: s.ResultBytes,
 		Rank:        g.rank(),
 		Domain:      g.preferredDomain,
+		Resumed:     g.hasKnownBeginning(),
 		SoftTimeout: g.arrived.Add(g.route.Objective).Sub(now) - laterStagesTime - onTimeEngineTime,
 		HardTimeout: g.deadline.Sub(now) - laterStagesTime - minEngineTime,
 	}
@@ -293,10 +294,13 @@
 	return left, ok
 }
 
-// laterStagesTime returns the expected time of the longest chain of stages that depend on a stage. The time of each stage is its average time, or the expected time of one call if that is longer.
+// laterStagesTime returns the expected time of the longest chain of stages that depend on a stage. The time of each stage is its average time, or the expected time of one call if that is longer. The work of a resumed request waits behind no other, so its stages take one call each.
 func (g *stageGraph) laterStagesTime(i int) time.Duration {
 	return g.longestChain(i, func(j int) time.Duration {
 		pool := g.route.Stages[j].Pool
+		if g.hasKnownBeginning() {
+			return g.expectedCallTime(pool)
+		}
 		return max(g.expectedCallTime(pool), g.stageTimes.average(pool, j, 0))
 	})
 }
