--- a/internal/root/crash/blame/evidence.go
+++ b/internal/root/crash/blame/evidence.go
@@ -21,11 +21,15 @@
 type Evidence struct {
 	crashes   []Crash
 	survivals survivals
+	// alive holds the last time at which each start of an upstream that was thought to have crashed is known to have been running.
+	alive map[string]time.Time
 }
 
 // NewEvidence returns empty evidence.
 func NewEvidence() *Evidence {
-	return &Evidence{}
+	return &Evidence{
+		alive: map[string]time.Time{},
+	}
 }
 
 // Merge adds what another host tells, and reports whether anything in it was new.
@@ -84,6 +88,47 @@
 	return changed
 }
 
+// AddAlive records that the start of an upstream was running at the given time, so that it had not crashed before. It reports whether a crash counts no longer.
+func (e *Evidence) AddAlive(upstream string, at time.Time) bool {
+	changed := false
+	for _, c := range e.crashes {
+		if c.Upstream == upstream && !c.At.After(at) && !e.refuted(c) {
+			changed = true
+		}
+	}
+	if changed {
+		e.alive[upstream] = at
+	}
+	e.forgetAlive()
+	return changed
+}
+
+// forgetAlive forgets the starts of which no crash is remembered.
+func (e *Evidence) forgetAlive() {
+	for upstream := range e.alive {
+		if !slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.Upstream == upstream }) {
+			delete(e.alive, upstream)
+		}
+	}
+}
+
+// refuted reports whether the upstream is known to have run on after the crash.
+func (e *Evidence) refuted(c Crash) bool {
+	at, ok := e.alive[c.Upstream]
+	return ok && !c.At.After(at)
+}
+
+// Unrefuted returns the crashes after the given time of starts of upstreams that are not known to have run on.
+func (e *Evidence) Unrefuted(since time.Time) []Crash {
+	var out []Crash
+	for _, c := range e.crashes {
+		if c.At.After(since) && !e.refuted(c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // AddSurvival records a survival, and reports whether it is later than the one that was known.
 func (e *Evidence) AddSurvival(s Survival) bool {
 	return e.survivals.add(s)
@@ -124,8 +169,11 @@
 	return out
 }
 
-// counts reports whether the crash counts against a fingerprint that one of its requests has: no upstream has survived it since.
+// counts reports whether the crash counts against a fingerprint that one of its requests has: the upstream did crash, and none has survived the fingerprint since.
 func (e *Evidence) counts(c Crash, f crash.Fingerprint) bool {
+	if e.refuted(c) {
+		return false
+	}
 	at, ok := e.survivals.last(f)
 	return !ok || c.At.After(at)
 }
--- a/internal/root/crash/blame/ledger.go
+++ b/internal/root/crash/blame/ledger.go
@@ -58,6 +58,20 @@
 	l.evidence.Merge(now, u)
 }
 
+// Unrefuted returns the crashes after the given time of starts of upstreams that are not known to have run on.
+func (l *Ledger) Unrefuted(since time.Time) []Crash {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.evidence.Unrefuted(since)
+}
+
+// AddAlive records that the start of an upstream was running at the given time, and reports whether a crash counts no longer. It changes the verdict only with the next Assess.
+func (l *Ledger) AddAlive(upstream string, at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.evidence.AddAlive(upstream, at)
+}
+
 // Survived records that an upstream survived the request. It returns the survivals that other hosts want to know, each at most once per interval.
 func (l *Ledger) Survived(now time.Time, r Request, interval time.Duration) []Survival {
 	l.mu.Lock()
--- a/internal/root/crash/blame/storm_test.go
+++ b/internal/root/crash/blame/storm_test.go
@@ -28,6 +28,15 @@
 	ends    time.Time
 }
 
+// refutedWithin is the time within which it turns out that an upstream ran on that was thought to have crashed.
+const refutedWithin = 6 * time.Second
+
+// suspectedStart is a start of an upstream that is thought to have crashed.
+type suspectedStart struct {
+	upstream string
+	refuteAt time.Time
+}
+
 // storm plays requests with a crashing part beside sound ones, and crashes for other reasons, against one ledger.
 type storm struct {
 	rng    *rand.Rand
@@ -38,6 +47,12 @@
 	starts int
 	own    crash.Fingerprint
 
+	// lostLinks holds when the links to all upstreams are lost, and suspected the starts that are then thought to have crashed, by when it turns out that they ran on.
+	lostLinks []time.Time
+	suspected []suspectedStart
+	// refusedSince counts the sound requests that were refused from refutedWithin after the last loss of links on, of all since then.
+	refusedSince [2]int
+
 	badCrashes []time.Time
 	badSends   []time.Time
 	// soundBefore and soundAfter count sound requests before the storm, and from twice stableWindow after the fifth crash on: all, and those refused.
@@ -99,6 +114,40 @@
 	s.ledger.Assess(s.now)
 }
 
+// freshPart returns a part that is new after each loss of links, so that no upstream has survived it as the links are lost.
+func (s *storm) freshPart() crash.Fingerprint {
+	lost := 0
+	for _, at := range s.lostLinks {
+		if s.now.Sub(at) > -200*time.Millisecond {
+			lost++
+		}
+	}
+	return crash.Fingerprint(5000 + lost)
+}
+
+// loseLinks breaks all requests at all upstreams, which run on and are taken for crashed.
+func (s *storm) loseLinks() {
+	for u := range s.runs {
+		s.crash(u)
+		s.suspected = append(s.suspected, suspectedStart{
+			upstream: fmt.Sprintf("u%d/%d", u, s.starts),
+			refuteAt: s.now.Add(refutedWithin - time.Duration(s.rng.IntN(2000))*time.Millisecond),
+		})
+	}
+}
+
+// refute withdraws the crashes of upstreams that turn out to have run on.
+func (s *storm) refute() {
+	for i := 0; i < len(s.suspected); i++ {
+		if x := s.suspected[i]; !s.now.Before(x.refuteAt) {
+			s.ledger.AddAlive(x.upstream, x.refuteAt)
+			s.ledger.Assess(s.now)
+			s.suspected = append(s.suspected[:i], s.suspected[i+1:]...)
+			i--
+		}
+	}
+}
+
 // step ends what is due at each upstream.
 func (s *storm) step() {
 	for u := range s.runs {
@@ -123,6 +172,12 @@
 
 // countSound adds a sound request to the phase that it belongs to.
 func (s *storm) countSound(sent bool) {
+	if n := len(s.lostLinks); n > 0 && s.now.Sub(s.lostLinks[n-1]) > refutedWithin {
+		s.refusedSince[0]++
+		if !sent {
+			s.refusedSince[1]++
+		}
+	}
 	phase := &s.soundBefore
 	if len(s.badSends) > 0 {
 		if len(s.badCrashes) == 0 || s.now.Sub(s.badCrashes[min(len(s.badCrashes), 5)-1]) < 2*stableWindow {
@@ -140,6 +195,12 @@
 	domainCrash := start.Add(time.Duration(s.rng.IntN(int(stormEnd))))
 	for s.now = start; s.now.Before(start.Add(stormEnd)); s.now = s.now.Add(stormTick) {
 		s.step()
+		s.refute()
+		for _, at := range s.lostLinks {
+			if !s.now.Before(at) && s.now.Sub(at) < stormTick {
+				s.loseLinks()
+			}
+		}
 		if !s.now.Before(domainCrash) && s.now.Sub(domainCrash) < stormTick {
 			for u := range stormUpstreams / 3 {
 				s.crash(u)
@@ -147,6 +208,9 @@
 		}
 		if s.rng.Float64() < 60*stormTick.Seconds() {
 			first := crash.Fingerprint(100 + min(s.rng.IntN(20), s.rng.IntN(20)))
+			if len(s.lostLinks) > 0 && s.rng.IntN(3) == 0 {
+				first = s.freshPart()
+			}
 			s.countSound(s.send(s.request(first, crash.Fingerprint(1000+s.rng.IntN(400))), true))
 		}
 		if s.now.Sub(start) > 5*time.Second && s.rng.Float64() < badPerSecond*stormTick.Seconds() {
@@ -196,3 +260,38 @@
 	}
 	t.Logf("%d seeds: %.1f crashes a storm, at most %d late sends, %d of %d sound requests refused, %d before the storms", stormSeeds, float64(crashes)/stormSeeds, late, refused[1], refused[0], early)
 }
+
+// TestLostLinksBlockNothingForLong guards against sound requests that stay blocked since they ran as all hosts lost their links several times, and against crashing parts that are sent more often because of that.
+func TestLostLinksBlockNothingForLong(t *testing.T) {
+	cases := []struct {
+		name         string
+		badPerSecond float64
+		// maxRefused is the share of the sound requests that may be refused once all losses of links have been found out.
+		maxRefused float64
+	}{
+		{name: "no crashing part", maxRefused: 0.01},
+		{name: "a crashing part", badPerSecond: 4, maxRefused: 0.5},
+	}
+	for _, c := range cases {
+		var refused [2]int
+		for seed := range uint64(stormSeeds) {
+			s := &storm{
+				rng:    rand.New(rand.NewPCG(seed, 12)),
+				ledger: NewLedger(),
+			}
+			for i := range 4 {
+				s.lostLinks = append(s.lostLinks, start.Add(time.Duration(6+5*i+s.rng.IntN(3))*time.Second))
+			}
+			s.play(c.badPerSecond)
+			refused[0] += s.refusedSince[0]
+			refused[1] += s.refusedSince[1]
+			if s.lateSends() > maxLateSends {
+				t.Errorf("%s, seed %d: %d requests with the part were sent late, %d crashes", c.name, seed, s.lateSends(), len(s.badCrashes))
+			}
+		}
+		if float64(refused[1]) > c.maxRefused*float64(refused[0]) {
+			t.Errorf("%s: %d of %d sound requests refused", c.name, refused[1], refused[0])
+		}
+		t.Logf("%s: %d of %d sound requests refused", c.name, refused[1], refused[0])
+	}
+}
--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -39,6 +39,9 @@
 	outage      bool
 	recoveredAt time.Time
 	loaded      bool
+	// confirmedAt is the start of the last successful call for changes, and loadedAt when the table was first read.
+	confirmedAt time.Time
+	loadedAt    time.Time
 }
 
 // NewUpstreams returns an empty view that calls changed after each change. forget is the time after which nothing may be sent to a removed upstream.
@@ -62,7 +65,7 @@
 		m.applyRow(r)
 	}
 	m.removeAbsent(rows)
-	m.loaded = true
+	m.setLoaded()
 	m.mu.Unlock()
 	m.changed()
 }
@@ -84,12 +87,41 @@
 		m.put(up)
 	}
 	m.removeAbsent(rows)
-	m.loaded = true
+	m.setLoaded()
 	m.Log.WithField("rows", len(rows)).WithField("outdated", outdated).WithField("retained", len(m.retainedUntil)).Info("Merged the upstreams of a restored table.")
 	m.mu.Unlock()
 	m.changed()
 }
 
+func (m *Upstreams) setLoaded() {
+	if !m.loaded {
+		m.loadedAt = m.Now()
+	}
+	m.loaded = true
+}
+
+// Confirm records that the rows were up to date at the given time.
+func (m *Upstreams) Confirm(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.confirmedAt = at
+}
+
+// RanAt returns a time at which the start of an upstream was running according to its row, which an upstream that ends loses within silence. ok is false if the upstream has no row of this start, or if the table was not readable for so long before that the row may be outdated.
+func (m *Upstreams) RanAt(name string, startedAtMS int64, silence time.Duration) (at time.Time, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	up, known := m.ups[name]
+	if !known || startedAtMS == 0 || up.StartedAtMS != startedAtMS || m.outage {
+		return time.Time{}, false
+	}
+	if _, retained := m.retainedUntil[name]; retained {
+		return time.Time{}, false
+	}
+	at = m.confirmedAt.Add(-silence)
+	return at, at.After(m.recoveredAt) && at.After(m.loadedAt)
+}
+
 // removeAbsent removes the upstreams that have none of the rows.
 func (m *Upstreams) removeAbsent(rows []Row) {
 	seen := make(map[string]bool, len(rows))
--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -150,7 +152,7 @@
 func (c *Crashes) gather(r blame.Request, up route.Upstream) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	key := fmt.Sprintf("%s/%d", up.Name, up.StartedAtMS)
+	key := formatStart(up)
 	g, ok := c.gathered[key]
 	if !ok {
 		g = &gatheredCrash{
@@ -169,6 +171,24 @@
 	return g.done
 }
 
+// startSeparator separates the name of an upstream from the time of its start.
+const startSeparator = "/"
+
+// formatStart returns the text that stands for the start of an upstream in reports.
+func formatStart(up route.Upstream) string {
+	return fmt.Sprintf("%s%s%d", up.Name, startSeparator, up.StartedAtMS)
+}
+
+// parseStart is the inverse of formatStart.
+func parseStart(text string) (name string, startedAtMS int64, ok bool) {
+	i := strings.LastIndex(text, startSeparator)
+	if i < 0 {
+		return "", 0, false
+	}
+	startedAtMS, err := strconv.ParseInt(text[i+len(startSeparator):], 10, 64)
+	return text[:i], startedAtMS, err == nil
+}
+
 func (c *Crashes) reportGathered(key string, g *gatheredCrash) {
 	defer close(g.done)
 	time.Sleep(gatherTime)
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -44,6 +44,9 @@
 	drainEndShare  = 0.92
 	// backupRank is the key by which the hosts are ranked for the backups that one of them writes for all.
 	backupRank = "backup/versions"
+	// missedHeartbeats is after how many heartbeats without a write the row of an upstream is removed, and heartbeatMargin how much later that may be.
+	missedHeartbeats = 3
+	heartbeatMargin  = 500 * time.Millisecond
 	// retryBudgetShare is the share of the configured retry budget that is used, as each host counts only its own retries.
 	retryBudgetShare = 0.85
 	// defaultServiceTime is the expected time of a request at an upstream that has served none yet.
@@ -97,6 +100,7 @@
 	roster     *hosts.Roster
 	peers      *hosts.Peers
 	crashes    *hosts.Crashes
+	refuter    *hosts.Refuter
 	limits     *hosts.Limits
 	origins    *hosts.Origins
 	history    *origin.History
@@ -143,6 +147,7 @@
 	r.backup = backup.New(deps, a.Backups, r.history, grant.SinceBoot, func() bool { return r.roster.IsFirst(backupRank) })
 	r.tunnels = hosts.NewTunnels(deps, r.peers, dialer)
 	r.crashes = hosts.NewCrashes(deps, r.peers, dialer.Reaches)
+	r.refuter = hosts.NewRefuter(deps, r.crashes, r.upstreamRanAt)
 	r.crashes.SaveWith(r.backup.SaveCrashes)
 	r.backup.OnCrashes(r.crashes.Restore)
 	r.limits = hosts.NewLimits(deps, r.peers, r.applyLimit)
@@ -205,6 +210,7 @@
 		follow.NewFeed(r.Deps, eras, "hosts", r.adapter.Hosts, r.roster, hostPollTimeout, follow.WithBatchPause(r.batchPause), restorePause),
 		r.peers,
 		r.backup,
+		r.refuter,
 		super.Func{
 			Label: "presence",
 			Body:  r.register,
@@ -262,7 +268,16 @@
 // startUpstreamsConfirmation records the time before a call for changes of the upstreams. The returned function records that the upstreams were up to date then.
 func (r *Relay) startUpstreamsConfirmation() func() {
 	requestedAt := r.Now()
-	return func() { r.history.Confirm(requestedAt) }
+	return func() {
+		r.history.Confirm(requestedAt)
+		r.upstreams.Confirm(requestedAt)
+	}
+}
+
+// upstreamRanAt returns a time at which the start of an upstream was running according to its row.
+func (r *Relay) upstreamRanAt(name string, startedAtMS int64) (time.Time, bool) {
+	silence := missedHeartbeats*r.settings.Upstreams.Heartbeat.D() + heartbeatMargin
+	return r.upstreams.RanAt(name, startedAtMS, silence)
 }
 
 // sync updates the routing table and the queues from the plan and the upstreams.
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -43,7 +43,8 @@
 
 // Upstreams holds the time limit within which changes of the upstreams must take effect.
 type Upstreams struct {
-	Forget config.Span `yaml:"forget" help:"time after which nothing may be sent to an upstream that has gone"`
+	Forget    config.Span `yaml:"forget" help:"time after which nothing may be sent to an upstream that has gone"`
+	Heartbeat config.Span `yaml:"heartbeat" help:"time between two writes of an upstream's row; after three without one the row is removed"`
 }
 
 // Stop holds the time limit of a graceful shutdown.
@@ -74,7 +75,8 @@
 			Power: 1,
 		},
 		Upstreams: Upstreams{
-			Forget: config.Span(2 * time.Second),
+			Forget:    config.Span(2 * time.Second),
+			Heartbeat: config.Span(1200 * time.Millisecond),
 		},
 		Objective: Objective{
 			Attainment: 0.95,
@@ -109,6 +111,7 @@
 	checkAddr(&c, "listen.metrics", s.Listen.Metrics)
 	checkAddr(&c, "store.address", s.Store.Address)
 	c.Require(s.Upstreams.Forget.D() >= 500*time.Millisecond, "upstreams.forget", "%s is less than 500ms", s.Upstreams.Forget)
+	c.Require(s.Upstreams.Heartbeat.D() >= 100*time.Millisecond, "upstreams.heartbeat", "%s is less than 100ms", s.Upstreams.Heartbeat)
 	c.Require(s.Stop.Grace.D() >= time.Second, "stop.grace", "%s is less than 1s", s.Stop.Grace)
 	c.Require(s.Keys.Revoke.D() >= time.Second, "keys.revoke", "%s is less than 1s", s.Keys.Revoke)
 	c.Require(s.Retry.Ratio >= 0, "retry.ratio", "%g is below 0", s.Retry.Ratio)
