--- a/internal/root/relay/backup/backup.go
+++ b/internal/root/relay/backup/backup.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"maps"
 	"sync"
 	"time"
 
@@ -70,19 +68,6 @@
 	crashes *savedCrashes
 }
 
-// savedCrashes is what was known of crashes at a time.
-type savedCrashes struct {
-	evidence blame.Update
-	at       time.Time
-}
-
-// pendingStream is a stream that is to be written.
-type pendingStream struct {
-	key    origin.Key
-	origin origin.Origin
-	until  time.Time
-}
-
 // New returns a backup in the table. What it reads about versions goes into history, and what it writes about them comes from there. sinceBoot returns the time since boot, including suspension; writesForAll reports whether this host makes the writes of which one for all hosts is enough.
 func New(deps common.Deps, table Table, history *origin.History, sinceBoot func() time.Duration, writesForAll func() bool) *Backup {
 	return &Backup{
@@ -98,42 +83,11 @@
 	}
 }
 
-// OnCrashes sets the function that is called with what the store holds of crashes, each time that it is read. It must be called before Run.
-func (b *Backup) OnCrashes(f func(u blame.Update)) {
-	b.onCrashes = f
-}
-
-// SaveCrashes writes soon what crashes upstreams, in place of what was written before.
-func (b *Backup) SaveCrashes(u blame.Update) {
-	b.mu.Lock()
-	b.crashes = &savedCrashes{
-		evidence: u,
-		at:       b.Now(),
-	}
-	b.mu.Unlock()
-	b.Wake()
-}
-
 // Name returns the part's name in the supervision tree.
 func (b *Backup) Name() string {
 	return "backup"
 }
 
-// Save writes soon where a stream began, which its caller may resume for the given time.
-func (b *Backup) Save(k origin.Key, o origin.Origin, keep time.Duration) {
-	b.mu.Lock()
-	b.pending = append(b.pending, pendingStream{
-		key:    k,
-		origin: o,
-		until:  b.Now().Add(keep),
-	})
-	if excess := len(b.pending) - maxPending; excess > 0 {
-		b.pending = b.pending[excess:]
-	}
-	b.mu.Unlock()
-	b.Wake()
-}
-
 // Wake makes Run check at once what is to be written.
 func (b *Backup) Wake() {
 	select {
@@ -184,20 +138,6 @@
 	}
 }
 
-func (b *Backup) hasPending() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.pending) > 0
-}
-
-// delay returns how long streams wait to be written together.
-func (b *Backup) delay() time.Duration {
-	if b.failing || !b.history.Mixed() {
-		return writeDelay
-	}
-	return mixedWriteDelay
-}
-
 // recordWrite logs the first of several failed writes, and the first success after them.
 func (b *Backup) recordWrite(err error) {
 	switch {
@@ -209,120 +149,6 @@
 	b.failing = err != nil
 }
 
-// writeVersions writes the versions of all pools, if that is up to this host and they have changed or were written long ago.
-func (b *Backup) writeVersions(ctx context.Context) {
-	nowMS, known := b.clock.now()
-	if !known || !b.writesForAll() {
-		b.written = nil
-		return
-	}
-	now := b.Now()
-	soles, age, ok := b.history.All(now)
-	if !ok || len(soles) == 0 {
-		return
-	}
-	versions := map[string]string{}
-	row := versionsRow{
-		AtMS:  nowMS - age.Milliseconds(),
-		Pools: map[string]poolVersion{},
-	}
-	for pool, s := range soles {
-		versions[pool] = s.Version
-		row.Pools[pool] = poolVersion{
-			Version: s.Version,
-			SinceMS: min(row.AtMS, nowMS-s.ForMS),
-		}
-	}
-	if b.written != nil && maps.Equal(versions, b.written) && now.Sub(b.writtenAt) < confirmInterval {
-		return
-	}
-	err := putJSON(ctx, b.table, versionsKey, row)
-	b.recordWrite(err)
-	if err != nil {
-		return
-	}
-	b.written = versions
-	b.writtenAt = now
-}
-
-// writeCrashes writes what is to be written of crashes. If that fails, it is tried again.
-func (b *Backup) writeCrashes(ctx context.Context) {
-	b.mu.Lock()
-	saved := b.crashes
-	b.mu.Unlock()
-	nowMS, known := b.clock.now()
-	if saved == nil || !known {
-		return
-	}
-	row := crashesRow{
-		AtMS:     nowMS - b.Now().Sub(saved.at).Milliseconds(),
-		Evidence: saved.evidence,
-	}
-	err := putJSON(ctx, b.table, crashesKey, row.fitting())
-	b.recordWrite(err)
-	if err != nil {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.crashes == saved {
-		b.crashes = nil
-	}
-}
-
-// writeStreams writes the streams that wait for it. Those that cannot be written wait on.
-func (b *Backup) writeStreams(ctx context.Context) {
-	nowMS, known := b.clock.now()
-	if !known {
-		return
-	}
-	for b.hasPending() {
-		part := b.takePending(maxStreamsPerRow)
-		b.rowsWritten++
-		key := fmt.Sprintf("%s%s/%d-%d", streamsPrefix, b.Host, nowMS, b.rowsWritten)
-		err := putJSON(ctx, b.table, key, b.rowOf(part, nowMS))
-		b.recordWrite(err)
-		if err != nil {
-			b.putBack(part)
-			return
-		}
-	}
-}
-
-// rowOf returns the row with the streams, at a time of the store's clock.
-func (b *Backup) rowOf(streams []pendingStream, nowMS int64) streamsRow {
-	now := b.Now()
-	var row streamsRow
-	for _, s := range streams {
-		sentMS := nowMS - now.Sub(s.origin.SentAt).Milliseconds()
-		row.Streams = append(row.Streams, streamRecord{
-			Key:     s.key,
-			Origin:  s.origin,
-			SentMS:  sentMS,
-			UntilMS: max(sentMS, nowMS+s.until.Sub(now).Milliseconds()),
-		})
-	}
-	return row
-}
-
-func (b *Backup) takePending(n int) []pendingStream {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	n = min(n, len(b.pending))
-	part := b.pending[:n:n]
-	b.pending = b.pending[n:]
-	return part
-}
-
-func (b *Backup) putBack(streams []pendingStream) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.pending = append(streams, b.pending...)
-	if excess := len(b.pending) - maxPending; excess > 0 {
-		b.pending = b.pending[excess:]
-	}
-}
-
 // clean removes the rows whose streams nobody may resume, if that is up to this host.
 func (b *Backup) clean(ctx context.Context) {
 	now := b.Now()
--- a/internal/root/relay/batch/load_test.go
+++ b/internal/root/relay/batch/load_test.go
@@ -193,7 +193,6 @@
 	})
 }
 
-// TestBacklogIsSharedWhenMostWorkersSeemSlow guards against a growing backlog when lost responses make most workers seem slow during a burst. The one healthy worker can't process the backlog alone, so the others must be used too.
 // Guards against streams that callers take up after a loss of hosts, all at once and with little time left, and whose stages wait behind all new work (rule LOST, day rejoined on a site with three stages before each stream).
 func TestResumedWorkIsServedAsOftenAsNewWorkWhenOverloaded(t *testing.T) {
 	const (
@@ -230,6 +229,7 @@
 	}
 }
 
+// TestBacklogIsSharedWhenMostWorkersSeemSlow guards against a growing backlog when lost responses make most workers seem slow during a burst. The one healthy worker can't process the backlog alone, so the others must be used too.
 func TestBacklogIsSharedWhenMostWorkersSeemSlow(t *testing.T) {
 	Convey("Given four workers of five that seem three times as slow", t, func() {
 		q := NewQueue(specOf(12))
--- a/internal/root/relay/flow/resume.go
+++ b/internal/root/relay/flow/resume.go
@@ -31,7 +31,7 @@
 	return x.route.Kind == plan.Stream && x.route.Resumable && x.requestHead.LastEvent != ""
 }
 
-// hasKnownBeginning reports whether the caller resumes a stream that a host is known to have begun, and does not only say so.
+// hasKnownBeginning reports whether the caller resumes a stream whose first upstream is on record. A caller that names an invented stream gets no priority.
 func (x *exchange) hasKnownBeginning() bool {
 	return x.resumes() && x.origin.Upstream.Name != ""
 }
--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -19,7 +19,7 @@
 	// originCopies is how many of the other hosts, by rank for the stream, keep the origin of a stream. One more does so in the failure domain of the host, in case that domain is cut off.
 	originCopies      = 3
 	originLocalCopies = 1
-	// originAsked and originLocalAsked are how many are asked first. They are more, as the host that began the stream is among those that another one asks. If none of them knows, the next originAskedLater are asked.
+	// originAsked and originLocalAsked are how many hosts are asked first: one more than hold copies, because the host that began the stream holds none of them but may rank first. If none of them knows, the next originAskedLater are asked.
 	originAsked      = originCopies + 1
 	originLocalAsked = originLocalCopies + 1
 	originAskedLater = 6
@@ -163,7 +163,7 @@
 	}
 }
 
-// save has origins written to the store by the host that does so for this failure domain.
+// save has origins written to the store by the one host that does so for this failure domain, so that the calls to the store do not grow with the hosts.
 func (o *Origins) save(copies []originCopy) {
 	writer := o.peers.roster.firstInDomain(backupWriterRank, o.Domain)
 	if writer.Name == o.Host {
