--- a/internal/root/relay/backup/reader.go
+++ b/internal/root/relay/backup/reader.go
@@ -11,8 +11,8 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 )
 
-// maxReadAge is how old a read may be for a stream that it does not hold. Streams are taken up long after they were written, but for the last ones before a loss of hosts.
-const maxReadAge = 250 * time.Millisecond
+// maxReadAge is how old a read may be for a stream that it does not hold. It is long because a read of the whole table fills the link of a small host for a while, and because a host that has just started has read all that hosts wrote before they were lost.
+const maxReadAge = 30 * time.Second
 
 // reader holds what the last read of the table returned. Concurrent callers share a read. Its zero value has read nothing.
 type reader struct {
