--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -267,7 +267,7 @@
 	found  bool
 	origin origin.Origin
 	soles  []origin.Sole
-	// complete reports that all that were asked have answered and know the upstreams.
+	// complete reports that all that were asked have answered and know the upstreams, and that no host is down, which could not be asked.
 	complete bool
 }
 
@@ -293,7 +293,7 @@
 			}
 		}
 	}
-	all.complete = len(all.soles) == len(first)+len(later)
+	all.complete = len(all.soles) == len(first)+len(later) && !o.peers.roster.anyDown()
 	return all
 }
 
--- a/internal/root/relay/hosts/roster.go
+++ b/internal/root/relay/hosts/roster.go
@@ -300,6 +300,18 @@
 	return best
 }
 
+// anyDown reports whether a known host is down.
+func (r *Roster) anyDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.states {
+		if s.down == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // LiveOthers returns the other hosts that are up.
 func (r *Roster) LiveOthers() []Host {
 	return r.withoutSelf(r.rankedLive("", math.MaxInt))
