--- a/internal/root/relay/backup/backup.go
+++ b/internal/root/relay/backup/backup.go
@@ -14,6 +14,8 @@
 const (
 	// checkInterval is the time between two checks of what is to be written.
 	checkInterval = time.Second
+	// maxFirstReadPause bounds the pause after a failed first read, which begins with checkInterval and doubles.
+	maxFirstReadPause = 30 * time.Second
 	// mixedWriteDelay is how long streams wait to be written together while a pool has several versions, and writeDelay the same once the others have left.
 	mixedWriteDelay = 100 * time.Millisecond
 	writeDelay      = time.Second
@@ -54,6 +56,9 @@
 	written   map[string]string
 	writtenAt time.Time
 	cleanedAt time.Time
+	// firstReadAt is when the first read is due, and firstReadPause the pause after it if it fails.
+	firstReadAt    time.Time
+	firstReadPause time.Duration
 	// failing reports that the last write failed.
 	failing bool
 	// rowsWritten counts the rows with streams since this process started.
@@ -117,14 +122,18 @@
 	return nil
 }
 
-// readFirst reads the table unless that has succeeded before.
+// readFirst reads the table unless that has succeeded before, or has failed just now.
 func (b *Backup) readFirst(ctx context.Context) {
-	if _, known := b.clock.now(); known {
+	if _, known := b.clock.now(); known || b.Now().Before(b.firstReadAt) {
 		return
 	}
-	if err := b.Refresh(ctx); err != nil && ctx.Err() == nil {
-		b.Log.WithError(err).Info("Failed to read what earlier hosts knew of streams and versions.")
+	err := b.Refresh(ctx)
+	if err == nil || ctx.Err() != nil {
+		return
 	}
+	b.firstReadPause = min(max(checkInterval, 2*b.firstReadPause), maxFirstReadPause)
+	b.firstReadAt = b.Now().Add(b.firstReadPause)
+	b.Log.WithError(err).WithField("pause_ms", b.firstReadPause.Milliseconds()).Info("Failed to read what earlier hosts knew of streams and versions.")
 }
 
 // wait waits until the next check is due, or Wake is called.
--- a/internal/root/relay/backup/backup_test.go
+++ b/internal/root/relay/backup/backup_test.go
@@ -17,6 +17,7 @@
 
 func twoVersions() []string { return []string{"v1", "v2"} }
 
+// Guards against streams that are lost with all hosts, or that are found after their time.
 func TestStreamsSavedByOneProcessAreFoundByTheNext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := newMemoryTable()
@@ -87,7 +88,7 @@
 	})
 }
 
-// Guards against reads of the whole table that fill the links of small hosts while callers take up streams of which nobody knows (day trouble-3 of 80 hosts, after all were killed).
+// Guards against reads of the whole table that fill the links of small hosts while callers take up streams of which nobody knows.
 func TestLookupsOfUnknownStreamsSeldomReadTheTable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := newMemoryTable()
@@ -108,6 +109,32 @@
 	})
 }
 
+// Guards against a host on a slow link that reads the whole table again and again because each read takes longer than a call may.
+func TestFailedFirstReadIsTriedAgainSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemoryTable()
+		table.setFailing(true)
+		p := start(t, table, "a", false, twoVersions)
+		const (
+			minutes  = 2
+			maxReads = 10
+		)
+		for k := range origin.Key(minutes * 600) {
+			p.Save(k, originAt("v1"), time.Minute)
+			time.Sleep(100 * time.Millisecond)
+		}
+		if got := table.counts().reads; got > maxReads {
+			t.Errorf("%d reads in %d minutes, at most %d expected", got, minutes, maxReads)
+		}
+		table.setFailing(false)
+		time.Sleep(maxFirstReadPause + time.Second)
+		if _, known := p.clock.now(); !known {
+			t.Error("the table was not read once it could be")
+		}
+		p.kill()
+	})
+}
+
 func TestLookupEndsWithItsContextWhileTheStoreIsSlow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := New(common.NewQuietDeps("a", "d"), slowTable{newMemoryTable()}, origin.NewHistory(), func() time.Duration { return 0 }, func() bool { return true })
--- a/internal/root/relay/backup/crashes_test.go
+++ b/internal/root/relay/backup/crashes_test.go
@@ -28,6 +28,7 @@
 	return blame.NewUpdate(now, list, []blame.Survival{{Fingerprint: 9, At: now.Add(-time.Minute)}})
 }
 
+// Guards against requests that crash upstreams anew after all hosts were lost.
 func TestCrashesSavedByOneProcessAreRestoredByTheNext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := newMemoryTable()
--- a/internal/root/relay/batch/load_test.go
+++ b/internal/root/relay/batch/load_test.go
@@ -193,7 +193,7 @@
 	})
 }
 
-// Guards against streams that callers take up after a loss of hosts, all at once and with little time left, and whose stages wait behind all new work (rule LOST, day rejoined on a site with three stages before each stream).
+// Guards against streams that callers take up after a loss of hosts, all at once and with little time left, and whose stages wait behind all new work (rule LOST).
 func TestResumedWorkIsServedAsOftenAsNewWorkWhenOverloaded(t *testing.T) {
 	const (
 		resumedRank = 8
--- a/internal/root/relay/hosts/origins_test.go
+++ b/internal/root/relay/hosts/origins_test.go
@@ -260,6 +260,7 @@
 	}
 }
 
+// Guards against writes to the store at rest, and against streams that are lost with all hosts while their version is in doubt.
 func TestOriginsAreWrittenToTheStoreOnlyWhileTheyAreInDoubt(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -290,6 +291,7 @@
 	}
 }
 
+// Guards against streams that began before a second version came and are lost with all hosts after it.
 func TestOriginsOfStreamsInProgressAreWrittenWhenASecondVersionComes(t *testing.T) {
 	Convey("Given more streams than a message holds, which hosts began while there was one version", t, func() {
 		c := newOriginCluster(t, 3)
--- a/internal/root/relay/hosts/refute_test.go
+++ b/internal/root/relay/hosts/refute_test.go
@@ -14,6 +14,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
+// Guards against requests that stay blocked for crashes that did not happen.
 func TestCrashesOfUpstreamsThatRanOnAreWithdrawn(t *testing.T) {
 	const part = crash.Fingerprint(7)
 	crashedAt := time.Now().Add(-10 * time.Second)
--- a/internal/root/relay/origin/history_test.go
+++ b/internal/root/relay/origin/history_test.go
@@ -153,6 +153,7 @@
 	})
 }
 
+// Guards against a stream that goes on at the version before, although hosts that started since may have begun it.
 func TestPreviousVersionIsKnownOnlyToHostsThatSawTheNextOneCome(t *testing.T) {
 	Convey("Given a pool of one version, beside which a second comes", t, func() {
 		h := NewHistory()
--- a/internal/stand/rows/listen.go
+++ b/internal/stand/rows/listen.go
@@ -209,7 +209,16 @@
 // sendRows responds with one page of the rows in the table and part that the query names.
 func (l *Listener) sendRows(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	rows, more, ver := l.store.readPage(q.Get("table"), q.Get("part"), q.Get("from"), maxPageRows)
+	limit := maxPageRows
+	if text := q.Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n <= 0 {
+			http.Error(w, "limit is a number above 0", http.StatusBadRequest)
+			return
+		}
+		limit = min(n, maxPageRows)
+	}
+	rows, more, ver := l.store.readPage(q.Get("table"), q.Get("part"), q.Get("from"), limit)
 	l.writeResponse(w, http.StatusOK, response{
 		Rows: l.mapped(rows),
 		More: more,
