--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -265,6 +265,9 @@
 			return fmt.Errorf("pass stream on: %w", err)
 		}
 		resp.Header.Del("Content-Length")
+		if ev.count == 1 {
+			x.Table.RecordAnswering(x.Now(), x.upstream.Name)
+		}
 		x.sendHead(resp)
 		x.freeAllResults()
 		if atEnd {
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -191,7 +191,7 @@
 	}
 }
 
-// pickCandidate selects an upstream that is not excluded, or an excluded one if no other is usable. For the rest of a stream it selects an ejected one before none. unlimited leaves out those that take a limited number of requests.
+// pickCandidate selects an upstream that is not excluded, or an excluded one if no other is usable, or one that is on trial. For the rest of a stream it selects an ejected one before none. unlimited leaves out those that take a limited number of requests.
 func (x *exchange) pickCandidate(unlimited bool) (route.Upstream, bool) {
 	q := route.Query{
 		Pool:         x.pool,
@@ -209,6 +209,11 @@
 		q.Exclude = nil
 		up, ok = x.Table.PickRandomlySeeded(x.Now(), q)
 	}
+	if !ok {
+		// Upstreams that are all on trial are better than none.
+		q.OnTrial = true
+		up, ok = x.Table.PickRandomlySeeded(x.Now(), q)
+	}
 	if !ok && q.Version != "" {
 		// Upstreams of another version are no alternative, so one that seems to be faulty is better than none.
 		q.Ejected = true
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -170,7 +170,7 @@
 	}
 	g.results[i] = results
 	g.finishedAt[i] = g.Now()
-	g.stageTimes.observe(s.Pool, i, g.finishedAt[i].Sub(startedAt))
+	g.stageTimes.observe(g.finishedAt[i], s.Pool, i, g.finishedAt[i].Sub(startedAt))
 	for _, a := range s.DependsOn {
 		switch {
 		case g.isSoleConsumer(i, a):
@@ -298,10 +298,11 @@
 func (g *stageGraph) laterStagesTime(i int) time.Duration {
 	return g.longestChain(i, func(j int) time.Duration {
 		pool := g.route.Stages[j].Pool
+		call := g.expectedCallTime(pool)
 		if g.hasKnownBeginning() {
-			return g.expectedCallTime(pool)
+			return call
 		}
-		return max(g.expectedCallTime(pool), g.stageTimes.average(pool, j, 0))
+		return max(call, g.stageTimes.average(g.Now(), pool, j, call))
 	})
 }
 
--- a/internal/root/relay/flow/stagetimes.go
+++ b/internal/root/relay/flow/stagetimes.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -8,6 +9,8 @@
 const (
 	// averageWeight is the weight of a new sample in the moving average of a stage's time.
 	averageWeight = 0.1
+	// stageTimeDecay is the time constant with which an average returns to the expected time of one call while no results come. What was slow may be fast again, and requests that are refused show nothing.
+	stageTimeDecay = 3 * time.Second
 	// startDelaySafety and startDelayMargin shorten the start delay of a stage, so that no other stage has to wait if this stage is slow. Its chain may take startDelaySafety times its expected time, plus startDelayMargin.
 	startDelaySafety = 1.5
 	startDelayMargin = 100 * time.Millisecond
@@ -22,38 +25,49 @@
 // stageTimes holds the average times of stages, from the submission of their work to its results. The zero value is empty.
 type stageTimes struct {
 	mu   sync.Mutex
-	took map[stageKey]time.Duration
+	took map[stageKey]stageTime
+}
+
+// stageTime is the moving average of the time of a stage, as of a time.
+type stageTime struct {
+	average time.Duration
+	at      time.Time
 }
 
 // observe adds the time of a completed stage to its average.
-func (s *stageTimes) observe(pool string, stage int, took time.Duration) {
+func (s *stageTimes) observe(now time.Time, pool string, stage int, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.took == nil {
-		s.took = map[stageKey]time.Duration{}
+		s.took = map[stageKey]stageTime{}
 	}
 	k := stageKey{
 		pool:  pool,
 		stage: stage,
 	}
-	previous, ok := s.took[k]
-	if !ok {
-		previous = took
+	previous := took
+	if t, ok := s.took[k]; ok {
+		previous = t.average
+	}
+	s.took[k] = stageTime{
+		average: previous + time.Duration(averageWeight*float64(took-previous)),
+		at:      now,
 	}
-	s.took[k] = previous + time.Duration(averageWeight*float64(took-previous))
 }
 
-// average returns the average time of a stage, or fallback if none was observed.
-func (s *stageTimes) average(pool string, stage int, fallback time.Duration) time.Duration {
+// average returns the average time of a stage, or fallback if none was observed. It returns to fallback while no results come.
+func (s *stageTimes) average(now time.Time, pool string, stage int, fallback time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if took, ok := s.took[stageKey{
+	t, ok := s.took[stageKey{
 		pool:  pool,
 		stage: stage,
-	}]; ok {
-		return took
+	}]
+	if !ok {
+		return fallback
 	}
-	return fallback
+	weight := math.Exp(-float64(now.Sub(t.at)) / float64(stageTimeDecay))
+	return fallback + time.Duration(weight*float64(t.average-fallback))
 }
 
 // startDelay returns how long to delay the start of a stage that depends on no other, so that its chain ends about when the longest chain ends. An earlier start would only make its results occupy memory at their worker for longer.
@@ -76,5 +90,5 @@
 // averageTime returns the average time of a stage, or the expected time of one call if none was observed.
 func (g *stageGraph) averageTime(i int) time.Duration {
 	pool := g.route.Stages[i].Pool
-	return g.stageTimes.average(pool, i, g.expectedCallTime(pool))
+	return g.stageTimes.average(g.Now(), pool, i, g.expectedCallTime(pool))
 }
