--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -126,16 +126,19 @@
 	return q.spec.Call + time.Duration(min(len(w.Pieces), max(1, q.spec.Batch)))*q.itemTime(w)
 }
 
-// Expire ends and returns the jobs that can no longer be finished in time, also because all workers are paused, and the results that they already have so that they can be freed. It ends only jobs whose remaining pieces all wait for a call.
+// Expire ends and returns the jobs that can no longer be finished in time, also because all workers are paused or not tried again before, and the results that they already have so that they can be freed. It ends only jobs whose remaining pieces all wait for a call.
 func (q *Queue) Expire(now time.Time) (ended []*Job, unused []string) {
 	earliest := now
 	returnsAt, paused := q.pauseEnd(now)
-	if paused {
+	switch {
+	case paused:
 		earliest = returnsAt
+	case len(q.running) == 0:
+		earliest = now.Add(q.nextTrialIn(now))
 	}
 	for _, j := range slices.Clone(q.jobs) {
 		if len(j.waiting) == j.remaining && earliest.Add(q.callTime(j.Work)).After(j.hardDeadline) {
-			after := minRetryAfter
+			after := max(minRetryAfter, earliest.Sub(now))
 			if paused {
 				after = q.returns.Next(now, returnsAt, q.returnSpacing(j.Work), j.Rank)
 			}
--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -11,7 +11,9 @@
 const (
 	// failureBackoff is how long a worker gets no calls after it failed one. It doubles with each further failure, up to maxBackoff.
 	failureBackoff = 300 * time.Millisecond
-	maxBackoff     = 3 * time.Second
+	maxBackoff     = 1200 * time.Millisecond
+	// failureMemory is how long after its backoff the failures of a worker keep work from being accepted for it. After that they tell little, and there may have been no work to try it with.
+	failureMemory = time.Second
 	// timeoutBackoff is how long a worker gets no calls after a call that timed out. It is short because the wait for the response was already a pause.
 	timeoutBackoff = 100 * time.Millisecond
 	// fullWindow is how long the assumed room of a worker is reduced after it unexpectedly ran out of room. The reduction shrinks to zero over this time.
@@ -56,12 +58,15 @@
 	return max(0, w.backoffUntil.Sub(now), w.pausedUntil.Sub(now), w.nextCall.Sub(now))
 }
 
-// expected reports whether new work may be accepted for the worker. One that has failed more than once in a row is tried with one call at a time, as nothing else shows that it works again.
+// expected reports whether new work may be accepted for the worker. One that has just failed more than once in a row is tried with one call at a time, as nothing else shows that it works again.
 func (w *worker) expected(now time.Time) bool {
 	if w.upstream.Leaving {
 		return false
 	}
-	return w.faultCount <= 1 || (w.calls == 0 && w.freeIn(now) == 0)
+	if w.faultCount <= 1 || now.Sub(w.backoffUntil) >= failureMemory {
+		return true
+	}
+	return w.calls == 0 && w.freeIn(now) == 0
 }
 
 // healthy reports whether the worker is not leaving, has no recent failures and works at about normal speed.
--- a/internal/root/route/entry.go
+++ b/internal/root/route/entry.go
@@ -72,6 +72,8 @@
 	// minEjection is the duration of the first ejection. Each further one without a success lasts twice as long, up to maxEjection.
 	minEjection = 500 * time.Millisecond
 	maxEjection = 15 * time.Second
+	// failureMemory is how long after its ejection an upstream gets one request at a time even if no other is usable. After that the ejection tells little, and there may have been no request to try it with.
+	failureMemory = time.Second
 	// slowStart is the time after a readmission during which an upstream counts with less than its full capacity.
 	slowStart = 5 * time.Second
 	// serviceWeight is the weight of a new sample in the moving average of the service time.
@@ -246,12 +248,17 @@
 
 func (e *entry) recordSuccess(now time.Time, took time.Duration, loadRatio float64) {
 	if e.ejections > 0 {
-		e.readmittedAt = now
+		e.readmit(now)
 	}
 	e.consecutiveFailures = 0
+	e.sample(now, time.Duration(float64(took)/max(1, loadRatio)))
+}
+
+// readmit ends the trial of an upstream that was ejected.
+func (e *entry) readmit(now time.Time) {
+	e.readmittedAt = now
 	e.ejections = 0
 	e.ejectedUntil = time.Time{}
-	e.sample(now, time.Duration(float64(took)/max(1, loadRatio)))
 }
 
 // sample adds a service time to the moving average. It restarts the average if the last sample is older than serviceTimeTTL.
--- a/internal/root/route/table.go
+++ b/internal/root/route/table.go
@@ -53,6 +53,8 @@
 	Version string
 	// Ejected includes upstreams that are ejected, for a request that no others can serve.
 	Ejected bool
+	// OnTrial includes upstreams that have served nothing since they were ejected and run a request now, if their ejection ended some time ago.
+	OnTrial bool
 	// Unlimited excludes the upstreams that take a limited number of requests.
 	Unlimited bool
 	// Allow, if set, reports whether the upstream may be chosen.
@@ -68,7 +70,7 @@
 	if q.Version != "" && e.up.Version != q.Version {
 		return false
 	}
-	if !e.usable(now, q.hosts) && !(q.Ejected && e.mayReturn(now, q.hosts)) {
+	if !e.usable(now, q.hosts) && !(q.includesEjected(now, e) && e.mayReturn(now, q.hosts)) {
 		return false
 	}
 	if (q.Unlimited && e.perSecond > 0) || slices.Contains(q.Exclude, e.up.Name) || (q.remote && e.up.Domain == q.PreferDomain) {
@@ -77,6 +79,11 @@
 	return q.Allow == nil || q.Allow(e.up.Name)
 }
 
+// includesEjected reports whether the query may choose the entry although it was ejected.
+func (q Query) includesEjected(now time.Time, e *entry) bool {
+	return q.Ejected || (q.OnTrial && now.Sub(e.ejectedUntil) >= failureMemory)
+}
+
 // Pressure compares the load of a pool with its capacity. It covers the upstreams that are neither leaving nor ejected.
 type Pressure struct {
 	Load  int
@@ -417,6 +424,15 @@
 	}
 }
 
+// RecordAnswering records that an upstream has begun to answer a request. An upstream on trial is then used as before its ejection, although the request may last for long.
+func (t *Table) RecordAnswering(now time.Time, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.byName[name]; ok && e.ejections > 0 && !e.isEjected(now) {
+		e.readmit(now)
+	}
+}
+
 // mayEject reports whether the entry may be ejected without exceeding maxEjectedShare. Leaving upstreams count as ejected.
 func (t *Table) mayEject(now time.Time, p *pool, e *entry) bool {
 	unavailable := 1
--- a/internal/root/route/table_test.go
+++ b/internal/root/route/table_test.go
@@ -231,3 +231,63 @@
 		table.Pressure(now, "p")
 	}
 }
+
+// Guards against requests that are refused after an outage of all upstreams of a pool, because each of them gets one request at a time until it has completed one (incident RECOVER).
+func TestUpstreamsOnTrialAfterAnOutageOfAPool(t *testing.T) {
+	const ups, slots = 2, 4
+	Convey("Given upstreams that were all ejected and each run the first request since then", t, func() {
+		table, list := newTable(ups, slots)
+		now, rng := time.Unix(1000, 0), newRand()
+		pick := func(q Query) (Upstream, bool) {
+			q.Pool = "p"
+			return table.Pick(now, rng, q)
+		}
+		tryEach := func() {
+			for range ups {
+				_, ok := pick(Query{})
+				So(ok, ShouldBeTrue)
+			}
+			_, ok := pick(Query{})
+			So(ok, ShouldBeFalse)
+		}
+		for _, u := range list {
+			table.Eject(now, u.Name)
+		}
+		Convey("just after the ejection no further request is sent to them", func() {
+			_, ok := pick(Query{OnTrial: true})
+			So(ok, ShouldBeFalse)
+			now = now.Add(minEjection)
+			tryEach()
+			_, ok = pick(Query{OnTrial: true})
+			So(ok, ShouldBeFalse)
+		})
+		Convey("some time after it further requests are sent to them, to the one with the lower load", func() {
+			now = now.Add(minEjection + failureMemory)
+			tryEach()
+			picked := map[string]int{}
+			for range ups * slots {
+				u, ok := pick(Query{OnTrial: true})
+				So(ok, ShouldBeTrue)
+				picked[u.Name]++
+			}
+			for _, u := range list {
+				So(picked[u.Name], ShouldBeBetweenOrEqual, slots-1, slots+1)
+			}
+		})
+		Convey("one that has begun to answer is used again before it has completed a request", func() {
+			now = now.Add(minEjection)
+			tryEach()
+			table.RecordAnswering(now, list[0].Name)
+			for range slots {
+				u, ok := pick(Query{})
+				So(ok, ShouldBeTrue)
+				So(u.Name, ShouldEqual, list[0].Name)
+			}
+		})
+		Convey("a late answer of an earlier request does not end the ejection", func() {
+			table.RecordAnswering(now, list[0].Name)
+			_, ok := pick(Query{})
+			So(ok, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/stand/rows/listen.go
+++ b/internal/stand/rows/listen.go
@@ -219,6 +219,9 @@
 		limit = min(n, maxPageRows)
 	}
 	rows, more, ver := l.store.readPage(q.Get("table"), q.Get("part"), q.Get("from"), limit)
+	if r.Context().Err() == nil {
+		l.store.countRead(q.Get("table"))
+	}
 	l.writeResponse(w, http.StatusOK, response{
 		Rows: l.mapped(rows),
 		More: more,
--- a/internal/stand/rows/store.go
+++ b/internal/stand/rows/store.go
@@ -47,7 +47,7 @@
 	sentBytes int
 	// writes counts the rows that were written or removed, by table.
 	writes map[string]int
-	// reads counts the pages that were read, by table.
+	// reads counts the pages that were sent, by table.
 	reads map[string]int
 }
 
@@ -71,6 +71,19 @@
 func (s *Store) Restore(c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.restoreLocked(c)
+}
+
+// RestoreInEra is Restore and SetEra at the same moment, so that no call sees one without the other.
+func (s *Store) RestoreInEra(c Copy, era string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+	s.restoreLocked(c)
+}
+
+// restoreLocked is Restore for a caller that holds the lock.
+func (s *Store) restoreLocked(c Copy) {
 	s.rows = slices.Clone(c.rows)
 	s.ver = c.ver
 	s.history = slices.DeleteFunc(s.history, func(r Row) bool { return r.Ver > c.ver })
@@ -139,13 +152,20 @@
 	return s.writes[table]
 }
 
-// ReadsOf returns how many pages of a table were read.
+// ReadsOf returns how many pages of a table were sent to clients that still waited for them.
 func (s *Store) ReadsOf(table string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.reads[table]
 }
 
+// countRead counts a page of a table that was sent.
+func (s *Store) countRead(table string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads[table]++
+}
+
 // Put writes a row of the partition with the empty name unconditionally.
 func (s *Store) Put(table, key string, value []byte) {
 	s.PutIn(table, "", key, value)
@@ -247,7 +267,6 @@
 func (s *Store) readPage(table, part, from string, limit int) (out []Row, more bool, ver int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reads[table]++
 	for _, r := range s.rows {
 		if r.Table == table && r.Part == part && r.Key >= from {
 			out = append(out, r)
