--- a/internal/root/relay/hosts/pick.go
+++ b/internal/root/relay/batch/pick.go
@@ -1,4 +1,4 @@
-package hosts
+package batch
 
 import (
 	"cmp"
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelwing/cornelwing/internal/common"
-	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 )
 
 const (
@@ -25,14 +24,14 @@
 	rank  int
 }
 
-// queuePicker chooses among the queues of a pool. Its zero value has recorded no refusals.
-type queuePicker struct {
+// Picker chooses among the queues of a pool. Its zero value has recorded no refusals. It is safe for concurrent use.
+type Picker struct {
 	mu        sync.Mutex
 	refusedAt map[refusal]time.Time
 }
 
-// recordRefusal records that a queue refused work of the rank.
-func (p *queuePicker) recordRefusal(now time.Time, s batch.Shard, rank int) {
+// RecordRefusal records that a queue refused work of the rank.
+func (p *Picker) RecordRefusal(now time.Time, s Shard, rank int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.refusedAt == nil {
@@ -50,7 +49,7 @@
 }
 
 // recentlyRefused reports whether the queue has just refused work that is as urgent or more urgent. The caller holds the lock.
-func (p *queuePicker) recentlyRefused(now time.Time, queue string, rank int) bool {
+func (p *Picker) recentlyRefused(now time.Time, queue string, rank int) bool {
 	for k, at := range p.refusedAt {
 		if k.queue == queue && k.rank <= rank && now.Sub(at) < refusalTTL {
 			return true
@@ -59,10 +58,10 @@
 	return false
 }
 
-// candidates returns the queues to send the work to, in order: queues that have not recently refused work of the same or a more urgent rank first, then the one in the domain where the results are needed, then the one in the host's own domain, then by hash of the request.
-func (p *queuePicker) candidates(now time.Time, w batch.Work, shards []batch.Shard, ownDomain string) []batch.Shard {
+// Candidates returns the queues to send the work to, in order: queues that have not recently refused work of the same or a more urgent rank first, then the one in the domain where the results are needed, then the one in the host's own domain, then by hash of the request.
+func (p *Picker) Candidates(now time.Time, w Work, shards []Shard, ownDomain string) []Shard {
 	if len(shards) == 0 {
-		return []batch.Shard{{Queue: w.Pool}}
+		return []Shard{{Queue: w.Pool}}
 	}
 	if len(shards) == 1 {
 		return shards
@@ -71,7 +70,7 @@
 	defer p.mu.Unlock()
 	out := slices.Clone(shards)
 	salt := xxhash.Sum64String(w.Request)
-	slices.SortFunc(out, func(a, b batch.Shard) int {
+	slices.SortFunc(out, func(a, b Shard) int {
 		return cmp.Or(
 			common.CompareBool(p.recentlyRefused(now, a.Queue, w.Rank), p.recentlyRefused(now, b.Queue, w.Rank)),
 			common.CompareBool(a.Domain != w.Domain, b.Domain != w.Domain),
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -14,6 +14,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/crash/blame"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/grant"
+	"github.com/cornelwing/cornelwing/internal/root/relay/graph"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
@@ -93,7 +94,7 @@
 	HostCount func() int
 
 	// stageTimes holds the average times of stages.
-	stageTimes stageTimes
+	stageTimes graph.Times
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -9,15 +9,11 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
+	"github.com/cornelwing/cornelwing/internal/root/relay/graph"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 )
 
 const (
-	// onTimeEngineTime is the time that the request itself needs after its stages for the response to be on time. minEngineTime is the least time with which the request itself can still be run.
-	onTimeEngineTime = 150 * time.Millisecond
-	minEngineTime    = 60 * time.Millisecond
-	// callTimeFactor is the time of a call with the usual number of pieces, as a multiple of the time of a call without its pieces.
-	callTimeFactor = 1.4
 	// localityBytes is the minimum size of results for which the work that needs them is sent to the failure domain that holds them.
 	localityBytes = 256 << 10
 	// promptTokenBytes is the number of result bytes whose transfer costs as much as processing one prompt token again.
@@ -39,7 +35,7 @@
 
 // runStages runs the stages that the request needs, unless their results are available. It returns false if it has ended the request.
 func (x *exchange) runStages(ctx context.Context) bool {
-	if x.stagesDone || !x.needsStages() {
+	if x.stagesDone || !x.graph().NeedsStages() {
 		return true
 	}
 	if x.stageRuns >= maxStageRuns {
@@ -71,13 +67,16 @@
 	return x.collectInputs(g)
 }
 
-func (x *exchange) needsStages() bool {
-	for i := range x.route.Stages {
-		if x.requestHead.pieceCount(i) > 0 {
-			return true
-		}
+// graph returns the request as the planning of its stages sees it.
+func (x *exchange) graph() *graph.Request {
+	return &graph.Request{
+		Plan:     x.plan,
+		Route:    x.route,
+		Pieces:   x.requestHead.Pieces,
+		Arrived:  x.arrived,
+		Deadline: x.deadline,
+		Resumed:  x.hasKnownBeginning(),
 	}
-	return false
 }
 
 func (x *exchange) collectInputs(g *stageGraph) bool {
@@ -147,7 +146,7 @@
 		<-g.done[a]
 	}
 	if len(s.DependsOn) == 0 {
-		common.Sleep(ctx, g.startDelay(i))
+		common.Sleep(ctx, g.graph().StartDelay(g.Now(), &g.stageTimes, i))
 	}
 	if ctx.Err() != nil {
 		return
@@ -170,10 +169,10 @@
 	}
 	g.results[i] = results
 	g.finishedAt[i] = g.Now()
-	g.stageTimes.observe(g.finishedAt[i], s.Pool, i, g.finishedAt[i].Sub(startedAt))
+	g.stageTimes.Observe(g.finishedAt[i], s.Pool, i, g.finishedAt[i].Sub(startedAt))
 	for _, a := range s.DependsOn {
 		switch {
-		case g.isSoleConsumer(i, a):
+		case g.graph().IsSoleConsumer(i, a):
 			// The work lists these inputs as no longer needed, so the host that runs the pieces frees them.
 			delete(g.freeFuncs, a)
 		case g.consumersDone(a):
@@ -185,7 +184,7 @@
 // consumersDone reports whether every stage that depends on stage a is done.
 func (g *stageGraph) consumersDone(a int) bool {
 	for j := range g.route.Stages {
-		if g.dependsOn(j, a) && g.requestHead.pieceCount(j) > 0 && len(g.results[j].Handles) == 0 {
+		if g.graph().DependsOn(j, a) && g.requestHead.pieceCount(j) > 0 && len(g.results[j].Handles) == 0 {
 			return false
 		}
 	}
@@ -196,7 +195,7 @@
 func (g *stageGraph) stageWork(i, n int) batch.Work {
 	s := g.route.Stages[i]
 	now := g.Now()
-	laterStagesTime := g.laterStagesTime(i)
+	soft, hard := g.graph().TimeLeft(now, &g.stageTimes, i)
 	w := batch.Work{
 		Pool:        s.Pool,
 		Request:     g.requestHead.ID,
@@ -205,8 +204,8 @@
 		Rank:        g.rank(),
 		Domain:      g.preferredDomain,
 		Resumed:     g.hasKnownBeginning(),
-		SoftTimeout: g.arrived.Add(g.route.Objective).Sub(now) - laterStagesTime - onTimeEngineTime,
-		HardTimeout: g.deadline.Sub(now) - laterStagesTime - minEngineTime,
+		SoftTimeout: soft,
+		HardTimeout: hard,
 	}
 	if len(s.DependsOn) == 0 {
 		w.Key = g.requestHead.PieceKey
@@ -246,7 +245,7 @@
 	defer g.mu.Unlock()
 	var out []batch.Released
 	for _, a := range g.route.Stages[i].DependsOn {
-		if len(g.results[a].Handles) > 0 && g.isSoleConsumer(i, a) {
+		if len(g.results[a].Handles) > 0 && g.graph().IsSoleConsumer(i, a) {
 			out = append(out, batch.Released{
 				Queue:   g.results[a].Queue,
 				Handles: g.results[a].Handles,
@@ -256,16 +255,6 @@
 	return out
 }
 
-// isSoleConsumer reports whether no stage other than the given one needs the results of the earlier one.
-func (g *stageGraph) isSoleConsumer(stage, earlier int) bool {
-	for j := range g.route.Stages {
-		if j != stage && g.dependsOn(j, earlier) && g.requestHead.pieceCount(j) > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 func (g *stageGraph) inputHandles(s plan.Stage) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -293,40 +282,3 @@
 	}
 	return left, ok
 }
-
-// laterStagesTime returns the expected time of the longest chain of stages that depend on a stage. The time of each stage is its average time, or the expected time of one call if that is longer. The work of a resumed request waits behind no other, so its stages take one call each.
-func (g *stageGraph) laterStagesTime(i int) time.Duration {
-	return g.longestChain(i, func(j int) time.Duration {
-		pool := g.route.Stages[j].Pool
-		call := g.expectedCallTime(pool)
-		if g.hasKnownBeginning() {
-			return call
-		}
-		return max(call, g.stageTimes.average(g.Now(), pool, j, call))
-	})
-}
-
-// longestChain returns the time of the longest chain of stages that depend on a stage, using timeOf for each of them.
-func (g *stageGraph) longestChain(i int, timeOf func(stage int) time.Duration) time.Duration {
-	var maxTime time.Duration
-	for j := i + 1; j < len(g.route.Stages); j++ {
-		if g.requestHead.pieceCount(j) > 0 && g.dependsOn(j, i) {
-			maxTime = max(maxTime, timeOf(j)+g.longestChain(j, timeOf))
-		}
-	}
-	return maxTime
-}
-
-// dependsOn reports whether a stage needs the results of the earlier one.
-func (g *stageGraph) dependsOn(stage, earlier int) bool {
-	return slices.Contains(g.route.Stages[stage].DependsOn, earlier)
-}
-
-// expectedCallTime returns the expected time of a call to a worker of the pool.
-func (g *stageGraph) expectedCallTime(pool string) time.Duration {
-	w := g.plan.Pools[pool].Worker
-	if w == nil {
-		return 0
-	}
-	return time.Duration(callTimeFactor * float64(w.Call))
-}
--- /dev/null
+++ b/internal/root/relay/graph/request.go
@@ -0,0 +1,124 @@
+package graph
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+)
+
+const (
+	// onTimeEngineTime is the time that the request itself needs after its stages for the response to be on time. minEngineTime is the least time with which the request itself can still be run.
+	onTimeEngineTime = 150 * time.Millisecond
+	minEngineTime    = 60 * time.Millisecond
+	// callTimeFactor is the time of a call with the usual number of pieces, as a multiple of the time of a call without its pieces.
+	callTimeFactor = 1.4
+	// startDelaySafety and startDelayMargin shorten the start delay of a stage, so that no other stage has to wait if this stage is slow. Its chain may take startDelaySafety times its expected time, plus startDelayMargin.
+	startDelaySafety = 1.5
+	startDelayMargin = 100 * time.Millisecond
+)
+
+// Request is a request with the stages that it needs.
+type Request struct {
+	Plan  *plan.Plan
+	Route plan.Route
+	// Pieces is the number of pieces of each stage; further stages have none.
+	Pieces []int
+	// Arrived is when the request arrived, and Deadline when its caller must have a response.
+	Arrived  time.Time
+	Deadline time.Time
+	// Resumed reports that the request continues a stream whose beginning is known. Its work waits behind no other.
+	Resumed bool
+}
+
+// PieceCount returns the number of pieces of a stage.
+func (r *Request) PieceCount(stage int) int {
+	if stage >= len(r.Pieces) {
+		return 0
+	}
+	return r.Pieces[stage]
+}
+
+// NeedsStages reports whether any stage has pieces.
+func (r *Request) NeedsStages() bool {
+	for i := range r.Route.Stages {
+		if r.PieceCount(i) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// DependsOn reports whether a stage needs the results of the earlier one.
+func (r *Request) DependsOn(stage, earlier int) bool {
+	return slices.Contains(r.Route.Stages[stage].DependsOn, earlier)
+}
+
+// IsSoleConsumer reports whether no stage other than the given one needs the results of the earlier one.
+func (r *Request) IsSoleConsumer(stage, earlier int) bool {
+	for j := range r.Route.Stages {
+		if j != stage && r.DependsOn(j, earlier) && r.PieceCount(j) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// TimeLeft returns the time that stage i has now for the request to be on time, and until its result is of no use any more.
+func (r *Request) TimeLeft(now time.Time, t *Times, i int) (soft, hard time.Duration) {
+	later := r.laterStagesTime(now, t, i)
+	soft = r.Arrived.Add(r.Route.Objective).Sub(now) - later - onTimeEngineTime
+	hard = r.Deadline.Sub(now) - later - minEngineTime
+	return soft, hard
+}
+
+// StartDelay returns how long to delay the start of a stage that depends on no other, so that its chain ends about when the longest chain ends. An earlier start would only make its results occupy memory at their worker for longer.
+func (r *Request) StartDelay(now time.Time, t *Times, i int) time.Duration {
+	var longest time.Duration
+	for j, s := range r.Route.Stages {
+		if len(s.DependsOn) == 0 && r.PieceCount(j) > 0 {
+			longest = max(longest, r.chainTime(now, t, j))
+		}
+	}
+	own := r.chainTime(now, t, i)
+	return max(0, longest-own-time.Duration((startDelaySafety-1)*float64(own))-startDelayMargin)
+}
+
+// laterStagesTime returns the expected time of the longest chain of stages that depend on a stage. The time of each stage is its average time, or the expected time of one call if that is longer. The work of a resumed request waits behind no other, so its stages take one call each.
+func (r *Request) laterStagesTime(now time.Time, t *Times, i int) time.Duration {
+	return r.longestChain(i, func(j int) time.Duration {
+		call := r.expectedCallTime(j)
+		if r.Resumed {
+			return call
+		}
+		return max(call, t.average(now, r.Route.Stages[j].Pool, j, call))
+	})
+}
+
+// chainTime returns the expected time of a stage and the longest chain of stages that depend on it.
+func (r *Request) chainTime(now time.Time, t *Times, i int) time.Duration {
+	averageTime := func(stage int) time.Duration {
+		return t.average(now, r.Route.Stages[stage].Pool, stage, r.expectedCallTime(stage))
+	}
+	return averageTime(i) + r.longestChain(i, averageTime)
+}
+
+// longestChain returns the time of the longest chain of stages that depend on a stage, using timeOf for each of them.
+func (r *Request) longestChain(i int, timeOf func(stage int) time.Duration) time.Duration {
+	var maxTime time.Duration
+	for j := i + 1; j < len(r.Route.Stages); j++ {
+		if r.PieceCount(j) > 0 && r.DependsOn(j, i) {
+			maxTime = max(maxTime, timeOf(j)+r.longestChain(j, timeOf))
+		}
+	}
+	return maxTime
+}
+
+// expectedCallTime returns the expected time of a call to a worker of the stage's pool.
+func (r *Request) expectedCallTime(stage int) time.Duration {
+	w := r.Plan.Pools[r.Route.Stages[stage].Pool].Worker
+	if w == nil {
+		return 0
+	}
+	return time.Duration(callTimeFactor * float64(w.Call))
+}
--- /dev/null
+++ b/internal/root/relay/graph/request_test.go
@@ -0,0 +1,59 @@
+package graph
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+)
+
+func TestShortStageStartsLaterThanParallelChain(t *testing.T) {
+	Convey("Given a single stage parallel to a chain of three stages", t, func() {
+		now := time.Unix(1000, 0)
+		var times Times
+		worker := &plan.Worker{
+			Batch: 12,
+			Call:  200 * time.Millisecond,
+		}
+		p := plan.New(1, nil, []plan.Pool{{Name: "a", Worker: worker}, {Name: "b", Worker: worker}, {Name: "c", Worker: worker}}, nil, plan.Limits{})
+		r := &Request{
+			Plan:   p,
+			Pieces: []int{2, 1, 4, 10},
+			Route: plan.Route{
+				Stages: []plan.Stage{{Pool: "a"}, {Pool: "a"}, {Pool: "b", DependsOn: []int{1}}, {Pool: "c", DependsOn: []int{2}}},
+			},
+		}
+		call := 280 * time.Millisecond
+		Convey("the single stage is delayed by the difference to the chain's time, less a margin in case it is slow", func() {
+			So(r.StartDelay(now, &times, 0), ShouldEqual, 3*call-call*3/2-startDelayMargin)
+		})
+		Convey("the first stage of the chain starts without delay", func() {
+			So(r.StartDelay(now, &times, 1), ShouldEqual, 0)
+		})
+		Convey("the single stage starts without delay if its average time is long", func() {
+			for range 100 {
+				times.Observe(now, "a", 0, time.Second)
+			}
+			So(r.StartDelay(now, &times, 0), ShouldEqual, 0)
+		})
+		Convey("the first sample sets the average, and each later sample moves the average by its weight", func() {
+			times.Observe(now, "c", 3, time.Second)
+			So(times.average(now, "c", 3, 0), ShouldEqual, time.Second)
+			times.Observe(now, "c", 3, 2*time.Second)
+			So(times.average(now, "c", 3, 0), ShouldEqual, 1100*time.Millisecond)
+			So(r.StartDelay(now, &times, 0), ShouldEqual, 2*call+1100*time.Millisecond-call*3/2-startDelayMargin)
+		})
+		Convey("the single stage starts without delay if the chain has no pieces", func() {
+			r.Pieces = []int{2, 0, 0, 0}
+			So(r.StartDelay(now, &times, 0), ShouldEqual, 0)
+		})
+		Convey("a stage is the sole consumer of an input until another stage depends on it", func() {
+			So(r.IsSoleConsumer(2, 1), ShouldBeTrue)
+			r.Route.Stages = append(r.Route.Stages, plan.Stage{Pool: "c", DependsOn: []int{1}})
+			r.Pieces = append(r.Pieces, 1)
+			So(r.IsSoleConsumer(2, 1), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/root/relay/hosts/forward.go
+++ b/internal/root/relay/hosts/forward.go
@@ -18,7 +18,7 @@
 	start := p.Now()
 	softTimeout, hardTimeout := w.SoftTimeout, w.HardTimeout
 	var o batch.Outcome
-	for _, s := range p.picker.candidates(start, w, p.local.Shards(w.Pool), p.roster.self.Domain) {
+	for _, s := range p.picker.Candidates(start, w, p.local.Shards(w.Pool), p.roster.self.Domain) {
 		now := p.Now()
 		w.Queue = s.Queue
 		w.SoftTimeout = softTimeout - now.Sub(start)
@@ -30,7 +30,7 @@
 			completed.Queue = s.Queue
 			return completed, free
 		case batch.Refused:
-			p.picker.recordRefusal(p.Now(), s, w.Rank)
+			p.picker.RecordRefusal(p.Now(), s, w.Rank)
 		default:
 			return o, nil
 		}
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -115,7 +115,7 @@
 	local  LocalQueues
 	addr   string
 	http   *http.Transport
-	picker queuePicker
+	picker batch.Picker
 	// knowledge is what this host and the others tell each other after the store was restored; it is set before Run is called.
 	knowledge Knowledge
 	// services handle the other messages of hosts; all are added before Run is called.
