--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -53,8 +53,9 @@
 	}
 	var items time.Duration
 	pieces := 0
+	order := q.order(now, job.Domain)
 	for _, j := range q.jobs {
-		if q.goesAfter(now, j, job) {
+		if goesAfter(order, j, job) {
 			continue
 		}
 		pieces += len(j.waiting)
@@ -82,14 +83,14 @@
 }
 
 // goesAfter reports whether a waiting job does not delay a new one. New requests do not delay resumed ones. Less urgent ones do not; of the same rank, those that calls take later do not delay work with inputs, as earlier stages have been run for it. New work without inputs is expected to wait for all, so that it does not keep what was accepted before it from being done.
-func (q *Queue) goesAfter(now time.Time, waiting, job *Job) bool {
+func goesAfter(order func(a, b *Job) int, waiting, job *Job) bool {
 	if waiting.Resumed != job.Resumed {
 		return job.Resumed
 	}
 	if waiting.Rank != job.Rank {
 		return waiting.Rank > job.Rank
 	}
-	return job.hasInputs() && q.compare(now, job.Domain, waiting, job) > 0
+	return job.hasInputs() && order(waiting, job) > 0
 }
 
 // pauseEnd returns when the first worker can be used again if all workers that are not leaving are in a pause that they have asked for.
@@ -126,6 +127,12 @@
 	return q.spec.Call + time.Duration(min(len(w.Pieces), max(1, q.spec.Batch)))*q.itemTime(w)
 }
 
+// sharedCallTime returns the expected time of a call with the work while other pieces wait, which fill the call.
+func (q *Queue) sharedCallTime(w Work, waiting int) time.Duration {
+	pieces := min(waiting, max(1, q.spec.Batch))
+	return max(q.callTime(w), q.spec.Call+time.Duration(pieces)*q.spec.PieceTime)
+}
+
 // Expire ends and returns the jobs that can no longer be finished in time, also because all workers are paused or not tried again before, and the results that they already have so that they can be freed. It ends only jobs whose remaining pieces all wait for a call.
 func (q *Queue) Expire(now time.Time) (ended []*Job, unused []string) {
 	earliest := now
--- a/internal/root/relay/batch/dispatcher.go
+++ b/internal/root/relay/batch/dispatcher.go
@@ -122,8 +122,8 @@
 		if pool.Worker == nil {
 			continue
 		}
-		shards := shardWorkers(name, byPool[name])
-		d.shards[name] = sortedShards(shards)
+		shards := ShardWorkers(name, byPool[name])
+		d.shards[name] = SortedShards(shards)
 		for s, workers := range shards {
 			kept[s.Queue] = true
 			d.updateQueue(s.Queue, *pool.Worker, workers)
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -55,20 +55,31 @@
 			out = append(out, j)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b *Job) int { return q.compare(now, domain, a, b) })
+	slices.SortStableFunc(out, q.order(now, domain))
 	return out
 }
 
-// compare orders jobs: those of resumed requests come first, then those that can be on time, then by rank, by whether their results are needed in the domain, and by the time left to be on time. Of equal ones the earlier comes first.
-func (q *Queue) compare(now time.Time, domain string, a, b *Job) int {
-	late := func(j *Job) bool { return now.Add(q.callTime(j.Work)).After(j.softDeadline) }
-	return cmp.Or(
-		common.CompareBool(!a.Resumed, !b.Resumed),
-		common.CompareBool(late(a), late(b)),
-		cmp.Compare(a.Rank, b.Rank),
-		common.CompareBool(a.Domain != domain, b.Domain != domain),
-		a.softDeadline.Compare(b.softDeadline),
-	)
+// order returns the order of jobs for workers of the domain: those of resumed requests come first, then those that can be on time, then by rank, by whether their results are needed in the domain, and by the time left to be on time. Of equal ones the earlier comes first.
+func (q *Queue) order(now time.Time, domain string) func(a, b *Job) int {
+	waiting := q.Waiting()
+	late := func(j *Job) bool { return now.Add(q.timeToEnd(j, waiting)).After(j.softDeadline) }
+	return func(a, b *Job) int {
+		return cmp.Or(
+			common.CompareBool(!a.Resumed, !b.Resumed),
+			common.CompareBool(late(a), late(b)),
+			cmp.Compare(a.Rank, b.Rank),
+			common.CompareBool(a.Domain != domain, b.Domain != domain),
+			a.softDeadline.Compare(b.softDeadline),
+		)
+	}
+}
+
+// timeToEnd returns how long a job is expected to take once it is put into a call. Work with inputs takes as long as a call that is filled with what waits. With the time of its own pieces alone, the jobs with the least time left would go first, and all be done a little late. Other work has time to catch up at its later stages.
+func (q *Queue) timeToEnd(j *Job, waiting int) time.Duration {
+	if !j.hasInputs() {
+		return q.callTime(j.Work)
+	}
+	return q.sharedCallTime(j.Work, waiting)
 }
 
 // available returns the workers that can accept a call: those of normal speed first, then those in the domain, then those that hold the fewest bytes of results.
--- a/internal/root/relay/batch/shard.go
+++ b/internal/root/relay/batch/shard.go
@@ -35,8 +35,8 @@
 	return ""
 }
 
-// shardWorkers divides the workers of a pool among its queues, the same way on every host that knows the same workers.
-func shardWorkers(pool string, workers []route.Upstream) map[Shard][]route.Upstream {
+// ShardWorkers divides the workers of a pool among its queues, the same way on every host that knows the same workers.
+func ShardWorkers(pool string, workers []route.Upstream) map[Shard][]route.Upstream {
 	out := map[Shard][]route.Upstream{}
 	if len(workers) < minWorkersToShard {
 		out[Shard{Queue: pool}] = workers
@@ -52,7 +52,7 @@
 	return out
 }
 
-// sortedShards returns the shards sorted by the names of their queues.
-func sortedShards(of map[Shard][]route.Upstream) []Shard {
+// SortedShards returns the shards sorted by the names of their queues.
+func SortedShards(of map[Shard][]route.Upstream) []Shard {
 	return slices.SortedFunc(maps.Keys(of), func(a, b Shard) int { return strings.Compare(a.Queue, b.Queue) })
 }
