--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -35,7 +35,18 @@
 	ctx, cancel := x.attemptContext(ctx)
 	defer cancel()
 	x.sends++
-	switch res := x.Sender.Do(ctx, x.upstreamRequest(up)).(type) {
+	req := x.upstreamRequest(up)
+	release := earlyRelease{
+		held: &x.held,
+	}
+	if x.stagesDone && x.fetches.allows(began, x.pool) {
+		req.Sent = release.start
+	}
+	result := x.Sender.Do(ctx, req)
+	if release.stop() {
+		x.dropInputs()
+	}
+	switch res := result.(type) {
 	case send.Unsent:
 		x.sends--
 		x.Table.Done(x.Now(), up.Name, x.Now().Sub(began), false)
@@ -198,6 +209,10 @@
 	x.setCause(CauseUpstreamRefused, "upstream ran nothing")
 	if head.StageResultLost {
 		x.setCause(CauseUpstreamRefused, "a result of a stage is gone")
+		if !x.stagesDone {
+			x.Log.WithField("request", x.requestHead.ID).WithField("pool", x.pool).Info("Result of a stage was freed before its engine had fetched it. Results are held until the first event for a while.")
+			x.fetches.suspend(x.Now(), x.pool)
+		}
 		x.freeAllResults()
 		return retry.Refused{}
 	}
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -54,11 +54,11 @@
 	// deadline is the time by which the caller must have a response, which may be an error.
 	deadline time.Time
 
-	// inputs are the result handles of the final stages. freeFuncs free the results of each stage.
+	// inputs are the result handles of the final stages, and held the results of all stages.
 	inputs     []string
 	stagesDone bool
 	stageRuns  int
-	freeFuncs  map[int]func()
+	held       heldResults
 
 	// preferredDomain is the failure domain whose upstreams are preferred, or "".
 	preferredDomain string
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -95,6 +95,7 @@
 
 	// stageTimes holds the average times of stages.
 	stageTimes graph.Times
+	fetches    fetchGuard
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -43,7 +43,6 @@
 		return false
 	}
 	x.stageRuns++
-	x.freeFuncs = map[int]func(){}
 	began := x.Now()
 	defer func() { x.stageTime += x.Now().Sub(began) }()
 	ctx, cancel := context.WithCancel(ctx)
@@ -119,19 +118,14 @@
 
 // freeAllResults frees the results of all stages. The stages run again before another attempt.
 func (x *exchange) freeAllResults() {
-	for i := range x.freeFuncs {
-		x.freeResults(i)
-	}
-	x.inputs = nil
-	x.stagesDone = false
+	x.held.freeAll()
+	x.dropInputs()
 }
 
-// freeResults frees the results of one stage, so that its worker has memory for others.
-func (x *exchange) freeResults(i int) {
-	if freeResults, ok := x.freeFuncs[i]; ok {
-		freeResults()
-		delete(x.freeFuncs, i)
-	}
+// dropInputs forgets the results of the stages, so that they run again before another attempt.
+func (x *exchange) dropInputs() {
+	x.inputs = nil
+	x.stagesDone = false
 }
 
 // runStage runs one stage after the stages that it depends on are done.
@@ -156,7 +150,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if freeResults != nil {
-		g.freeFuncs[i] = freeResults
+		g.held.add(i, freeResults)
 	}
 	results, ok := outcome.(batch.Completed)
 	if !ok {
@@ -174,9 +168,9 @@
 		switch {
 		case g.graph().IsSoleConsumer(i, a):
 			// The work lists these inputs as no longer needed, so the host that runs the pieces frees them.
-			delete(g.freeFuncs, a)
+			g.held.remove(a)
 		case g.consumersDone(a):
-			g.freeResults(a)
+			g.held.free(a)
 		}
 	}
 }
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -23,6 +23,8 @@
 	Target string
 	Header http.Header
 	Body   []byte
+	// Sent, if set, is called once the request has been written. It may be called on another goroutine, also after Do has returned.
+	Sent func()
 }
 
 // Result is the result of a send: Response, Unsent or Broken.
@@ -80,6 +82,11 @@
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil && r.Sent != nil {
+				r.Sent()
+			}
+		},
 	})
 	req := (&http.Request{
 		Method:        r.Method,
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -46,6 +46,9 @@
 	Events int
 	// NeedsInputs rejects requests without an Inputs header, which carries the results of stages.
 	NeedsInputs bool
+	// FetchDelay is how long after a request has arrived the server fetches the results of its stages, and HasResult, if set, reports whether one still exists. A request with a missing one is not run.
+	FetchDelay time.Duration
+	HasResult  func(handle string) bool
 	// Room is how many requests the server runs at once. It turns away further ones, and states its load. 0 means no bound.
 	Room int
 	// WorkTime is how long the server runs a request before it responds.
@@ -282,6 +285,29 @@
 	return s.cancelled
 }
 
+// fetchesInputs fetches the results of the request's stages. It rejects the request and returns false if one is missing.
+func (s *Server) fetchesInputs(w http.ResponseWriter, r *http.Request) bool {
+	if s.HasResult == nil {
+		return true
+	}
+	time.Sleep(s.FetchDelay)
+	for _, handle := range strings.Split(r.Header.Get("Inputs"), ",") {
+		if !s.HasResult(strings.TrimSpace(handle)) {
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusConflict)
+			return false
+		}
+	}
+	return true
+}
+
+// HoldsResult reports whether the server holds the result of a stage.
+func (s *Server) HoldsResult(handle string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.results[handle]
+}
+
 // ResultCount returns the number of stage results that the server holds.
 func (s *Server) ResultCount() int {
 	s.mu.Lock()
@@ -362,6 +388,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if !s.fetchesInputs(w, r) {
+		return
+	}
 	s.mu.Lock()
 	s.runs = append(s.runs, Run{
 		At:     time.Now(),
