--- a/internal/opcli/command.go
+++ b/internal/opcli/command.go
@@ -12,6 +12,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/opapi"
+	"github.com/cornelwing/cornelwing/internal/strict"
 )
 
 // Environment variables that set the defaults of flags.
@@ -112,8 +113,9 @@
 func exitCode(err error) int {
 	var usage *UsageError
 	var refused *opapi.StatusError
+	var invalid *strict.Error
 	switch {
-	case errors.As(err, &usage):
+	case errors.As(err, &usage), errors.As(err, &invalid):
 		return common.ExitUsage
 	case errors.As(err, &refused) && refused.Refusal.Winner != nil:
 		return common.ExitConflict
--- a/internal/opcli/command_test.go
+++ b/internal/opcli/command_test.go
@@ -40,6 +40,10 @@
 		{name: "completion", args: []string{"completion"}, code: 0, want: "complete -o default"},
 		{name: "trace without a request ID", args: []string{"trace"}, code: 2, want: "-request ID is needed"},
 		{name: "trace of a missing file", args: []string{"trace", "-request", "a", filepath.Join(dir, "none")}, code: 1, want: "no such file"},
+		{name: "stages without a file", args: []string{"stages"}, code: 2, want: "one FILE is needed"},
+		{name: "stages of a missing file", args: []string{"stages", filepath.Join(dir, "none")}, code: 1, want: "no such file"},
+		{name: "stages of an invalid file", args: []string{"stages", bad}, code: 2, want: "colour"},
+		{name: "stages of an example", args: []string{"stages", "-load", "0.01", "../../examples/stages/dsf-grown.yaml"}, code: 0, want: "on time / limit"},
 		{name: "demo at rate 0", args: []string{"demo", "-rate", "0"}, code: 2, want: "must be above 0"},
 	}
 	for _, sc := range scenarios {
--- a/internal/opcli/commands.go
+++ b/internal/opcli/commands.go
@@ -30,6 +30,7 @@
 	request string
 	demo    demo.Options
 	bench   benchOptions
+	stages  stagesOptions
 }
 
 // Commands returns the client's commands in the order of the help text.
@@ -78,6 +79,14 @@
 			run:   runTrace,
 			flags: traceFlags,
 		},
+		{
+			Name:  "stages",
+			Args:  "FILE",
+			Short: "simulate the stages of a deployment",
+			Long:  "Simulates the callers, queues and workers of the deployment in FILE in virtual time, and prints how many requests of each kind are on time, late and refused, beside how many could be on time. examples/stages has such files.",
+			run:   runStages,
+			flags: stagesFlags,
+		},
 		{
 			Name:  "status",
 			Short: "show which hosts live and which revision each has in force",
--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -5,9 +5,15 @@
 	"time"
 )
 
-// Add accepts work, or refuses it at once if it could not be finished in time.
+// Add accepts work, or refuses it at once if it could not be finished in time, or on time if it asks for that.
 func (q *Queue) Add(now time.Time, w Work) (*Job, *Refused) {
 	j := newJob(now, w)
+	if w.ResultBytes > q.usableRoom() {
+		q.stats.Refused++
+		return nil, &Refused{
+			After: maxRetryAfter,
+		}
+	}
 	expectedWait, ok := q.expectedWait(now, j)
 	if !ok {
 		q.stats.Refused++
@@ -15,7 +21,7 @@
 			After: min(max(q.nextTrialIn(now), minRetryAfter), maxRetryAfter),
 		}
 	}
-	if expectedWait+q.callTime(w) > w.HardTimeout {
+	if q.isTooLate(j, expectedWait) {
 		q.stats.Refused++
 		if returnsAt, ok := q.pauseEnd(now); ok {
 			return nil, &Refused{
@@ -31,6 +37,19 @@
 	return j, nil
 }
 
+// usableRoom returns how many bytes of results a worker can hold.
+func (q *Queue) usableRoom() int64 {
+	return int64(usableRoomShare * float64(q.spec.ResultCapacity))
+}
+
+// isTooLate reports whether a new job would end after its hard timeout, or too late for its request to be on time if it asks to be refused then.
+func (q *Queue) isTooLate(j *Job, expectedWait time.Duration) bool {
+	if expectedWait+q.callTime(j.Work) > j.HardTimeout {
+		return true
+	}
+	return j.OnTimeWithin > 0 && expectedWait+q.sharedCallTime(j.Work, q.Waiting()) > j.OnTimeWithin
+}
+
 // expectedWait returns how long a new job is expected to wait until its call starts, behind the jobs that go before it. It returns false if every worker is leaving, or has failed more than once in a row and may not be tried now.
 func (q *Queue) expectedWait(now time.Time, job *Job) (time.Duration, bool) {
 	var speed float64
--- a/internal/root/relay/batch/dispatcher.go
+++ b/internal/root/relay/batch/dispatcher.go
@@ -204,7 +204,7 @@
 	}
 	job, refused := q.Add(d.Now(), w)
 	if refused != nil {
-		d.Log.WithFields(workFields(w)).WithField("waiting", q.Waiting()).WithField("after_ms", refused.After.Milliseconds()).Info("Work refused: it would not finish in time.")
+		d.logRefusal(w, q, *refused)
 		return nil, nil, refused
 	}
 	done := make(chan Outcome, 1)
@@ -213,6 +213,16 @@
 	return job, done, nil
 }
 
+// logRefusal logs why a queue refused work. The caller holds the lock.
+func (d *Dispatcher) logRefusal(w Work, q *Queue, r Refused) {
+	log := d.Log.WithFields(workFields(w)).WithField("waiting", q.Waiting()).WithField("after_ms", r.After.Milliseconds())
+	if w.ResultBytes > q.usableRoom() {
+		log.WithField("result_kb", w.ResultBytes>>10).WithField("room_kb", q.usableRoom()>>10).Warn("Work refused: no worker has room for one of its results.")
+		return
+	}
+	log.Info("Work refused: it would not finish in time.")
+}
+
 // dispatch processes all queues: it hedges slow calls, ends expired jobs, releases inputs and starts calls. The caller holds the lock.
 func (d *Dispatcher) dispatch() {
 	now := d.Now()
@@ -275,6 +285,7 @@
 		"pieces":  len(w.Pieces),
 		"rank":    w.Rank,
 		"left_ms": w.HardTimeout.Milliseconds(),
+		"soft_ms": w.SoftTimeout.Milliseconds(),
 	}
 }
 
--- a/internal/root/relay/graph/request.go
+++ b/internal/root/relay/graph/request.go
@@ -13,6 +13,8 @@
 	minEngineTime    = 60 * time.Millisecond
 	// callTimeFactor is the time of a call with the usual number of pieces, as a multiple of the time of a call without its pieces.
 	callTimeFactor = 1.4
+	// reserveShare is the share of a request's slack that must be left as its first stage begins, because more may wait at its later stages by then.
+	reserveShare = 0.25
 	// startDelaySafety and startDelayMargin shorten the start delay of a stage, so that no other stage has to wait if this stage is slow. Its chain may take startDelaySafety times its expected time, plus startDelayMargin.
 	startDelaySafety = 1.5
 	startDelayMargin = 100 * time.Millisecond
@@ -72,6 +74,27 @@
 	return soft, hard
 }
 
+// OnTimeWithin returns the time within which stage i, which depends on no other, must end for the request to be on time for sure. It returns 0 for a request that would be late even if nothing else waited, or that continues a stream: it is of no use to refuse these, so that their callers come back.
+func (r *Request) OnTimeWithin(now time.Time, t *Times, i int) time.Duration {
+	slack := r.slack()
+	if r.Resumed || slack <= 0 {
+		return 0
+	}
+	soft, _ := r.TimeLeft(now, t, i)
+	return max(time.Nanosecond, soft-time.Duration(reserveShare*float64(slack)))
+}
+
+// slack returns how long the request may wait over all stages and still be on time.
+func (r *Request) slack() time.Duration {
+	var longest time.Duration
+	for i, s := range r.Route.Stages {
+		if len(s.DependsOn) == 0 && r.PieceCount(i) > 0 {
+			longest = max(longest, r.expectedCallTime(i)+r.longestChain(i, r.expectedCallTime))
+		}
+	}
+	return r.Route.Objective - longest - onTimeEngineTime
+}
+
 // StartDelay returns how long to delay the start of a stage that depends on no other, so that its chain ends about when the longest chain ends. An earlier start would only make its results occupy memory at their worker for longer.
 func (r *Request) StartDelay(now time.Time, t *Times, i int) time.Duration {
 	var longest time.Duration
--- a/internal/root/relay/hosts/forward.go
+++ b/internal/root/relay/hosts/forward.go
@@ -16,15 +16,12 @@
 // Do sends the work to one of its pool's queues, and to another queue if the first one refuses it. The function returned with a Completed outcome frees the results; otherwise it is nil.
 func (p *Peers) Do(ctx context.Context, w batch.Work) (batch.Outcome, func()) {
 	start := p.Now()
-	softTimeout, hardTimeout := w.SoftTimeout, w.HardTimeout
 	var o batch.Outcome
 	for _, s := range p.picker.Candidates(start, w, p.local.Shards(w.Pool), p.roster.self.Domain) {
-		now := p.Now()
-		w.Queue = s.Queue
-		w.SoftTimeout = softTimeout - now.Sub(start)
-		w.HardTimeout = hardTimeout - now.Sub(start)
+		inQueue := w.WithElapsed(p.Now().Sub(start))
+		inQueue.Queue = s.Queue
 		var free func()
-		o, free = p.doInQueue(ctx, s, w)
+		o, free = p.doInQueue(ctx, s, inQueue)
 		switch completed := o.(type) {
 		case batch.Completed:
 			completed.Queue = s.Queue
@@ -61,8 +58,7 @@
 		down = p.roster.DownSignal(owner)
 		elapsed := p.Now().Sub(start)
 		start = start.Add(elapsed)
-		w.SoftTimeout -= elapsed
-		w.HardTimeout -= elapsed
+		w = w.WithElapsed(elapsed)
 	}
 	if p.inOtherDomain(s) {
 		return batch.Refused{
