--- a/internal/root/route/table.go
+++ b/internal/root/route/table.go
@@ -25,8 +25,6 @@
 	affinityFreeShare = 0.5
 	// maxEjectedShare is the share of a pool that repeated failures may eject at the same time.
 	maxEjectedShare = 0.5
-	// pressureMaxAge is how long the computed pressure of a pool is reused.
-	pressureMaxAge = 5 * time.Millisecond
 )
 
 // PoolSpec holds the configured properties of a pool, which apply until load reports and finished attempts give more precise values.
@@ -38,78 +36,6 @@
 	Expected time.Duration
 }
 
-// Query describes which upstream Pick may choose.
-type Query struct {
-	Pool string
-	// Affinity is the hash of the prompt's prefix, or 0 if no upstream is preferred.
-	Affinity uint64
-	// PreferDomain is the preferred failure domain of the upstream, or "" for the host's own.
-	PreferDomain string
-	// Exclude holds the names of upstreams that must not be chosen, such as those that were tried already.
-	Exclude []string
-	// LeastLoaded chooses the upstream with the fewest requests over all domains, wherever the prompt's prefix is cached.
-	LeastLoaded bool
-	// Version is the software version of the upstream, or "" for any.
-	Version string
-	// Ejected includes upstreams that are ejected, for a request that no others can serve.
-	Ejected bool
-	// OnTrial includes upstreams that have served nothing since they were ejected and run a request now, if their ejection ended some time ago.
-	OnTrial bool
-	// Unlimited excludes the upstreams that take a limited number of requests.
-	Unlimited bool
-	// Allow, if set, reports whether the upstream may be chosen.
-	Allow func(upstream string) bool
-	// remote excludes the upstreams of the domain PreferDomain.
-	remote bool
-	// hosts is the number of hosts that send requests to the pool.
-	hosts int
-}
-
-// matches reports whether the entry is usable and allowed by the query.
-func (q Query) matches(now time.Time, e *entry) bool {
-	if q.Version != "" && e.up.Version != q.Version {
-		return false
-	}
-	if !e.usable(now, q.hosts) && !(q.includesEjected(now, e) && e.mayReturn(now, q.hosts)) {
-		return false
-	}
-	if (q.Unlimited && e.perSecond > 0) || slices.Contains(q.Exclude, e.up.Name) || (q.remote && e.up.Domain == q.PreferDomain) {
-		return false
-	}
-	return q.Allow == nil || q.Allow(e.up.Name)
-}
-
-// includesEjected reports whether the query may choose the entry although it was ejected.
-func (q Query) includesEjected(now time.Time, e *entry) bool {
-	return q.Ejected || (q.OnTrial && now.Sub(e.ejectedUntil) >= failureMemory)
-}
-
-// Pressure compares the load of a pool with its capacity. It covers the upstreams that are neither leaving nor ejected.
-type Pressure struct {
-	Load  int
-	Slots int
-	// Service is the mean service time of the upstreams, or the expected one of the pool if there are none.
-	Service   time.Duration
-	Upstreams int
-}
-
-// Utilization returns the load per slot, or 1 for a pool without slots.
-func (p Pressure) Utilization() float64 {
-	if p.Slots == 0 {
-		return 1
-	}
-	return float64(p.Load) / float64(p.Slots)
-}
-
-// Wait predicts how long a new request waits for a slot.
-func (p Pressure) Wait() time.Duration {
-	if p.Slots == 0 {
-		return p.Service
-	}
-	over := float64(p.Load+1-p.Slots) / float64(p.Slots)
-	return time.Duration(max(0, over) * float64(p.Service))
-}
-
 type pool struct {
 	spec     PoolSpec
 	slots    int
@@ -443,43 +369,3 @@
 	}
 	return float64(unavailable) <= maxEjectedShare*float64(len(p.entries))
 }
-
-// Pressure returns the pressure of a pool for admission control. The value may be up to pressureMaxAge old.
-func (t *Table) Pressure(now time.Time, name string) Pressure {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	p, ok := t.pools[name]
-	if !ok {
-		return Pressure{}
-	}
-	return t.pressure(now, p)
-}
-
-// pressure returns the pressure of the pool. It recomputes the value at most once per pressureMaxAge, since a computation takes time proportional to the size of the pool.
-func (t *Table) pressure(now time.Time, p *pool) Pressure {
-	if !p.totalAt.IsZero() && now.Sub(p.totalAt) < pressureMaxAge {
-		return p.total
-	}
-	total := Pressure{
-		Service: p.expected,
-	}
-	var service time.Duration
-	inFlight := 0
-	for _, e := range p.entries {
-		if e.up.Leaving || e.isEjected(now) || e.isPaused(now) || e.isHeld(now) {
-			continue
-		}
-		total.Upstreams++
-		total.Load += e.scaledLoad(now, t.hosts)
-		inFlight += e.inFlight
-		total.Slots += int(e.capacity(now, p.slots))
-		service += e.serviceTime(now, p.expected)
-	}
-	if total.Upstreams > 0 {
-		total.Service = service / time.Duration(total.Upstreams)
-	}
-	total.Load = max(total.Load, inFlight)
-	p.total = total
-	p.totalAt = now
-	return total
-}
