--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Add accepts work, or refuses it at once if it could not be finished in time, or on time if it asks for that.
+// Add accepts work, or refuses it at once if it could not be finished in time, or not in the time that it asks for.
 func (q *Queue) Add(now time.Time, w Work) (*Job, *Refused) {
 	j := newJob(now, w)
 	if w.ResultBytes > q.usableRoom() {
@@ -42,12 +42,12 @@
 	return int64(usableRoomShare * float64(q.spec.ResultCapacity))
 }
 
-// isTooLate reports whether a new job would end after its hard timeout, or too late for its request to be on time if it asks to be refused then.
+// isTooLate reports whether a new job would end after its hard timeout, or after the time that it asks for.
 func (q *Queue) isTooLate(j *Job, expectedWait time.Duration) bool {
 	if expectedWait+q.callTime(j.Work) > j.HardTimeout {
 		return true
 	}
-	return j.OnTimeWithin > 0 && expectedWait+q.sharedCallTime(j.Work, q.Waiting()) > j.OnTimeWithin
+	return j.AdmitWithin > 0 && expectedWait+q.sharedCallTime(j.Work, q.Waiting()) > j.AdmitWithin
 }
 
 // expectedWait returns how long a new job is expected to wait until its call starts, behind the jobs that go before it. It returns false if every worker is leaving, or has failed more than once in a row and may not be tried now.
--- a/internal/root/relay/batch/work.go
+++ b/internal/root/relay/batch/work.go
@@ -35,8 +35,8 @@
 	Rank int `json:"rank"`
 	// Resumed reports that the caller has got a part of the answer already. Such work goes first, as it has little time left and what was done for it would be lost.
 	Resumed bool `json:"resumed,omitempty"`
-	// OnTimeWithin, if not 0, is the time within which the work must end for its request to be on time. Work that would end later is refused at once, as its caller can come back.
-	OnTimeWithin time.Duration `json:"on_time_within,omitempty"`
+	// AdmitWithin, if not 0, is the time within which the work must end. Work that would end later is refused at once, as its request has not begun and its caller can come back.
+	AdmitWithin time.Duration `json:"admit_within,omitempty"`
 	// Domain is the failure domain in which the work should run: the one that holds its inputs if they are large, otherwise the one in which the results are needed.
 	Domain string `json:"domain,omitempty"`
 	// TransferBytes is how many bytes of inputs or results cross from one failure domain to another if the worker is outside Domain.
@@ -52,8 +52,8 @@
 func (w Work) WithElapsed(d time.Duration) Work {
 	w.SoftTimeout -= d
 	w.HardTimeout -= d
-	if w.OnTimeWithin > 0 {
-		w.OnTimeWithin = max(time.Nanosecond, w.OnTimeWithin-d)
+	if w.AdmitWithin > 0 {
+		w.AdmitWithin = max(time.Nanosecond, w.AdmitWithin-d)
 	}
 	return w
 }
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -204,7 +204,7 @@
 	if len(s.DependsOn) == 0 {
 		w.Key = g.requestHead.PieceKey
 		if g.stageRuns == 1 && g.sends == 0 {
-			w.OnTimeWithin = g.graph().OnTimeWithin(now, &g.stageTimes, i)
+			w.AdmitWithin = g.graph().AdmitWithin(now, &g.stageTimes, i)
 		}
 	}
 	if left, ok := g.retentionLeft(s.DependsOn); ok {
--- a/internal/root/relay/graph/request.go
+++ b/internal/root/relay/graph/request.go
@@ -13,8 +13,8 @@
 	minEngineTime    = 60 * time.Millisecond
 	// callTimeFactor is the time of a call with the usual number of pieces, as a multiple of the time of a call without its pieces.
 	callTimeFactor = 1.4
-	// reserveShare is the share of a request's slack that must be left as its first stage begins, because more may wait at its later stages by then.
-	reserveShare = 0.25
+	// toleranceShare is the share of its slack by which a request may be expected to be late and still begin. The times of later stages are known only from earlier requests, and trouble with a few workers raises them for a moment.
+	toleranceShare = 0.5
 	// startDelaySafety and startDelayMargin shorten the start delay of a stage, so that no other stage has to wait if this stage is slow. Its chain may take startDelaySafety times its expected time, plus startDelayMargin.
 	startDelaySafety = 1.5
 	startDelayMargin = 100 * time.Millisecond
@@ -74,14 +74,14 @@
 	return soft, hard
 }
 
-// OnTimeWithin returns the time within which stage i, which depends on no other, must end for the request to be on time for sure. It returns 0 for a request that would be late even if nothing else waited, or that continues a stream: it is of no use to refuse these, so that their callers come back.
-func (r *Request) OnTimeWithin(now time.Time, t *Times, i int) time.Duration {
+// AdmitWithin returns the time within which stage i, which depends on no other, must end for the request to be on time, or at least not late by far. It returns 0 for a request that would be late even if nothing else waited, or that continues a stream: it is of no use to refuse these, so that their callers come back.
+func (r *Request) AdmitWithin(now time.Time, t *Times, i int) time.Duration {
 	slack := r.slack()
 	if r.Resumed || slack <= 0 {
 		return 0
 	}
 	soft, _ := r.TimeLeft(now, t, i)
-	return max(time.Nanosecond, soft-time.Duration(reserveShare*float64(slack)))
+	return max(time.Nanosecond, soft+time.Duration(toleranceShare*float64(slack)))
 }
 
 // slack returns how long the request may wait over all stages and still be on time.
