--- a/review/_stand/cut.go
+++ b/review/_stand/cut.go
@@ -10,7 +10,9 @@
 	"net/http/httputil"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/cornelwing/cornelwing/internal/stand/link"
 )
@@ -26,6 +28,10 @@
 	// ends are the two hosts of each link.
 	ends map[*link.Link][2]string
 	cut  map[string]bool
+	// note, if set, is called with what hosts write.
+	note func(format string, args ...any)
+	// writers holds, by the key of a row, the host that wrote it last.
+	writers map[string]string
 }
 
 func newPaths() *paths {
@@ -33,6 +39,8 @@
 		links: map[string]*link.Link{},
 		ends:  map[*link.Link][2]string{},
 		cut:   map[string]bool{},
+
+		writers: map[string]string{},
 	}
 }
 
@@ -105,10 +113,55 @@
 	proxy.ErrorHandler = func(http.ResponseWriter, *http.Request, error) {
 		panic(http.ErrAbortHandler)
 	}
-	s := httptest.NewServer(proxy)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		p.noteWrites(host, body)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		proxy.ServeHTTP(w, r)
+	}))
 	return s.Listener.Addr().String(), s.CloseClientConnections
 }
 
+// noteWrites notes which rows a host writes.
+func (p *paths) noteWrites(host string, body []byte) {
+	var tx struct {
+		Puts []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+		} `json:"puts"`
+	}
+	if json.Unmarshal(body, &tx) != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, row := range tx.Puts {
+		p.writers[row.Key] = host
+		if p.note != nil && !strings.HasPrefix(row.Key, "edge-") {
+			p.note("%s writes the row %s: %s", host, row.Key, row.Value)
+		}
+	}
+}
+
+// nextWriter waits until a host writes the row with the key, and returns its name, or "" after the timeout.
+func (p *paths) nextWriter(key string, timeout time.Duration) string {
+	p.mu.Lock()
+	delete(p.writers, key)
+	p.mu.Unlock()
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		p.mu.Lock()
+		name := p.writers[key]
+		p.mu.Unlock()
+		if name != "" {
+			return name
+		}
+	}
+	return ""
+}
+
 // mapRows replaces the addresses in the rows of hosts.
 func (p *paths) mapRows(host string, body []byte) []byte {
 	var response map[string]json.RawMessage
--- a/review/_stand/version.go
+++ b/review/_stand/version.go
@@ -27,20 +27,25 @@
 	streamClients = 12
 )
 
-// engine is a server that responds with streams.
+// engine is a server that responds with streams, and writes its row at each heartbeat.
 type engine struct {
 	*serv.Server
 	zone string
+
+	mu    sync.Mutex
+	state string
+	// sequence counts the writes of the row.
+	sequence int
 }
 
 // addEngine starts a server and registers it as ready.
-func (w *world) addEngine(id, zone, version string) (*engine, error) {
+func (w *world) addEngine(id, zone, version string, events int) (*engine, error) {
 	e := &engine{
 		Server: &serv.Server{
 			ID:         id,
 			Service:    "cw-fleet",
 			Version:    version,
-			Events:     streamEvents,
+			Events:     events,
 			EventDelay: eventDelay,
 		},
 		zone: zone,
@@ -52,11 +57,43 @@
 	return e, nil
 }
 
-// register writes the row of a server.
+// register makes a server state that it is ready or draining.
 func (w *world) register(e *engine, state string) {
-	w.store.Put("servers", e.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":48,"state":%q,"cold_remaining_ms":0,"sequence":1,"born":%d}`,
-		e.Service, e.Addr(), e.zone, e.Version, state, w.began.UnixMilli()))
+	e.mu.Lock()
+	began := e.state != ""
+	e.state = state
+	e.mu.Unlock()
 	w.note("server %s (%s, %s): %s", e.ID, e.Version, e.zone, state)
+	w.writeRow(e)
+	if !began {
+		go func() {
+			for w.writeRow(e) {
+				time.Sleep(heartbeat)
+			}
+		}()
+	}
+}
+
+// deregister removes the row of a server, which writes it no more.
+func (w *world) deregister(e *engine) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = ""
+	w.store.Remove("servers", e.ID)
+	w.note("server %s (%s): its entry is removed, it goes on serving", e.ID, e.Version)
+}
+
+// writeRow writes the row of a server, and returns false if it has none any more.
+func (w *world) writeRow(e *engine) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state == "" {
+		return false
+	}
+	e.sequence++
+	w.store.Put("servers", e.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":48,"state":%q,"cold_remaining_ms":0,"sequence":%d,"born":%d}`,
+		e.Service, e.Addr(), e.zone, e.Version, e.state, e.sequence, w.began.UnixMilli()))
+	return true
 }
 
 // received is what a client got of one stream in one attempt.
@@ -86,14 +123,14 @@
 	w.paths = newPaths()
 	var engines []*engine
 	for i, zone := range []string{"centro-1", "centro-2", "centro-3"} {
-		e, err := w.addEngine(fmt.Sprintf("i-old-%d", i+1), zone, "v1")
+		e, err := w.addEngine(fmt.Sprintf("i-old-%d", i+1), zone, "v1", streamEvents)
 		if err != nil {
 			return err
 		}
 		defer e.Close()
 		engines = append(engines, e)
 	}
-	w.configure(streamConfiguration(7))
+	w.configure(streamConfiguration(7, streamTimeout))
 	for i, zone := range []string{"centro-1", "centro-2", "centro-3"} {
 		if _, err := w.addHost(fmt.Sprintf("edge-%d", i+1), zone); err != nil {
 			return err
@@ -107,7 +144,7 @@
 	time.Sleep(2*streamTimeout + 2*time.Second)
 
 	w.note("operator: the release begins, one server of three")
-	newer, err := w.addEngine("i-new-1", "centro-1", "v2")
+	newer, err := w.addEngine("i-new-1", "centro-1", "v2", streamEvents)
 	if err != nil {
 		return err
 	}
@@ -137,7 +174,7 @@
 	var all sync.WaitGroup
 	for i, c := range clients {
 		all.Go(func() {
-			if text := w.playClient(c, i); text != "" {
+			if text := w.playClient(c, i, streamTimeout, w.hosts[0], w.hosts[1+i%2]); text != "" {
 				mu.Lock()
 				joined = append(joined, text)
 				mu.Unlock()
@@ -166,17 +203,17 @@
 	return nil
 }
 
-// playClient sends a request for a stream to the host that is stopped, and takes the stream up at another one when its connection breaks. It returns what is wrong with the whole, or "".
-func (w *world) playClient(c *http.Client, i int) string {
+// playClient sends a request for a stream to one host, and takes the stream up at another one when its connection breaks. It returns what is wrong with the whole, or "".
+func (w *world) playClient(c *http.Client, i int, timeout time.Duration, from, to *host) string {
 	began := time.Now()
 	prompt := fmt.Sprintf("%08x", 0x5c1e07a2+i)
-	first := receiveStream(c, w.hosts[0], received{id: fmt.Sprintf("%016x", 0xb00+i), prompt: prompt}, streamTimeout)
+	first := receiveStream(c, from, received{id: fmt.Sprintf("%016x", 0xb00+i), prompt: prompt}, timeout)
 	w.noteReceived(first)
 	if first.whole || first.status != http.StatusOK || len(first.events) == 0 {
 		return ""
 	}
-	left := streamTimeout - time.Since(began)
-	second := receiveStream(&http.Client{Transport: &http.Transport{}}, w.hosts[1+i%2], received{id: fmt.Sprintf("%016x", 0xc00+i), prompt: prompt, resumes: first.id, after: first.lastID()}, left)
+	left := timeout - time.Since(began)
+	second := receiveStream(&http.Client{Transport: &http.Transport{}}, to, received{id: fmt.Sprintf("%016x", 0xc00+i), prompt: prompt, resumes: first.id, after: first.lastID()}, left)
 	w.noteReceived(second)
 	if second.status != http.StatusOK || len(second.events) == 0 || versionOf(first.stamp) == versionOf(second.stamp) {
 		return ""
@@ -254,14 +291,14 @@
 	return r
 }
 
-func streamConfiguration(version int) map[string]any {
+func streamConfiguration(version int, timeout time.Duration) map[string]any {
 	c := keysConfiguration(version, []string{"key-one"}, map[string]bool{"key-one": true})
 	c["routes"] = []map[string]any{{
 		"name":         "terms-digest",
 		"host":         "digest.example",
 		"prefix":       "/digest/",
 		"route_type":   "streaming",
-		"timeout_ms":   streamTimeout.Milliseconds(),
+		"timeout_ms":   timeout.Milliseconds(),
 		"slo_ms":       790,
 		"gap_slo_ms":   200,
 		"priority":     0,
