review: case 2, a stream joined from two services after all hosts were killed

Looked for: what hosts conclude of a stream that none of them knows. Seen: on a route that is split between two services they take the stream for one of whichever service was drawn for the request that takes it up, and continue it there. Without the kill each stream comes from one. The cases that came before move on by one number.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Plays the case once. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-exec review/bin/stand writer "$folder"
+exec review/bin/stand version "$folder"
--- a/review/_stand/version.go
+++ b/review/_stand/version.go
@@ -38,12 +38,17 @@
 	sequence int
 }
 
-// addEngine starts a server and registers it as ready.
+// addEngine starts a server of the service cw-fleet and registers it as ready.
 func (w *world) addEngine(id, zone, version string, events int) (*engine, error) {
+	return w.addEngineOf("cw-fleet", id, zone, version, events)
+}
+
+// addEngineOf starts a server of a service and registers it as ready.
+func (w *world) addEngineOf(service, id, zone, version string, events int) (*engine, error) {
 	e := &engine{
 		Server: &serv.Server{
 			ID:         id,
-			Service:    "cw-fleet",
+			Service:    service,
 			Version:    version,
 			Events:     events,
 			EventDelay: eventDelay,
@@ -174,7 +179,7 @@
 	var all sync.WaitGroup
 	for i, c := range clients {
 		all.Go(func() {
-			if text := w.playClient(c, i, streamTimeout, w.hosts[0], w.hosts[1+i%2]); text != "" {
+			if text := w.playClient(c, i, streamTimeout, w.hosts[0], w.hosts[1+i%2], true); text != "" {
 				mu.Lock()
 				joined = append(joined, text)
 				mu.Unlock()
@@ -203,8 +208,15 @@
 	return nil
 }
 
-// playClient sends a request for a stream to one host, and takes the stream up at another one when its connection breaks. It returns what is wrong with the whole, or "".
-func (w *world) playClient(c *http.Client, i int, timeout time.Duration, from, to *host) string {
+// playClient is playClientAfter for a client that takes its stream up at once.
+func (w *world) playClient(c *http.Client, i int, timeout time.Duration, from, to *host, namesFirst bool) string {
+	at := make(chan struct{})
+	close(at)
+	return w.playClientAfter(at, c, i, timeout, from, to, namesFirst)
+}
+
+// playClientAfter sends a request for a stream to one host. When its connection breaks it waits for the channel, and takes the stream up at another host, with the id of its first request if namesFirst is set. It returns what is wrong with the whole, or "".
+func (w *world) playClientAfter(again <-chan struct{}, c *http.Client, i int, timeout time.Duration, from, to *host, namesFirst bool) string {
 	began := time.Now()
 	prompt := fmt.Sprintf("%08x", 0x5c1e07a2+i)
 	first := receiveStream(c, from, received{id: fmt.Sprintf("%016x", 0xb00+i), prompt: prompt}, timeout)
@@ -212,8 +224,13 @@
 	if first.whole || first.status != http.StatusOK || len(first.events) == 0 {
 		return ""
 	}
+	<-again
 	left := timeout - time.Since(began)
-	second := receiveStream(&http.Client{Transport: &http.Transport{}}, to, received{id: fmt.Sprintf("%016x", 0xc00+i), prompt: prompt, resumes: first.id, after: first.lastID()}, left)
+	rest := received{id: fmt.Sprintf("%016x", 0xc00+i), prompt: prompt, after: first.lastID()}
+	if namesFirst {
+		rest.resumes = first.id
+	}
+	second := receiveStream(&http.Client{Transport: &http.Transport{}}, to, rest, left)
 	w.noteReceived(second)
 	if second.status != http.StatusOK || len(second.events) == 0 || versionOf(first.stamp) == versionOf(second.stamp) {
 		return ""
--- a/review/_stand/writer.go
+++ b/review/_stand/writer.go
@@ -83,7 +83,7 @@
 	var all sync.WaitGroup
 	for i, c := range clients {
 		all.Go(func() {
-			if text := w.playClient(c, i, chatTimeout, first, second); text != "" {
+			if text := w.playClient(c, i, chatTimeout, first, second, true); text != "" {
 				mu.Lock()
 				joined = append(joined, text)
 				mu.Unlock()
