review: the scripts say when requests were sent and run, and end on a signal

Looked for: what a record must hold for a reader to follow a case, and what is left behind if a script is ended early.

--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // The exit codes of a case.
@@ -35,6 +37,13 @@
 		return exitCannot
 	}
 	defer w.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		w.close()
+		os.Exit(exitCannot)
+	}()
 	w.trouble = os.Getenv("TROUBLE") != "0"
 	err = cases[args[0]](w)
 	switch {
--- a/review/_stand/split.go
+++ b/review/_stand/split.go
@@ -91,11 +91,5 @@
 	}
 	close(back)
 	all.Wait()
-	if len(joined) > 0 {
-		for _, text := range joined {
-			w.note("BROKEN: %s", text)
-		}
-		return errBroken
-	}
-	return nil
+	return w.judgeStreams(joined)
 }
--- a/review/_stand/version.go
+++ b/review/_stand/version.go
@@ -58,6 +58,7 @@
 	if err := e.Start(); err != nil {
 		return nil, err
 	}
+	w.engines = append(w.engines, e)
 	w.register(e, "ready")
 	return e, nil
 }
@@ -104,6 +105,7 @@
 // received is what a client got of one stream in one attempt.
 type received struct {
 	id      string
+	sentAt  time.Time
 	host    string
 	resumes string
 	after   string
@@ -126,14 +128,12 @@
 // playVersion stops a host, in order, while it is cut off from the others and one server has been replaced by a newer version. Its clients take their streams up at the other hosts.
 func playVersion(w *world) error {
 	w.paths = newPaths()
-	var engines []*engine
 	for i, zone := range []string{"centro-1", "centro-2", "centro-3"} {
 		e, err := w.addEngine(fmt.Sprintf("i-old-%d", i+1), zone, "v1", streamEvents)
 		if err != nil {
 			return err
 		}
 		defer e.Close()
-		engines = append(engines, e)
 	}
 	w.configure(streamConfiguration(7, streamTimeout))
 	for i, zone := range []string{"centro-1", "centro-2", "centro-3"} {
@@ -154,9 +154,8 @@
 		return err
 	}
 	defer newer.Close()
-	engines = append(engines, newer)
 	time.Sleep(500 * time.Millisecond)
-	w.register(engines[0], "draining")
+	w.register(w.engines[0], "draining")
 	leaving := w.hosts[0]
 	if w.trouble {
 		w.note("%s is cut off from the other hosts", leaving.name)
@@ -194,15 +193,20 @@
 	all.Wait()
 	<-leaving.done
 	w.note("%s ended", leaving.name)
-	for _, e := range engines {
+	return w.judgeStreams(joined)
+}
+
+// judgeStreams notes what the servers ran and which streams are joined from two versions.
+func (w *world) judgeStreams(joined []string) error {
+	for _, e := range w.engines {
 		for _, r := range e.Runs() {
-			w.note("server %s (%s) ran %s after event %q", e.ID, e.Version, r.ID, r.Header.Get("Last-Event-Id"))
+			w.note("server %s (%s, %s) began to run %s at %.3f, after event %q", e.ID, e.Service, e.Version, r.ID, r.At.Sub(w.began).Seconds(), r.Header.Get("Last-Event-Id"))
 		}
 	}
+	for _, text := range joined {
+		w.note("BROKEN: %s", text)
+	}
 	if len(joined) > 0 {
-		for _, text := range joined {
-			w.note("BROKEN: %s", text)
-		}
 		return errBroken
 	}
 	return nil
@@ -239,7 +243,7 @@
 }
 
 func (w *world) noteReceived(r received) {
-	w.note("request %s to %s, resumes %q after %q: status %d, stamp %q, events to %s, whole %t", r.id, r.host, r.resumes, r.after, r.status, r.stamp, r.lastID(), r.whole)
+	w.note("request %s sent at %.3f to %s, resumes %q after %q: status %d, stamp %q, events to %s, whole %t", r.id, r.sentAt.Sub(w.began).Seconds(), r.host, r.resumes, r.after, r.status, r.stamp, r.lastID(), r.whole)
 }
 
 // versionOf returns the software version of the server that signed an answer.
@@ -264,6 +268,7 @@
 // receiveStream sends a request for a stream, or for the rest of one, and reads what comes.
 func receiveStream(c *http.Client, h *host, r received, left time.Duration) received {
 	r.host = h.name
+	r.sentAt = time.Now()
 	req, err := http.NewRequest(http.MethodPost, "http://"+h.callers+"/digest/terms", strings.NewReader("terms"))
 	if err != nil {
 		return r
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -35,6 +35,7 @@
 	trouble bool
 	store   *rows.Store
 	hosts   []*host
+	engines []*engine
 	// paths, if set, are the paths between the hosts.
 	paths *paths
 
@@ -73,13 +74,6 @@
 	for _, h := range w.hosts {
 		h.kill()
 	}
-	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
-		for _, h := range w.hosts {
-			if b, err := os.ReadFile(h.log); err == nil {
-				_ = os.WriteFile(filepath.Join(keep, h.name+".log"), b, 0o644)
-			}
-		}
-	}
 	if w.paths != nil {
 		w.paths.close()
 	}
--- a/review/_stand/writer.go
+++ b/review/_stand/writer.go
@@ -103,11 +103,5 @@
 		return err
 	}
 	all.Wait()
-	if len(joined) > 0 {
-		for _, text := range joined {
-			w.note("BROKEN: %s", text)
-		}
-		return errBroken
-	}
-	return nil
+	return w.judgeStreams(joined)
 }
