--- a/internal/root/relay/backup/backup.go
+++ b/internal/root/relay/backup/backup.go
@@ -14,8 +14,6 @@
 const (
 	// checkInterval is the time between two checks of what is to be written.
 	checkInterval = time.Second
-	// maxFirstReadPause bounds the pause after a failed first read, which begins with checkInterval and doubles.
-	maxFirstReadPause = 30 * time.Second
 	// mixedWriteDelay is how long streams wait to be written together while a pool has several versions, and writeDelay the same once the others have left.
 	mixedWriteDelay = 100 * time.Millisecond
 	writeDelay      = time.Second
@@ -33,14 +31,25 @@
 
 // Table is the table of the platform's store with the rows of this package.
 type Table interface {
-	// Read returns every row, and the time of the store's clock in milliseconds.
-	Read(ctx context.Context) (rows []follow.Row, nowMS int64, err error)
+	// Read returns every row.
+	Read(ctx context.Context) (Contents, error)
+	// ReadChanges returns the rows that were written after the position. The error is follow.ErrHistoryTruncated if the store does not have these changes any more.
+	ReadChanges(ctx context.Context, after follow.Position) (Contents, error)
 	// Put writes a row.
 	Put(ctx context.Context, key string, value []byte) error
 	// RemoveAll removes rows.
 	RemoveAll(ctx context.Context, keys []string) error
 }
 
+// Contents is what a read of the table returned.
+type Contents struct {
+	Rows []follow.Row
+	// Position is the point in the history of the table from which later changes are read.
+	Position follow.Position
+	// NowMS is the time of the store's clock in milliseconds.
+	NowMS int64
+}
+
 // Backup writes and reads the rows of this host. It is safe for concurrent use.
 type Backup struct {
 	common.Deps
@@ -50,15 +59,14 @@
 	// writesForAll reports whether this host writes the versions, and removes expired rows, for all hosts.
 	writesForAll func() bool
 	// wake ends the wait for the next check.
-	wake   chan struct{}
-	reader reader
+	wake chan struct{}
+	// stopped is closed once Run ends.
+	stopped chan struct{}
+	reader  *reader
 	// written holds the versions that were written last, at writtenAt. Both belong to Run, like cleanedAt.
 	written   map[string]string
 	writtenAt time.Time
 	cleanedAt time.Time
-	// firstReadAt is when the first read is due, and firstReadPause the pause after it if it fails.
-	firstReadAt    time.Time
-	firstReadPause time.Duration
 	// failing reports that the last write failed.
 	failing bool
 	// rowsWritten counts the rows with streams since this process started.
@@ -84,6 +92,8 @@
 			sinceBoot: sinceBoot,
 		},
 		wake:      make(chan struct{}, 1),
+		stopped:   make(chan struct{}),
+		reader:    newReader(),
 		onCrashes: func(blame.Update) {},
 	}
 }
@@ -116,6 +126,7 @@
 		b.clean(ctx)
 		b.wait(ctx)
 	}
+	close(b.stopped)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalWriteTimeout)
 	defer cancel()
 	b.writeStreams(ctx)
@@ -124,16 +135,12 @@
 
 // readFirst reads the table unless that has succeeded before, or has failed just now.
 func (b *Backup) readFirst(ctx context.Context) {
-	if _, known := b.clock.now(); known || b.Now().Before(b.firstReadAt) {
+	if _, known := b.clock.now(); known || b.reader.wholeReadPaused(b.Now()) {
 		return
 	}
-	err := b.Refresh(ctx)
-	if err == nil || ctx.Err() != nil {
-		return
+	if err := b.Refresh(ctx); err != nil && ctx.Err() == nil {
+		b.Log.WithError(err).Info("Failed to read what earlier hosts knew of streams and versions.")
 	}
-	b.firstReadPause = min(max(checkInterval, 2*b.firstReadPause), maxFirstReadPause)
-	b.firstReadAt = b.Now().Add(b.firstReadPause)
-	b.Log.WithError(err).WithField("pause_ms", b.firstReadPause.Milliseconds()).Info("Failed to read what earlier hosts knew of streams and versions.")
 }
 
 // wait waits until the next check is due, or Wake is called.
--- a/internal/root/relay/backup/reader.go
+++ b/internal/root/relay/backup/reader.go
@@ -7,27 +7,52 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 )
 
-// maxReadAge is how old a read may be for a stream that it does not hold. It is long because a read of the whole table fills the link of a small host for a while, and because a host that has just started has read all that hosts wrote before they were lost.
-const maxReadAge = 30 * time.Second
+const (
+	// readInterval is the shortest time between the beginnings of two reads.
+	readInterval = 100 * time.Millisecond
+	// minReadPause is the pause after a failed read of the whole table. It doubles with each further failure, up to maxReadPause.
+	minReadPause = time.Second
+	maxReadPause = 30 * time.Second
+)
+
+// errReadPaused reports that the whole table would have to be read, which has failed just now.
+var errReadPaused = errors.New("read of the whole table is paused after a failure")
 
-// reader holds what the last read of the table returned. Concurrent callers share a read. Its zero value has read nothing.
+// reader holds what reads of the table returned. Concurrent callers share reads.
 type reader struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// streams are those that the table held when they were read, and expired holds the keys of the rows whose streams nobody may resume.
 	streams *origin.Ledger
-	// expired holds the keys of the rows whose streams nobody may resume.
 	expired []string
-	readAt  time.Time
-	current *read
+	// position is from where later changes are read, or unknown if the whole table must be read.
+	position follow.Position
+	// wholeReadAt is when the whole table may be read again after failures, and readPause the pause after the last one.
+	wholeReadAt time.Time
+	readPause   time.Duration
+	// next is the read that has not begun yet, and active reports that reads are in progress.
+	next    *read
+	active  bool
+	beganAt time.Time
 }
 
-// read is a read in progress.
+// read is a read that callers wait for.
 type read struct {
-	done chan struct{}
-	err  error
+	// whole demands every row, not only changed ones.
+	whole bool
+	done  chan struct{}
+	err   error
+}
+
+func newReader() *reader {
+	return &reader{
+		streams: origin.NewLedger(),
+	}
 }
 
 func (r *reader) expiredKeys() []string {
@@ -36,82 +61,180 @@
 	return r.expired
 }
 
-func (r *reader) find(now time.Time, k origin.Key) (o origin.Origin, found, recent bool) {
+// wholeReadPaused reports whether the whole table is not to be read yet, as that has failed just now.
+func (r *reader) wholeReadPaused(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.streams == nil {
-		return origin.Origin{}, false, false
-	}
-	o, found = r.streams.Find(now, k)
-	return o, found, now.Sub(r.readAt) < maxReadAge
+	return now.Before(r.wholeReadAt)
 }
 
-// begin returns the read in progress, or a new one that the caller has to do.
-func (r *reader) begin() (current *read, mine bool) {
+// recordWholeRead records the result of a read of the whole table.
+func (r *reader) recordWholeRead(now time.Time, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.current != nil {
-		return r.current, false
+	if err == nil {
+		r.readPause = 0
+		return
 	}
-	r.current = &read{
-		done: make(chan struct{}),
+	r.readPause = min(max(minReadPause, 2*r.readPause), maxReadPause)
+	r.wholeReadAt = now.Add(r.readPause)
+}
+
+func (r *reader) currentPosition() follow.Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.position
+}
+
+func (r *reader) setPosition(p follow.Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.position = p
+}
+
+// join returns the read that begins next. mine reports that the caller has to start the reads.
+func (r *reader) join(whole bool) (next *read, mine bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.next == nil {
+		r.next = &read{
+			done: make(chan struct{}),
+		}
 	}
-	return r.current, true
+	r.next.whole = r.next.whole || whole
+	mine = !r.active
+	r.active = true
+	return r.next, mine
+}
+
+// begin returns the read that is to begin.
+func (r *reader) begin(now time.Time) *read {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := r.next
+	r.next = nil
+	r.beganAt = now
+	return current
+}
+
+// end returns whether nobody waits for another read.
+func (r *reader) end() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active = r.next != nil
+	return !r.active
 }
 
-// Find returns where a stream began according to the store. found is false if the store does not hold the stream, or could not be read.
-func (b *Backup) Find(ctx context.Context, k origin.Key) (o origin.Origin, found bool) {
-	o, found, recent := b.reader.find(b.Now(), k)
-	if found || recent {
-		return o, found
+// pause returns how long the next read must wait.
+func (r *reader) pause(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return readInterval - now.Sub(r.beganAt)
+}
+
+// Find returns where a stream began according to the store. found is false if the store holds no such stream. It returns an error if the store could not be read since the call, so that it may hold the stream all the same.
+func (b *Backup) Find(ctx context.Context, k origin.Key) (o origin.Origin, found bool, err error) {
+	if o, found := b.reader.streams.Find(b.Now(), k); found {
+		return o, true, nil
 	}
-	if err := b.Refresh(ctx); err != nil {
-		b.Log.WithError(err).Info("Failed to read where a stream began.")
-		return origin.Origin{}, false
+	if err := b.update(ctx, false); err != nil {
+		return origin.Origin{}, false, fmt.Errorf("read where a stream began: %w", err)
 	}
-	o, found, _ = b.reader.find(b.Now(), k)
-	return o, found
+	o, found = b.reader.streams.Find(b.Now(), k)
+	return o, found, nil
 }
 
-// Refresh reads the table, or waits for a read that is in progress.
+// Refresh reads the whole table, or waits for such a read that begins after the call.
 func (b *Backup) Refresh(ctx context.Context) error {
-	current, mine := b.reader.begin()
+	return b.update(ctx, true)
+}
+
+// update reads what changed in the table, or the whole table, in a read that begins after the call.
+func (b *Backup) update(ctx context.Context, whole bool) error {
+	next, mine := b.reader.join(whole)
 	if mine {
-		// The read goes on for others if ctx ends. The table bounds its time.
-		go b.read(context.WithoutCancel(ctx), current)
+		// The reads go on for others if ctx ends. The table bounds their time.
+		go b.runReads(context.WithoutCancel(ctx))
 	}
 	select {
-	case <-current.done:
-		return current.err
+	case <-next.done:
+		return next.err
 	case <-ctx.Done():
 		return fmt.Errorf("wait for the table: %w", ctx.Err())
 	}
 }
 
-// read reads the table and replaces what is known.
-func (b *Backup) read(ctx context.Context, current *read) {
-	began := b.Now()
-	rows, nowMS, err := b.table.Read(ctx)
-	if err == nil {
-		b.clock.set(nowMS)
-		streams, expired := b.decode(rows, nowMS)
-		b.reader.mu.Lock()
-		b.reader.streams = streams
-		b.reader.expired = expired
-		b.reader.readAt = began
-		b.reader.mu.Unlock()
+// runReads reads the table as long as callers wait for it.
+func (b *Backup) runReads(ctx context.Context) {
+	for ended := false; !ended; ended = b.reader.end() {
+		b.pauseReads(b.reader.pause(b.Now()))
+		current := b.reader.begin(b.Now())
+		current.err = b.read(ctx, current.whole)
+		close(current.done)
+	}
+}
+
+// pauseReads waits for d, or until Run ends.
+func (b *Backup) pauseReads(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-b.stopped:
+	}
+}
+
+// read reads what changed in the table, or the whole table if the changes are not enough.
+func (b *Backup) read(ctx context.Context, whole bool) error {
+	position := b.reader.currentPosition()
+	if position.Known() && !whole {
+		err := b.readChanges(ctx, position)
+		if !errors.Is(err, follow.ErrHistoryTruncated) {
+			return err
+		}
 	}
+	return b.readWhole(ctx)
+}
+
+func (b *Backup) readChanges(ctx context.Context, after follow.Position) error {
+	changes, err := b.table.ReadChanges(ctx, after)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// The changes may be too many for one call. The whole table is read in parts.
+		b.reader.setPosition(follow.Position{})
+	}
+	if err != nil {
+		return fmt.Errorf("read changes: %w", err)
+	}
+	b.clock.set(changes.NowMS)
+	b.decode(changes.Rows, changes.NowMS)
+	b.reader.setPosition(changes.Position)
+	return nil
+}
+
+func (b *Backup) readWhole(ctx context.Context) error {
+	if b.reader.wholeReadPaused(b.Now()) {
+		return errReadPaused
+	}
+	all, err := b.table.Read(ctx)
+	b.reader.recordWholeRead(b.Now(), err)
+	if err != nil {
+		return fmt.Errorf("read table: %w", err)
+	}
+	b.clock.set(all.NowMS)
+	expired := b.decode(all.Rows, all.NowMS)
 	b.reader.mu.Lock()
-	b.reader.current = nil
-	b.reader.mu.Unlock()
-	current.err = err
-	close(current.done)
+	defer b.reader.mu.Unlock()
+	b.reader.expired = expired
+	b.reader.position = all.Position
+	return nil
 }
 
-// decode returns the streams in the rows and the keys of the expired rows, and passes on what they hold of versions and crashes. Rows that are not valid are ignored.
-func (b *Backup) decode(rows []follow.Row, nowMS int64) (streams *origin.Ledger, expired []string) {
-	streams = origin.NewLedger()
+// decode adds the streams in the rows to those that are known, and passes on what the rows hold of versions and crashes. It returns the keys of the expired rows. Rows that are not valid are ignored.
+func (b *Backup) decode(rows []follow.Row, nowMS int64) (expired []string) {
 	for _, row := range rows {
+		if row.Deleted {
+			continue
+		}
 		var err error
 		switch {
 		case row.Key == versionsKey:
@@ -120,7 +243,7 @@
 			err = b.decodeCrashes(row.Value, nowMS)
 		case holdsStreams(row.Key):
 			var old bool
-			old, err = b.decodeStreams(row.Value, nowMS, streams)
+			old, err = b.decodeStreams(row.Value, nowMS)
 			if old {
 				expired = append(expired, row.Key)
 			}
@@ -131,7 +254,7 @@
 			b.Log.WithError(err).WithField("row", row.Key).Warn("Row is not valid. It is ignored.")
 		}
 	}
-	return streams, expired
+	return expired
 }
 
 func (b *Backup) decodeVersions(value []byte, nowMS int64) error {
@@ -165,7 +288,7 @@
 }
 
 // decodeStreams adds the streams of a row, and reports whether all of them have expired.
-func (b *Backup) decodeStreams(value []byte, nowMS int64, into *origin.Ledger) (expired bool, err error) {
+func (b *Backup) decodeStreams(value []byte, nowMS int64) (expired bool, err error) {
 	var row streamsRow
 	if err := json.Unmarshal(value, &row); err != nil {
 		return false, fmt.Errorf("decode row: %w", err)
@@ -177,7 +300,7 @@
 		}
 		o := s.Origin
 		o.SentAt = b.localTime(s.SentMS, nowMS)
-		into.Add(now, s.Key, o, time.Duration(s.UntilMS-nowMS)*time.Millisecond)
+		b.reader.streams.Add(now, s.Key, o, time.Duration(s.UntilMS-nowMS)*time.Millisecond)
 	}
 	return row.expired(nowMS), nil
 }
--- a/internal/root/relay/hosts/lookup.go
+++ b/internal/root/relay/hosts/lookup.go
@@ -32,20 +32,61 @@
 		return asked.origin, asked.origin.Known()
 	}
 	if version := origin.AgreedVersion(o.withOwn(asked.soles, pool), lifetime); version != "" {
-		return atVersion(pool, version), true
+		return o.conclude(k, pool, version, "only_version")
 	}
-	ctx, cancel := context.WithTimeout(ctx, originStoreTimeout)
-	defer cancel()
-	if saved, found := o.backup.Find(ctx, k); found {
+	saved, found, err := o.findInStore(ctx, k)
+	if found {
 		return saved, saved.Known()
 	}
 	// The store may just have told this host what earlier ones knew of the pool.
-	soles := o.withOwn(asked.soles, pool)
-	version := origin.AgreedVersion(soles, lifetime)
-	if version == "" && asked.complete {
-		version = origin.PreviousVersion(soles, lifetime)
+	if version := origin.AgreedVersion(o.withOwn(asked.soles, pool), lifetime); version != "" {
+		return o.conclude(k, pool, version, "only_version")
+	}
+	if err != nil {
+		o.Log.WithError(err).WithField("pool", pool).Info("Failed to read where a stream began.")
+		return origin.Origin{}, false
+	}
+	return o.conclude(k, pool, o.previousVersion(ctx, asked, lifetime), "previous_version")
+}
+
+// findInStore looks for a stream in the store.
+func (o *Origins) findInStore(ctx context.Context, k origin.Key) (saved origin.Origin, found bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, originStoreTimeout)
+	defer cancel()
+	return o.backup.Find(ctx, k)
+}
+
+// conclude returns the origin of a stream that nobody knows, at a version that was concluded from the versions of its pool, or false if the version is "".
+func (o *Origins) conclude(k origin.Key, pool, version, basis string) (begun origin.Origin, ok bool) {
+	log := o.Log.WithField("stream", k).WithField("pool", pool)
+	if version == "" {
+		log.Info("Nobody knows where a stream began.")
+		return origin.Origin{}, false
+	}
+	log.WithField("software", version).WithField("basis", basis).Info("Where a stream began was concluded from the versions of its pool.")
+	return origin.Origin{
+		Pool:    pool,
+		Version: version,
+	}, true
+}
+
+// previousVersion returns the version that the pool had before others came beside it, or "" if a stream that neither the hosts that were asked nor the store know may have begun later. A host may have begun it that could tell nobody and is gone, or was not asked yet.
+func (o *Origins) previousVersion(ctx context.Context, asked answersOfOthers, lifetime time.Duration) string {
+	q := asked.question
+	version := origin.PreviousVersion(o.withOwn(asked.soles, q.Pool), lifetime)
+	if version == "" || !asked.complete {
+		return ""
 	}
-	return atVersion(pool, version), version != ""
+	rest := o.askRest(ctx, asked)
+	soles := o.withOwn(rest.soles, q.Pool)
+	if rest.found || !rest.complete || origin.PreviousVersion(soles, lifetime) != version {
+		return ""
+	}
+	mixedSince := o.Now().Add(-origin.LongestMixed(soles))
+	if o.peers.roster.goneSince(mixedSince.Add(-o.stopGrace)) {
+		return ""
+	}
+	return version
 }
 
 // withOwn returns the statements of other hosts on a pool and that of this host, if it has one.
@@ -57,15 +98,10 @@
 	return append(slices.Clone(soles), s)
 }
 
-func atVersion(pool, version string) origin.Origin {
-	return origin.Origin{
-		Pool:    pool,
-		Version: version,
-	}
-}
-
 // answersOfOthers is what other hosts have answered to a question.
 type answersOfOthers struct {
+	question originQuestion
+	asked    []Host
 	// found reports that a host knows the stream, whose origin is zero if it is not sure.
 	found  bool
 	origin origin.Origin
@@ -77,26 +113,45 @@
 // askOthers asks the hosts that may know a stream, and if none does, some more.
 func (o *Origins) askOthers(ctx context.Context, q originQuestion) answersOfOthers {
 	ranked := o.ranked(q.Key)
-	first := spread(ranked, o.Domain, originAsked, originLocalAsked)
-	later := slices.DeleteFunc(ranked, func(h Host) bool { return slices.Contains(first, h) })
-	later = later[:min(originAskedLater, len(later))]
-	var all answersOfOthers
-	for _, round := range [][]Host{first, later} {
-		for _, a := range o.ask(ctx, round, q) {
-			switch {
-			case a.Conflicting:
-				all.found = true
-				return all
-			case a.Copy != nil:
-				all.found = true
-				all.origin = a.Copy.origin(o.Now())
-				return all
-			case a.Sole != nil:
-				all.soles = append(all.soles, *a.Sole)
-			}
+	all := o.askMore(ctx, answersOfOthers{
+		question: q,
+	}, spread(ranked, o.Domain, originAsked, originLocalAsked))
+	if all.found {
+		return all
+	}
+	later := all.notAsked(ranked)
+	return o.askMore(ctx, all, later[:min(originAskedLater, len(later))])
+}
+
+// askRest asks all hosts that were not asked before.
+func (o *Origins) askRest(ctx context.Context, before answersOfOthers) answersOfOthers {
+	return o.askMore(ctx, before, before.notAsked(o.ranked(before.question.Key)))
+}
+
+// notAsked returns those of the hosts that were not asked.
+func (a answersOfOthers) notAsked(hosts []Host) []Host {
+	return slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return slices.Contains(a.asked, h) })
+}
+
+// askMore asks further hosts, and adds their answers to the earlier ones.
+func (o *Origins) askMore(ctx context.Context, before answersOfOthers, hosts []Host) answersOfOthers {
+	all := before
+	all.asked = slices.Concat(before.asked, hosts)
+	all.soles = slices.Clone(before.soles)
+	for _, a := range o.ask(ctx, hosts, before.question) {
+		switch {
+		case a.Conflicting:
+			all.found = true
+			return all
+		case a.Copy != nil:
+			all.found = true
+			all.origin = a.Copy.origin(o.Now())
+			return all
+		case a.Sole != nil:
+			all.soles = append(all.soles, *a.Sole)
 		}
 	}
-	all.complete = len(all.soles) == len(first)+len(later) && !o.peers.roster.anyDown()
+	all.complete = len(all.soles) == len(all.asked) && !o.peers.roster.anyDown()
 	return all
 }
 
@@ -128,4 +183,3 @@
 	}
 	return out
 }
-
--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -86,8 +86,8 @@
 type OriginBackup interface {
 	// Save writes soon where a stream began, which its caller may resume for the given time.
 	Save(k origin.Key, o origin.Origin, keep time.Duration)
-	// Find returns where a stream began, or false if the store does not hold it.
-	Find(ctx context.Context, k origin.Key) (origin.Origin, bool)
+	// Find returns where a stream began, or false if the store holds no such stream. It returns an error if the store could not be read since the call.
+	Find(ctx context.Context, k origin.Key) (origin.Origin, bool, error)
 }
 
 // Origins knows where streams began, over all hosts. Each stream's origin is kept by the host that began it and by a few others, the first in the ranking for the stream. While a pool has several versions, or had them as long ago as a stream lasts, one host of each failure domain also writes them to the store, in case all hosts are lost.
@@ -97,10 +97,22 @@
 	ledger  *origin.Ledger
 	history *origin.History
 	backup  OriginBackup
+	// stopGrace is how long a host that has removed itself from the table of hosts may still begin streams.
+	stopGrace time.Duration
+}
+
+// OriginsOption configures Origins under construction.
+type OriginsOption func(*Origins)
+
+// WithStopGrace sets how long a host that is told to stop may go on serving.
+func WithStopGrace(grace time.Duration) OriginsOption {
+	return func(o *Origins) {
+		o.stopGrace = grace
+	}
 }
 
 // NewOrigins returns the origins that this host knows, which are shared with other hosts through peers. It must be called before peers runs.
-func NewOrigins(deps common.Deps, peers *Peers, history *origin.History, backup OriginBackup) *Origins {
+func NewOrigins(deps common.Deps, peers *Peers, history *origin.History, backup OriginBackup, opts ...OriginsOption) *Origins {
 	o := &Origins{
 		Deps:    deps.WithPart("origins"),
 		peers:   peers,
@@ -108,6 +120,9 @@
 		history: history,
 		backup:  backup,
 	}
+	for _, opt := range opts {
+		opt(o)
+	}
 	peers.services = append(peers.services, o)
 	return o
 }
--- a/internal/root/relay/hosts/roster.go
+++ b/internal/root/relay/hosts/roster.go
@@ -78,6 +78,8 @@
 	// loaded is set once the table of hosts has been read, and leaving once this host is about to stop.
 	loaded  bool
 	leaving bool
+	// goneAt is when another host was last removed or replaced, or zero.
+	goneAt time.Time
 	// onChange is called after each change, and onJoin for each other host that has started or is up again; both are called without the lock.
 	onChange func()
 	onJoin   func(Host)
@@ -125,7 +127,7 @@
 func (r *Roster) RemoveLeaving(h Host) {
 	r.mu.Lock()
 	if s, ok := r.states[h.Name]; ok && s.host == h && h.Name != r.self.Name {
-		delete(r.states, h.Name)
+		r.remove(h.Name)
 		r.Log.WithField("host", h.Name).Info("Host announced that it is leaving.")
 	}
 	r.mu.Unlock()
@@ -158,6 +160,9 @@
 	if h.Name != r.self.Name {
 		go r.onJoin(h)
 	}
+	if old, ok := r.states[h.Name]; ok && old.host != h {
+		r.remove(h.Name)
+	}
 	r.states[h.Name] = &hostState{
 		host:     h,
 		nameHash: xxhash.Sum64String(h.Name),
@@ -165,6 +170,19 @@
 	}
 }
 
+// remove removes a host, even one that came and went unseen. The caller holds the lock.
+func (r *Roster) remove(name string) {
+	delete(r.states, name)
+	r.goneAt = r.Now()
+}
+
+// goneSince reports whether another host was removed or replaced at the time or later, so that what it knew can't be asked for.
+func (r *Roster) goneSince(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.goneAt.IsZero() && !r.goneAt.Before(t)
+}
+
 // Reset replaces the known hosts with the hosts in rows, the complete table of hosts. This host stays known in any case.
 func (r *Roster) Reset(rows []follow.Row) {
 	defer r.onChange()
@@ -178,7 +196,7 @@
 	r.loaded = true
 	for name := range r.states {
 		if !seen[name] {
-			delete(r.states, name)
+			r.remove(name)
 		}
 	}
 }
@@ -207,7 +225,7 @@
 		if s.forgetAt.IsZero() || now.Before(s.forgetAt) {
 			continue
 		}
-		delete(r.states, name)
+		r.remove(name)
 		removed++
 		r.Log.WithField("host", name).Info("Host has not written its row again since the store was restored. It is removed.")
 	}
@@ -231,7 +249,7 @@
 			continue
 		}
 		if row.Deleted {
-			delete(r.states, row.Key)
+			r.remove(row.Key)
 			r.Log.WithField("host", row.Key).Info("Host was removed from the table of hosts.")
 			continue
 		}
--- a/internal/root/relay/origin/history.go
+++ b/internal/root/relay/origin/history.go
@@ -235,7 +235,7 @@
 	return version
 }
 
-// PreviousVersion returns the version at which a stream began that none of the hosts knows which state this, if all of them saw a pool with that version alone become one with several, and one of them says that this version was alone since before the given time. Streams that began later would be known to one of them.
+// PreviousVersion returns the version that a pool had alone until others came beside it, if all of the statements agree on it, and one of them says that it was alone since before the given time. A stream that none of the hosts knows which state this began at that version, unless another host may have begun it since.
 func PreviousVersion(statements []Sole, atLeast time.Duration) string {
 	if len(statements) == 0 {
 		return ""
@@ -253,3 +253,14 @@
 	}
 	return version
 }
+
+// LongestMixed returns the longest time for which a pool has had several versions, according to the statements.
+func LongestMixed(statements []Sole) time.Duration {
+	longest := int64(0)
+	for _, s := range statements {
+		if s.Version == "" {
+			longest = max(longest, s.ForMS)
+		}
+	}
+	return time.Duration(longest) * time.Millisecond
+}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -152,7 +152,7 @@
 	r.backup.OnCrashes(r.crashes.Restore)
 	r.limits = hosts.NewLimits(deps, r.peers, r.applyLimit)
 	r.dispatcher.OnLimit(r.limits.Note)
-	r.origins = hosts.NewOrigins(deps, r.peers, r.history, r.backup)
+	r.origins = hosts.NewOrigins(deps, r.peers, r.history, r.backup, hosts.WithStopGrace(s.Stop.Grace.D()))
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
 		Plans:         r.plans,
