--- a/internal/root/relay/backup/backup.go
+++ b/internal/root/relay/backup/backup.go
@@ -23,6 +23,8 @@
 	cleanInterval = 30 * time.Second
 	// finalWriteTimeout bounds the last write of a host that stops.
 	finalWriteTimeout = 300 * time.Millisecond
+	// failureMemory is how long a host takes nothing to write for others after a write of its own failed.
+	failureMemory = 3 * time.Second
 	// maxPending bounds the streams that wait to be written. The oldest are dropped first.
 	maxPending = 4096
 	// maxRemoved is how many rows are removed by one call.
@@ -67,7 +69,7 @@
 	written   map[string]string
 	writtenAt time.Time
 	cleanedAt time.Time
-	// failing reports that the last write failed.
+	// failing reports that the last write failed. It belongs to Run.
 	failing bool
 	// rowsWritten counts the rows with streams since this process started.
 	rowsWritten int
@@ -77,6 +79,8 @@
 
 	mu      sync.Mutex
 	pending []pendingStream
+	// failedAt is when a write last failed, or zero if the last one succeeded.
+	failedAt time.Time
 	// crashes is what is to be written of crashes, or nil.
 	crashes *savedCrashes
 }
@@ -163,6 +167,26 @@
 		b.Log.Info("Writing to the store works again.")
 	}
 	b.failing = err != nil
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failedAt = time.Time{}
+	if err != nil {
+		b.failedAt = b.Now()
+	}
+}
+
+// CanWrite reports whether this host follows the store and its writes have not just failed.
+func (b *Backup) CanWrite() bool {
+	now := b.Now()
+	if _, known := b.clock.now(); !known {
+		return false
+	}
+	if _, _, followed := b.history.All(now); !followed {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failedAt.IsZero() || now.Sub(b.failedAt) >= failureMemory
 }
 
 // clean removes the rows whose streams nobody may resume, if that is up to this host.
--- a/internal/root/relay/backup/reader.go
+++ b/internal/root/relay/backup/reader.go
@@ -15,7 +15,7 @@
 
 const (
 	// readInterval is the shortest time between the beginnings of two reads.
-	readInterval = 100 * time.Millisecond
+	readInterval = 50 * time.Millisecond
 	// minReadPause is the pause after a failed read of the whole table. It doubles with each further failure, up to maxReadPause.
 	minReadPause = time.Second
 	maxReadPause = 30 * time.Second
--- a/internal/root/relay/hosts/blame_test.go
+++ b/internal/root/relay/hosts/blame_test.go
@@ -27,6 +27,7 @@
 type crashCluster struct {
 	t       *testing.T
 	crashes []*Crashes
+	writers []*Writers
 	peers   []*Peers
 	stop    []context.CancelFunc
 	stopped []bool
@@ -48,6 +49,7 @@
 		crashes := NewCrashes(deps, p, links.NewDialer(deps).Reaches)
 		crashes.background = c.send
 		c.crashes = append(c.crashes, crashes)
+		c.writers = append(c.writers, NewWriters(deps, p, testRank, func() bool { return true }))
 	})
 	return c
 }
--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -216,7 +216,7 @@
 	}
 	c.updateVerdict()
 	if untold := c.ledger.TakeUntold(c.Now()); len(untold) > 0 {
-		if c.peers.roster.selfInTop(countersKey, 1) {
+		if c.peers.roster.IsWriter(countersKey) {
 			c.save(c.ledger.Evidence(c.Now(), c.ledger.Blocked()))
 		}
 		c.background(func() { c.notify(c.peers.roster.LiveOthers(), untold) })
--- a/internal/root/relay/hosts/forward.go
+++ b/internal/root/relay/hosts/forward.go
@@ -13,6 +13,9 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 )
 
+// errUnknownPath reports a host of an older build, which does not know the path of the call.
+var errUnknownPath = errors.New("host does not know the path")
+
 // Do sends the work to one of its pool's queues, and to another queue if the first one refuses it. The function returned with a Completed outcome frees the results; otherwise it is nil.
 func (p *Peers) Do(ctx context.Context, w batch.Work) (batch.Outcome, func()) {
 	start := p.Now()
@@ -194,6 +197,9 @@
 	if err != nil {
 		return fmt.Errorf("call host %s: %w", h.Name, err)
 	}
+	if resp.Status == http.StatusNotFound {
+		return fmt.Errorf("call host %s: %w", h.Name, errUnknownPath)
+	}
 	if resp.Status != http.StatusOK {
 		return errors.Errorf("host %s answered with status %d", h.Name, resp.Status)
 	}
--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -19,8 +19,8 @@
 	// originCopies is how many of the other hosts, by rank for the stream, keep the origin of a stream. One more does so in the failure domain of the host, in case that domain is cut off.
 	originCopies      = 3
 	originLocalCopies = 1
-	// backupWriterRank is the key by which the hosts of a failure domain are ranked for writing to the store.
-	backupWriterRank = "backup/streams"
+	// streamWriterRank is the key by which the hosts of a failure domain are ranked for writing streams to the store.
+	streamWriterRank = "backup/streams"
 	// maxOriginCopies is how many origins one message holds.
 	maxOriginCopies = 500
 	// originCopyTimeout is the timeout of the message with a copy.
@@ -86,6 +86,8 @@
 type OriginBackup interface {
 	// Save writes soon where a stream began, which its caller may resume for the given time.
 	Save(k origin.Key, o origin.Origin, keep time.Duration)
+	// CanWrite reports whether what is saved can be written now.
+	CanWrite() bool
 	// Find returns where a stream began, or false if the store holds no such stream. It returns an error if the store could not be read since the call.
 	Find(ctx context.Context, k origin.Key) (origin.Origin, bool, error)
 }
@@ -171,17 +173,23 @@
 	}
 }
 
-// save has origins written to the store by the one host that does so for this failure domain, so that the calls to the store do not grow with the hosts.
+// save has origins written to the store by the one host that does so for this failure domain, so that the calls to the store do not grow with the hosts. If that host does not take them, this host writes them itself, as it does where no other host of the domain writes.
 func (o *Origins) save(copies []originCopy) {
-	writer := o.peers.roster.firstInDomain(backupWriterRank, o.Domain)
-	if writer.Name == o.Host {
+	writer := o.peers.roster.writer(streamWriterRank, o.Domain)
+	if writer.Name == o.Host || writer.Domain != o.Domain {
 		o.writeToStore(copies)
 		return
 	}
 	go func() {
-		if err := o.peers.postWithin(originCopyTimeout, writer, pathOriginBackup, copies, nil); err != nil {
-			o.Log.WithError(err).WithField("host", writer.Name).Info("Failed to have origins of streams written to the store.")
+		err := o.peers.postWithin(originCopyTimeout, writer, pathOriginBackup, copies, nil)
+		if err == nil {
+			return
 		}
+		o.Log.WithError(err).WithField("host", writer.Name).Info("Another host does not write origins of streams to the store. This host does.")
+		if o.backup.CanWrite() {
+			o.peers.roster.setWriting(writer, false)
+		}
+		o.writeToStore(copies)
 	}()
 }
 
@@ -234,9 +242,14 @@
 
 func (o *Origins) handleBackup(w http.ResponseWriter, r *http.Request) {
 	var copies []originCopy
-	if decodeBody(w, r, &copies) {
-		o.writeToStore(copies)
+	if !decodeBody(w, r, &copies) {
+		return
+	}
+	if !o.backup.CanWrite() {
+		http.Error(w, "the store takes no writes", http.StatusServiceUnavailable)
+		return
 	}
+	o.writeToStore(copies)
 }
 
 func (o *Origins) handleQuestion(w http.ResponseWriter, r *http.Request) {
--- a/internal/root/relay/hosts/roster.go
+++ b/internal/root/relay/hosts/roster.go
@@ -64,6 +64,8 @@
 	down       chan struct{}
 	nextProbe  time.Time
 	goodProbes int
+	// writesNothing reports that the host did not take what it has to write to the store for others.
+	writesNothing bool
 	// forgetAt is when the host is forgotten unless it writes its row again, or zero if it has a row.
 	forgetAt time.Time
 }
@@ -277,35 +279,83 @@
 func (r *Roster) Owner(queue string) (Host, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	best := r.first(queue, batch.DomainOf(queue))
+	best := r.first(queue, batch.DomainOf(queue), anyHost)
 	if best == nil {
 		return r.self, nil
 	}
 	return best.host, best.down
 }
 
-// IsFirst reports whether this host is the first in the ranking for the key. It is not until the table of hosts has been read.
-func (r *Roster) IsFirst(key string) bool {
-	return r.Loaded() && r.firstInDomain(key, "").Name == r.self.Name
+// IsWriter reports whether this host makes the writes for all hosts that the key names. It does not until the table of hosts has been read.
+func (r *Roster) IsWriter(key string) bool {
+	return r.Loaded() && r.writer(key, "").Name == r.self.Name
 }
 
-// firstInDomain returns the first host in the ranking for the key that is up and not about to stop, in the failure domain if any host there is up. If there is none, it returns this host.
-func (r *Roster) firstInDomain(key, domain string) Host {
+// writer returns the host that makes the writes for all hosts that the key names, or those for the hosts of a failure domain unless that is "". It is the first one in the ranking that is up, takes them and is not about to stop, in the domain if any host there is up. If there is none, it is this host.
+func (r *Roster) writer(key, domain string) Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	best := r.first(key, domain)
+	best := r.first(key, domain, func(s *hostState) bool { return !s.writesNothing })
 	if best == nil {
 		return r.self
 	}
 	return best.host
 }
 
-// first returns the first host in the ranking for the key, or nil if there is none. A host of the failure domain goes before all others, unless domain is "". The caller holds the lock.
-func (r *Roster) first(key, domain string) *hostState {
+// setWriting records whether another host takes what it has to write for others.
+func (r *Roster) setWriting(h Host, writes bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.states[h.Name]
+	if !ok || s.host != h || h.Name == r.self.Name || s.writesNothing == !writes {
+		return
+	}
+	s.writesNothing = !writes
+	r.Log.WithField("host", h.Name).WithField("writes", writes).Info("Whether a host writes to the store for others has changed.")
+}
+
+// writerBefore returns the host that is ranked just before this one for the writes that the key names, among those that are up and take them, in the failure domain unless that is "". It returns false if there is none, or if this host is about to stop.
+func (r *Roster) writerBefore(key, domain string) (Host, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	self := r.states[r.self.Name]
+	var last *hostState
+	for _, s := range r.states {
+		if s.down == nil || s.writesNothing || (domain != "" && s.host.Domain != domain) || compareForKey(key, s, self) >= 0 {
+			continue
+		}
+		if last == nil || compareForKey(key, last, s) < 0 {
+			last = s
+		}
+	}
+	if last == nil || r.leaving {
+		return Host{}, false
+	}
+	return last.host, true
+}
+
+// notWriting returns the hosts that are up and did not take what they have to write for others.
+func (r *Roster) notWriting() []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Host
+	for _, s := range r.states {
+		if s.writesNothing && s.down != nil {
+			out = append(out, s.host)
+		}
+	}
+	return out
+}
+
+// anyHost accepts every host.
+func anyHost(*hostState) bool { return true }
+
+// first returns the first host in the ranking for the key that is accepted, or nil if there is none. A host of the failure domain goes before all others, unless domain is "". The caller holds the lock.
+func (r *Roster) first(key, domain string, accepts func(*hostState) bool) *hostState {
 	outside := func(s *hostState) bool { return domain != "" && s.host.Domain != domain }
 	var best *hostState
 	for _, s := range r.states {
-		if s.down == nil || (r.leaving && s.host.Name == r.self.Name) {
+		if s.down == nil || (r.leaving && s.host.Name == r.self.Name) || !accepts(s) {
 			continue
 		}
 		switch {
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -105,6 +105,7 @@
 	origins    *hosts.Origins
 	history    *origin.History
 	backup     *backup.Backup
+	writers    *hosts.Writers
 	dialer     *links.Dialer
 	tunnels    *hosts.Tunnels
 	flow       *flow.Service
@@ -144,7 +145,8 @@
 	})
 	r.dispatcher.OnLeaving(r.upstreams.MarkLeaving)
 	r.dispatcher.OnReleased(r.peers.Release)
-	r.backup = backup.New(deps, a.Backups, r.history, grant.SinceBoot, func() bool { return r.roster.IsFirst(backupRank) })
+	r.backup = backup.New(deps, a.Backups, r.history, grant.SinceBoot, func() bool { return r.roster.IsWriter(backupRank) })
+	r.writers = hosts.NewWriters(deps, r.peers, backupRank, r.backup.CanWrite)
 	r.tunnels = hosts.NewTunnels(deps, r.peers, dialer)
 	r.crashes = hosts.NewCrashes(deps, r.peers, dialer.Reaches)
 	r.refuter = hosts.NewRefuter(deps, r.crashes, r.upstreamRanAt)
@@ -210,6 +212,7 @@
 		follow.NewFeed(r.Deps, eras, "hosts", r.adapter.Hosts, r.roster, hostPollTimeout, follow.WithBatchPause(r.batchPause), restorePause),
 		r.peers,
 		r.backup,
+		r.writers,
 		r.refuter,
 		super.Func{
 			Label: "presence",
