--- a/internal/root/relay/backup/reader.go
+++ b/internal/root/relay/backup/reader.go
@@ -144,6 +144,11 @@
 	return o, found, nil
 }
 
+// BeganAtOther reports whether the store held a stream, when it was last read, that was sent to the pool between the times at another version than the given one.
+func (b *Backup) BeganAtOther(pool, version string, from, to time.Time) bool {
+	return b.reader.streams.BeganAtOther(pool, version, from, to)
+}
+
 // Refresh reads the whole table, or waits for such a read that begins after the call.
 func (b *Backup) Refresh(ctx context.Context) error {
 	return b.update(ctx, true)
--- a/internal/root/relay/hosts/lookup.go
+++ b/internal/root/relay/hosts/lookup.go
@@ -17,6 +17,8 @@
 	originTimeout = 250 * time.Millisecond
 	// originStoreTimeout is the timeout for reading an origin from the store.
 	originStoreTimeout = 300 * time.Millisecond
+	// versionLag is how much later than others a host may learn that a pool has a second version.
+	versionLag = time.Second
 )
 
 // Find returns where the stream began, according to this host, to others or to the store. If none knows, the stream began at the version that all upstreams of the pool have had for at least the given lifetime of a stream, or had until just now. ok is false if there is no such version.
@@ -31,24 +33,35 @@
 	if asked.found {
 		return asked.origin, asked.origin.Known()
 	}
-	if version := origin.AgreedVersion(o.withOwn(asked.soles, pool), lifetime); version != "" {
+	if version := origin.SeenVersion(o.withOwn(asked.soles, pool), lifetime); version != "" {
 		return o.conclude(k, pool, version, "only_version")
 	}
 	saved, found, err := o.findInStore(ctx, k)
 	if found {
 		return saved, saved.Known()
 	}
-	// The store may just have told this host what earlier ones knew of the pool.
-	if version := origin.AgreedVersion(o.withOwn(asked.soles, pool), lifetime); version != "" {
-		return o.conclude(k, pool, version, "only_version")
-	}
 	if err != nil {
 		o.Log.WithError(err).WithField("pool", pool).Info("Failed to read where a stream began.")
 		return origin.Origin{}, false
 	}
+	// The store may just have told this host what earlier ones knew of the pool.
+	if version := o.earlierVersion(asked, lifetime); version != "" {
+		return o.conclude(k, pool, version, "earlier_hosts")
+	}
 	return o.conclude(k, pool, o.previousVersion(ctx, asked, lifetime), "previous_version")
 }
 
+// earlierVersion returns the only version of the pool, according to this host, others and what earlier hosts wrote, or "" if there is none, or if a stream in the store contradicts it.
+func (o *Origins) earlierVersion(asked answersOfOthers, lifetime time.Duration) string {
+	pool := asked.question.Pool
+	version := origin.AgreedVersion(o.withOwn(asked.soles, pool), lifetime)
+	now := o.Now()
+	if version == "" || o.backup.BeganAtOther(pool, version, now.Add(-lifetime), now) {
+		return ""
+	}
+	return version
+}
+
 // findInStore looks for a stream in the store.
 func (o *Origins) findInStore(ctx context.Context, k origin.Key) (saved origin.Origin, found bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, originStoreTimeout)
@@ -86,6 +99,9 @@
 	if o.peers.roster.goneSince(mixedSince.Add(-o.stopGrace)) {
 		return ""
 	}
+	if o.backup.BeganAtOther(q.Pool, version, o.Now().Add(-lifetime), mixedSince.Add(-versionLag)) {
+		return ""
+	}
 	return version
 }
 
--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -90,6 +90,8 @@
 	CanWrite() bool
 	// Find returns where a stream began, or false if the store holds no such stream. It returns an error if the store could not be read since the call.
 	Find(ctx context.Context, k origin.Key) (origin.Origin, bool, error)
+	// BeganAtOther reports whether the store held a stream, when it was last read, that was sent to the pool between the times at another version than the given one.
+	BeganAtOther(pool, version string, from, to time.Time) bool
 }
 
 // Origins knows where streams began, over all hosts. Each stream's origin is kept by the host that began it and by a few others, the first in the ranking for the stream. While a pool has several versions, or had them as long ago as a stream lasts, one host of each failure domain also writes them to the store, in case all hosts are lost.
--- a/internal/root/relay/hosts/origins_test.go
+++ b/internal/root/relay/hosts/origins_test.go
@@ -68,6 +68,17 @@
 	return o, ok, b.err
 }
 
+func (b *memoryBackup) BeganAtOther(pool, version string, from, to time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, o := range b.saved {
+		if o.Pool == pool && o.Version != version && !o.SentAt.Before(from) && !o.SentAt.After(to) {
+			return true
+		}
+	}
+	return false
+}
+
 // setErr makes the store fail with the error, or work again with nil.
 func (b *memoryBackup) setErr(err error) {
 	b.mu.Lock()
@@ -369,6 +380,46 @@
 	})
 }
 
+// Guards against a stream that goes on at the version of which earlier hosts wrote that it was alone, although another one served since (review/4, rule ORDER).
+func TestEarlierHostsAreBelievedOnlyIfTheStoreDoesNotContradictThem(t *testing.T) {
+	saved := func(k origin.Key, version string, ago time.Duration) func(*originCluster) {
+		return func(c *originCluster) {
+			o := testOrigin(version)
+			o.SentAt = time.Now().Add(-ago)
+			c.store.Save(k, o, time.Minute)
+		}
+	}
+	cases := []struct {
+		name    string
+		play    func(c *originCluster)
+		version string
+	}{
+		{name: "holds nothing", play: func(*originCluster) {}, version: "v1"},
+		{name: "holds the stream", play: saved(7, "v2", time.Second), version: "v2"},
+		{name: "holds another stream of another version", play: saved(8, "v2", time.Second)},
+		{name: "holds one that began too long ago", play: saved(8, "v2", streamLifetime+time.Second), version: "v1"},
+		{name: "holds another stream of the same version", play: saved(8, "v1", time.Second), version: "v1"},
+		{name: "cannot be read", play: func(c *originCluster) { c.store.setErr(errors.New("down")) }},
+	}
+	for _, sc := range cases {
+		Convey("Given hosts that have just started, earlier ones that saw one version, and a store that "+sc.name, t, func() {
+			c := newOriginCluster(t, 3)
+			for i, h := range c.histories {
+				c.follow(i, time.Second, []string{"v1"}, []string{"v1"})
+				h.AddEarlier("p", origin.Period{
+					Version: "v1",
+					From:    time.Now().Add(-2 * streamLifetime),
+					To:      time.Now().Add(-2 * time.Second),
+				})
+			}
+			sc.play(c)
+			version, ok := c.find(0, 7)
+			So(version, ShouldEqual, sc.version)
+			So(ok, ShouldEqual, sc.version != "")
+		})
+	}
+}
+
 // leave makes a host leave in order, which the others learn.
 func (c *originCluster) leave(i int) {
 	for j, p := range c.peers {
--- a/internal/root/relay/origin/ledger.go
+++ b/internal/root/relay/origin/ledger.go
@@ -123,6 +123,19 @@
 	return r.origin, true
 }
 
+// BeganAtOther reports whether a stream is remembered that was sent to the pool between the times at another version than the given one.
+func (l *Ledger) BeganAtOther(pool, version string, from, to time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.records {
+		o := r.origin
+		if o.Pool == pool && o.Version != version && !o.SentAt.Before(from) && !o.SentAt.After(to) {
+			return true
+		}
+	}
+	return false
+}
+
 // Len returns how many streams the ledger remembers.
 func (l *Ledger) Len() int {
 	l.mu.Lock()
