--- a/internal/root/relay/plan/plan.go
+++ b/internal/root/relay/plan/plan.go
@@ -12,7 +12,7 @@
 	Version int64
 	Pools   map[string]Pool
 	Limits  Limits
-	// accounts maps keys to their accounts.
+	// accounts maps keys to their accounts, or is nil if the configuration has no accounts.
 	accounts map[string]Account
 	// routes maps the host name in a request to its routes, ordered by descending prefix length.
 	routes map[string][]Route
@@ -67,22 +67,19 @@
 	CacheTokens int
 }
 
-// New returns a plan with its lookup tables built.
+// New returns a plan with its lookup tables built. Without accounts no request needs a key if accounts is nil, and none is accepted if it is empty, or if no account has a key.
 func New(version int64, routes []Route, pools []Pool, accounts []Account, limits Limits) *Plan {
 	p := &Plan{
-		Version:  version,
-		Pools:    make(map[string]Pool, len(pools)),
-		Limits:   limits,
-		accounts: map[string]Account{},
-		routes:   map[string][]Route{},
+		Version: version,
+		Pools:   make(map[string]Pool, len(pools)),
+		Limits:  limits,
+		routes:  map[string][]Route{},
 	}
 	for _, pool := range pools {
 		p.Pools[pool.Name] = pool
 	}
-	for _, a := range accounts {
-		for _, k := range a.Keys {
-			p.accounts[k] = a
-		}
+	if accounts != nil {
+		p.accounts = accountsByKey(accounts)
 	}
 	for _, r := range routes {
 		p.routes[r.Host] = append(p.routes[r.Host], r)
@@ -93,6 +90,19 @@
 	return p
 }
 
+// accountsByKey returns the accounts by their keys. An empty key identifies no account, as a request without a key has it.
+func accountsByKey(accounts []Account) map[string]Account {
+	out := map[string]Account{}
+	for _, a := range accounts {
+		for _, k := range a.Keys {
+			if k != "" {
+				out[k] = a
+			}
+		}
+	}
+	return out
+}
+
 // NewerThan reports whether p should replace other, which may be nil.
 func (p *Plan) NewerThan(other *Plan) bool {
 	return other == nil || p.Version > other.Version
@@ -108,9 +118,9 @@
 	return Route{}, false
 }
 
-// RequiresKeys reports whether requests need the key of an account, unless their route is public.
+// RequiresKeys reports whether requests need the key of an account, unless their route is public. They do wherever there are accounts, even if all keys were taken away.
 func (p *Plan) RequiresKeys() bool {
-	return len(p.accounts) > 0
+	return p.accounts != nil
 }
 
 // Account returns the account that holds the key.
--- a/internal/root/relay/plan/plan_test.go
+++ b/internal/root/relay/plan/plan_test.go
@@ -69,6 +69,36 @@
 	}
 }
 
+// Guards against requests that run without a valid key because the last key was taken away (review/1, rule CONFIG).
+func TestKeysAreRequiredWhereverThereAreAccounts(t *testing.T) {
+	cases := []struct {
+		name     string
+		accounts []Account
+		required bool
+		// valid are the keys that identify an account.
+		valid []string
+	}{
+		{name: "no list of accounts"},
+		{name: "an empty list", accounts: []Account{}, required: true},
+		{name: "accounts without keys", accounts: []Account{{Name: "a"}, {Name: "b", Keys: []string{}}}, required: true},
+		{name: "an account with an empty key", accounts: []Account{{Name: "a", Keys: []string{""}}}, required: true},
+		{name: "one account with a key", accounts: []Account{{Name: "a"}, {Name: "b", Keys: []string{"k"}}}, required: true, valid: []string{"k"}},
+	}
+	for _, c := range cases {
+		Convey("With "+c.name, t, func() {
+			p := New(1, nil, nil, c.accounts, Limits{})
+			So(p.RequiresKeys(), ShouldEqual, c.required)
+			var valid []string
+			for _, key := range []string{"", "k", "other"} {
+				if _, ok := p.Account(key); ok {
+					valid = append(valid, key)
+				}
+			}
+			So(valid, ShouldResemble, c.valid)
+		})
+	}
+}
+
 func TestPoolIsSelectedByWeight(t *testing.T) {
 	Convey("A route with two targets selects each pool by its weight", t, func() {
 		r := Route{
