--- a/internal/root/relay/graph/request.go
+++ b/internal/root/relay/graph/request.go
@@ -51,15 +51,15 @@
 	return false
 }
 
-// DependsOn reports whether a stage needs the results of the earlier one.
-func (r *Request) DependsOn(stage, earlier int) bool {
-	return slices.Contains(r.Route.Stages[stage].DependsOn, earlier)
+// DependsOn reports whether a stage needs the results of another one, whose index may be higher.
+func (r *Request) DependsOn(stage, input int) bool {
+	return slices.Contains(r.Route.Stages[stage].DependsOn, input)
 }
 
-// IsSoleConsumer reports whether no stage other than the given one needs the results of the earlier one.
-func (r *Request) IsSoleConsumer(stage, earlier int) bool {
+// IsSoleConsumer reports whether no stage other than the given one needs the results of the input.
+func (r *Request) IsSoleConsumer(stage, input int) bool {
 	for j := range r.Route.Stages {
-		if j != stage && r.DependsOn(j, earlier) && r.PieceCount(j) > 0 {
+		if j != stage && r.DependsOn(j, input) && r.PieceCount(j) > 0 {
 			return false
 		}
 	}
@@ -129,7 +129,7 @@
 // longestChain returns the time of the longest chain of stages that depend on a stage, using timeOf for each of them.
 func (r *Request) longestChain(i int, timeOf func(stage int) time.Duration) time.Duration {
 	var maxTime time.Duration
-	for j := i + 1; j < len(r.Route.Stages); j++ {
+	for j := range r.Route.Stages {
 		if r.PieceCount(j) > 0 && r.DependsOn(j, i) {
 			maxTime = max(maxTime, timeOf(j)+r.longestChain(j, timeOf))
 		}
--- a/internal/root/relay/graph/request_test.go
+++ b/internal/root/relay/graph/request_test.go
@@ -1,6 +1,9 @@
 package graph
 
 import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -58,6 +61,72 @@
 	})
 }
 
+// Guards against plans that hold only for stages listed in the order of their needs, as operators list them in any (review/5).
+func TestOrderOfStagesInTheListDoesNotMatter(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 5))
+	now := time.Unix(1000, 0)
+	var pools []plan.Pool
+	for i := range 6 {
+		pools = append(pools, plan.Pool{
+			Name: strconv.Itoa(i),
+			Worker: &plan.Worker{
+				Batch: 12,
+				Call:  time.Duration(100+rng.IntN(200)) * time.Millisecond,
+			},
+		})
+	}
+	for range 300 {
+		sorted, shuffled := newGraphs(rng, now, pools)
+		var times Times
+		for i := range sorted.Route.Stages {
+			j := slices.IndexFunc(shuffled.Route.Stages, func(s plan.Stage) bool { return s.Pool == sorted.Route.Stages[i].Pool })
+			soft, hard := sorted.TimeLeft(now, &times, i)
+			otherSoft, otherHard := shuffled.TimeLeft(now, &times, j)
+			if soft != otherSoft || hard != otherHard {
+				t.Fatalf("stages %+v: stage %d has %s and %s, in the order %+v %s and %s", sorted.Route.Stages, i, soft, hard, shuffled.Route.Stages, otherSoft, otherHard)
+			}
+			if a, b := sorted.StartDelay(now, &times, i), shuffled.StartDelay(now, &times, j); a != b {
+				t.Fatalf("stages %+v: stage %d is delayed by %s, in the order %+v by %s", sorted.Route.Stages, i, a, shuffled.Route.Stages, b)
+			}
+			if a, b := sorted.AdmitWithin(now, &times, i), shuffled.AdmitWithin(now, &times, j); a != b {
+				t.Fatalf("stages %+v: stage %d must end within %s, in the order %+v within %s", sorted.Route.Stages, i, a, shuffled.Route.Stages, b)
+			}
+		}
+	}
+}
+
+// newGraphs returns a request with a random graph of stages, one for each pool, in the order of their needs and in a random one.
+func newGraphs(rng *rand.Rand, now time.Time, pools []plan.Pool) (sorted, shuffled *Request) {
+	order := rng.Perm(len(pools))
+	request := func() *Request {
+		return &Request{
+			Plan:     plan.New(1, nil, pools, nil, plan.Limits{}),
+			Pieces:   make([]int, len(pools)),
+			Arrived:  now,
+			Deadline: now.Add(20 * time.Second),
+			Route: plan.Route{
+				Objective: 10 * time.Second,
+				Stages:    make([]plan.Stage, len(pools)),
+			},
+		}
+	}
+	sorted, shuffled = request(), request()
+	for i, p := range pools {
+		var needs, movedNeeds []int
+		for a := range i {
+			if rng.IntN(3) == 0 {
+				needs = append(needs, a)
+				movedNeeds = append(movedNeeds, order[a])
+			}
+		}
+		pieces := rng.IntN(4)
+		sorted.Pieces[i], shuffled.Pieces[order[i]] = pieces, pieces
+		sorted.Route.Stages[i] = plan.Stage{Pool: p.Name, DependsOn: needs}
+		shuffled.Route.Stages[order[i]] = plan.Stage{Pool: p.Name, DependsOn: movedNeeds}
+	}
+	return sorted, shuffled
+}
+
 // Guards against requests that are all refused because their objective is tight, or because later stages were slow once.
 func TestTimeWithinWhichTheFirstStageMustEnd(t *testing.T) {
 	const call = 280 * time.Millisecond
--- a/internal/root/relay/plan/route.go
+++ b/internal/root/relay/plan/route.go
@@ -1,8 +1,11 @@
 package plan
 
 import (
+	"fmt"
 	"slices"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Kind determines whether requests of a route may run more than once and whether their responses are streams.
@@ -53,7 +56,7 @@
 // Stage is work on the pieces of a request that must finish before the request itself can run.
 type Stage struct {
 	Pool string
-	// DependsOn lists the indices of the stages whose results this stage needs.
+	// DependsOn lists the indices of the stages whose results this stage needs, each once, in any order.
 	DependsOn []int
 	// ResultBytes is the approximate size of one piece's result.
 	ResultBytes int64
@@ -88,6 +91,25 @@
 	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Pool == pool })
 }
 
+// ErrStageOrder is returned for stages that need a stage which does not exist, or that need each other in a circle.
+var ErrStageOrder = errors.New("stages can't be put in an order")
+
+// CheckStages returns an error unless every stage can run after those that it needs.
+func (r Route) CheckStages() error {
+	ended := make([]bool, len(r.Stages))
+	for range r.Stages {
+		for i, s := range r.Stages {
+			ended[i] = !slices.ContainsFunc(s.DependsOn, func(a int) bool {
+				return a < 0 || a >= len(r.Stages) || !ended[a]
+			})
+		}
+	}
+	if i := slices.Index(ended, false); i >= 0 {
+		return fmt.Errorf("stage %d: %w", i, ErrStageOrder)
+	}
+	return nil
+}
+
 // FinalStages returns the indices of the stages that no other stage depends on. The request itself needs their results.
 func (r Route) FinalStages() []int {
 	hasSuccessor := make([]bool, len(r.Stages))
