--- a/internal/root/relay/flow/cause.go
+++ b/internal/root/relay/flow/cause.go
@@ -12,6 +12,8 @@
 	CauseTooLarge   Cause = "too_large"
 	CauseNoRoute    Cause = "no_route"
 	CauseUnknownKey Cause = "unknown_key"
+	// CauseRouteUnusable means that the route of the request can't be served as it is configured.
+	CauseRouteUnusable Cause = "route_unusable"
 	// CauseNotReady means that this host has no configuration. CauseKeysUnsure means that it has not reached the platform for so long that the request's key may have been revoked.
 	CauseNotReady   Cause = "not_ready"
 	CauseKeysUnsure Cause = "keys_unsure"
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -25,6 +25,8 @@
 const (
 	// notReadyRetryAfter is the Retry-After time while this host cannot serve the request yet.
 	notReadyRetryAfter = 500 * time.Millisecond
+	// unusableRouteRetryAfter is the Retry-After time on a route that can't be served until an operator changes it.
+	unusableRouteRetryAfter = 5 * time.Second
 	// unknownHostsReserve is how many extra retries are allowed on a host that does not know how many hosts share the budget.
 	unknownHostsReserve = 1.0
 )
@@ -173,6 +175,10 @@
 		x.respondError(http.StatusNotFound, CauseNoRoute, "no route")
 		return false
 	}
+	if x.route.Unusable {
+		x.respondUnavailable(unusableRouteRetryAfter, CauseRouteUnusable, "route can't be served as it is configured")
+		return false
+	}
 	return true
 }
 
--- a/internal/root/relay/follow/follow_test.go
+++ b/internal/root/relay/follow/follow_test.go
@@ -122,6 +122,7 @@
 		}
 		changes := 0
 		s := NewPlanSink(common.NewQuietDeps("h", "d"), "config", decode, &active, func() { changes++ })
+		So(s.IsNewest(), ShouldBeFalse)
 		s.Reset([]Row{rowOf("other", "9"), rowOf("config", "4")})
 		Convey("only a newer configuration replaces it, and not an older, unreadable or deleted one", func() {
 			s.Apply([]Row{rowOf("config", "3"), rowOf("config", "?"), {Key: "config", Deleted: true}})
@@ -130,6 +131,19 @@
 			So(active.Current().Version, ShouldEqual, 6)
 			So(changes, ShouldEqual, 2)
 		})
+		// Guards against keys that stay in use because the configuration that took them away can't be read (review/5, rule CONFIG).
+		Convey("it is not the newest any more once another one can't be read, until a newer one can", func() {
+			So(s.IsNewest(), ShouldBeTrue)
+			s.Apply([]Row{rowOf("config", "?")})
+			So(s.IsNewest(), ShouldBeFalse)
+			s.Apply([]Row{rowOf("other", "9"), rowOf("config", "3"), rowOf("config", "4")})
+			s.Offer([]byte("4"))
+			So(s.IsNewest(), ShouldBeFalse)
+			s.Apply([]Row{rowOf("config", "6")})
+			So(s.IsNewest(), ShouldBeTrue)
+			s.Offer([]byte("?"))
+			So(s.IsNewest(), ShouldBeFalse)
+		})
 	})
 }
 
--- a/internal/root/relay/follow/plansink.go
+++ b/internal/root/relay/follow/plansink.go
@@ -18,6 +18,8 @@
 	mu sync.Mutex
 	// value is the encoded form of the active configuration.
 	value []byte
+	// unreadable reports that a newer configuration than the active one can't be read.
+	unreadable bool
 }
 
 // NewPlanSink returns a sink that decodes the row with the key and activates it if it is newer. It calls changed after each activation.
@@ -71,7 +73,8 @@
 func (s *PlanSink) activate(value []byte) {
 	p, err := s.decode(value)
 	if err != nil {
-		s.Log.WithError(err).Error("Failed to decode the configuration. The previous one stays active.")
+		s.Log.WithError(err).Error("Failed to decode the configuration. The previous one stays active, but its keys expire.")
+		s.setUnreadable()
 		return
 	}
 	if !s.replace(p, value) {
@@ -79,6 +82,9 @@
 		return
 	}
 	s.Log.WithField("version", p.Version).WithField("routes", p.RouteCount()).WithField("pools", len(p.Pools)).Info("Configuration activated.")
+	for _, problem := range p.Problems {
+		s.Log.WithError(problem).WithField("version", p.Version).Error("A part of the configuration can't be used.")
+	}
 	s.changed()
 }
 
@@ -90,5 +96,20 @@
 		return false
 	}
 	s.value = value
+	s.unreadable = false
 	return true
 }
+
+// setUnreadable records that the newest configuration can't be read. Only a newer one than the active one ends that: what the unreadable one took away is not known.
+func (s *PlanSink) setUnreadable() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreadable = true
+}
+
+// IsNewest reports whether the active configuration is the newest one, as far as the rows tell. It is not if there is none, or if a later one can't be read.
+func (s *PlanSink) IsNewest() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active.Current() != nil && !s.unreadable
+}
--- a/internal/root/relay/plan/plan.go
+++ b/internal/root/relay/plan/plan.go
@@ -12,6 +12,8 @@
 	Version int64
 	Pools   map[string]Pool
 	Limits  Limits
+	// Problems are the parts of the configuration that can't be used.
+	Problems []error
 	// accounts maps keys to their accounts, or is nil if the configuration has no accounts.
 	accounts map[string]Account
 	// routes maps the host name in a request to its routes, ordered by descending prefix length.
@@ -90,6 +92,13 @@
 	return p
 }
 
+// WithProblems returns a copy of the plan with the parts of its configuration that can't be used.
+func (p *Plan) WithProblems(problems []error) *Plan {
+	out := *p
+	out.Problems = slices.Clone(problems)
+	return &out
+}
+
 // accountsByKey returns the accounts by their keys. An empty key identifies no account, as a request without a key has it.
 func accountsByKey(accounts []Account) map[string]Account {
 	out := map[string]Account{}
--- a/internal/root/relay/plan/route.go
+++ b/internal/root/relay/plan/route.go
@@ -45,12 +45,14 @@
 	Affinity bool
 	// Resumable streams may be continued by another upstream after the last event that was received.
 	Resumable bool
+	// Unusable reports that this host can't serve the route, as it does not understand what the operator wrote.
+	Unusable bool
 }
 
 // Target is a pool that receives a weighted share of the route's requests.
 type Target struct {
 	Pool   string
-	Weight int
+	Weight float64
 }
 
 // Stage is work on the pieces of a request that must finish before the request itself can run.
@@ -69,13 +71,13 @@
 
 // Pool selects a target by its weight and returns its pool. draw is a random number from [0, 1).
 func (r Route) Pool(draw float64) string {
-	total := 0
+	total := 0.0
 	for _, t := range r.Targets {
 		total += t.Weight
 	}
-	remaining := draw * float64(total)
+	remaining := draw * total
 	for _, t := range r.Targets {
-		remaining -= float64(t.Weight)
+		remaining -= t.Weight
 		if remaining < 0 {
 			return t.Pool
 		}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -258,11 +258,11 @@
 	})
 }
 
-// startConfirmation records the time before a call for the configuration. The returned function extends the key lease from that time.
+// startConfirmation records the time before a call for the configuration. The returned function extends the key lease from that time, unless the newest configuration can't be read: it may have taken keys away.
 func (r *Relay) startConfirmation() func() {
 	requestedAt := r.lease.RequestTime()
 	return func() {
-		if r.plans.Current() != nil {
+		if r.planSink.IsNewest() {
 			r.lease.Confirm(requestedAt)
 		}
 	}
