--- a/internal/root/relay/flow/resume.go
+++ b/internal/root/relay/flow/resume.go
@@ -22,8 +22,8 @@
 type Origins interface {
 	// Record remembers where a stream began, for as long as its caller may resume it. lifetime is the longest time of a stream of its route.
 	Record(k origin.Key, o origin.Origin, keep, lifetime time.Duration)
-	// Find returns where a stream began, or false if that can't be learned. pool and lifetime are the pool and the longest time of a stream of its route.
-	Find(ctx context.Context, k origin.Key, pool string, lifetime time.Duration) (origin.Origin, bool)
+	// Find returns where a stream began, or false if that can't be learned.
+	Find(ctx context.Context, l origin.Lookup) (origin.Origin, bool)
 }
 
 // resumes reports whether the caller asks for the rest of a stream.
@@ -42,7 +42,12 @@
 		return true
 	}
 	x.originKey = origin.KeyOf(x.account.Name, x.requestHead.Resumes)
-	o, ok := x.Origins.Find(x.r.Context(), x.originKey, x.pool, x.streamLifetime())
+	o, ok := x.Origins.Find(x.r.Context(), origin.Lookup{
+		Key:      x.originKey,
+		Named:    x.requestHead.Resumes != "",
+		Pool:     x.pool,
+		Lifetime: x.streamLifetime(),
+	})
 	if !ok || !x.isCertain(o) {
 		x.abandon(CauseOriginUnknown, "software version that began the stream is not known", beginAgainRetryAfter)
 		return false
@@ -86,11 +91,19 @@
 		x.origin.Upstream = x.upstream.Incarnation()
 		x.origin.SentAt = sentAt
 	}
-	if x.route.Resumable && x.origin.Known() {
+	if x.route.Resumable && x.origin.Known() && x.isNamed() {
 		x.Origins.Record(x.originKey, x.origin, x.keepOrigin(), x.streamLifetime())
 	}
 }
 
+// isNamed reports whether the caller can name the stream when it resumes it: its first request has an ID.
+func (x *exchange) isNamed() bool {
+	if x.resumes() {
+		return x.requestHead.Resumes != ""
+	}
+	return x.requestHead.ID != ""
+}
+
 // keepOrigin returns how long the caller may still resume the stream.
 func (x *exchange) keepOrigin() time.Duration {
 	callerWaits := x.requestHead.CallerTimeout - x.Now().Sub(x.arrived)
--- a/internal/root/relay/hosts/lookup.go
+++ b/internal/root/relay/hosts/lookup.go
@@ -21,34 +21,40 @@
 	versionLag = time.Second
 )
 
-// Find returns where the stream began, according to this host, to others or to the store. If none knows, the stream began at the version that all upstreams of the pool have had for at least the given lifetime of a stream, or had until just now. ok is false if there is no such version.
-func (o *Origins) Find(ctx context.Context, k origin.Key, pool string, lifetime time.Duration) (begun origin.Origin, ok bool) {
-	if known, found := o.ledger.Find(o.Now(), k); found {
-		return known, known.Known()
+// Find returns where the stream began, according to this host, to others or to the store. If none knows, the stream began at the version that all upstreams of the pool have had for at least the lifetime of a stream, or had until just now. ok is false if there is no such version.
+func (o *Origins) Find(ctx context.Context, l origin.Lookup) (begun origin.Origin, ok bool) {
+	if l.Named {
+		if known, found := o.ledger.Find(o.Now(), l.Key); found {
+			return known, known.Known()
+		}
 	}
 	asked := o.askOthers(ctx, originQuestion{
-		Key:  k,
-		Pool: pool,
+		Key:     l.Key,
+		Unnamed: !l.Named,
+		Pool:    l.Pool,
 	})
 	if asked.found {
 		return asked.origin, asked.origin.Known()
 	}
-	if version := origin.SeenVersion(o.withOwn(asked.soles, pool), lifetime); version != "" {
-		return o.conclude(k, pool, version, "only_version")
+	if version := origin.SeenVersion(o.withOwn(asked.soles, l.Pool), l.Lifetime); version != "" {
+		return o.conclude(l, version, "only_version")
 	}
-	saved, found, err := o.findInStore(ctx, k)
-	if found {
+	saved, found, err := o.findInStore(ctx, l.Key)
+	if found && l.Named {
 		return saved, saved.Known()
 	}
 	if err != nil {
-		o.Log.WithError(err).WithField("pool", pool).Info("Failed to read where a stream began.")
+		o.Log.WithError(err).WithField("pool", l.Pool).Info("Failed to read where a stream began.")
 		return origin.Origin{}, false
 	}
 	// The store may just have told this host what earlier ones knew of the pool.
-	if version := o.earlierVersion(asked, lifetime); version != "" {
-		return o.conclude(k, pool, version, "earlier_hosts")
+	if version := o.earlierVersion(asked, l.Lifetime); version != "" {
+		return o.conclude(l, version, "earlier_hosts")
+	}
+	if !l.Named {
+		return o.conclude(l, "", "")
 	}
-	return o.conclude(k, pool, o.previousVersion(ctx, asked, lifetime), "previous_version")
+	return o.conclude(l, o.previousVersion(ctx, asked, l.Lifetime), "previous_version")
 }
 
 // earlierVersion returns the only version of the pool, according to this host, others and what earlier hosts wrote, or "" if there is none, or if a stream in the store contradicts it.
@@ -70,15 +76,15 @@
 }
 
 // conclude returns the origin of a stream that nobody knows, at a version that was concluded from the versions of its pool, or false if the version is "".
-func (o *Origins) conclude(k origin.Key, pool, version, basis string) (begun origin.Origin, ok bool) {
-	log := o.Log.WithField("stream", k).WithField("pool", pool)
+func (o *Origins) conclude(l origin.Lookup, version, basis string) (begun origin.Origin, ok bool) {
+	log := o.Log.WithField("stream", l.Key).WithField("named", l.Named).WithField("pool", l.Pool)
 	if version == "" {
 		log.Info("Nobody knows where a stream began.")
 		return origin.Origin{}, false
 	}
 	log.WithField("software", version).WithField("basis", basis).Info("Where a stream began was concluded from the versions of its pool.")
 	return origin.Origin{
-		Pool:    pool,
+		Pool:    l.Pool,
 		Version: version,
 	}, true
 }
@@ -156,6 +162,10 @@
 	all.soles = slices.Clone(before.soles)
 	for _, a := range o.ask(ctx, hosts, before.question) {
 		switch {
+		case before.question.Unnamed && a.Sole != nil:
+			// A host of an older build may have recorded a stream without a name under the same key.
+			all.soles = append(all.soles, *a.Sole)
+		case before.question.Unnamed:
 		case a.Conflicting:
 			all.found = true
 			return all
--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -68,8 +68,10 @@
 
 // originQuestion asks where a stream began, and what is known of the versions in its pool.
 type originQuestion struct {
-	Key  origin.Key `json:"key"`
-	Pool string     `json:"pool"`
+	Key origin.Key `json:"key"`
+	// Unnamed asks for the versions alone.
+	Unnamed bool   `json:"unnamed,omitempty"`
+	Pool    string `json:"pool"`
 }
 
 // originAnswer is the answer to an originQuestion.
@@ -263,6 +265,7 @@
 	var a originAnswer
 	known, found := o.ledger.Find(now, q.Key)
 	switch {
+	case q.Unnamed:
 	case found && known.Known():
 		a.Copy = &originCopy{
 			Key:    q.Key,
--- a/internal/root/relay/origin/origin.go
+++ b/internal/root/relay/origin/origin.go
@@ -22,6 +22,16 @@
 	return Key(xxhash.Sum64String(account + "\x00" + request))
 }
 
+// Lookup says which stream is looked for.
+type Lookup struct {
+	Key Key
+	// Named reports that the caller names the stream. Otherwise nothing can be found under Key, and that nothing is known there tells nothing of the stream.
+	Named bool
+	// Pool is where the stream may have begun, and Lifetime the longest time of a stream of its route.
+	Pool     string
+	Lifetime time.Duration
+}
+
 // Origin is where a stream began. The zero value means that this is not known.
 type Origin struct {
 	Pool string `json:"pool"`
