--- a/internal/root/relay/backup/backup.go
+++ b/internal/root/relay/backup/backup.go
@@ -76,11 +76,15 @@
 
 	// onCrashes is called with what the store holds of crashes, each time that it is read.
 	onCrashes func(u blame.Update)
+	// onSettled is called with the settled era that the store states, each time that it is read.
+	onSettled func(era string)
 
 	mu      sync.Mutex
 	pending []pendingStream
 	// failedAt is when a write last failed, or zero if the last one succeeded.
 	failedAt time.Time
+	// settled is the era that this host knows to be settled, or "".
+	settled string
 	// crashes is what is to be written of crashes, or nil.
 	crashes *savedCrashes
 }
@@ -99,6 +103,7 @@
 		stopped:   make(chan struct{}),
 		reader:    newReader(),
 		onCrashes: func(blame.Update) {},
+		onSettled: func(string) {},
 	}
 }
 
@@ -115,6 +120,24 @@
 	}
 }
 
+// OnSettled sets the function that is called with the settled era that the store states, each time that it is read. It must be called before Run.
+func (b *Backup) OnSettled(f func(era string)) {
+	b.onSettled = f
+}
+
+// SetSettledEra has it written that the operator has had the time to write its configuration again in an era of the store.
+func (b *Backup) SetSettledEra(era string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settled = era
+}
+
+func (b *Backup) settledEra() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.settled
+}
+
 // Run reads the table, and then writes what is to be kept, until ctx is done.
 func (b *Backup) Run(ctx context.Context, up func()) error {
 	up()
--- a/internal/root/relay/backup/reader.go
+++ b/internal/root/relay/backup/reader.go
@@ -270,6 +270,7 @@
 	if row.AtMS > nowMS {
 		return fmt.Errorf("check row: %w", ErrInvalidRow)
 	}
+	b.onSettled(row.SettledEra)
 	for pool, v := range row.Pools {
 		b.history.AddEarlier(pool, origin.Period{
 			Version: v.Version,
--- a/internal/root/relay/backup/rows.go
+++ b/internal/root/relay/backup/rows.go
@@ -76,6 +76,8 @@
 type versionsRow struct {
 	AtMS  int64                  `json:"at_ms"`
 	Pools map[string]poolVersion `json:"pools"`
+	// SettledEra is the era of the store in which the operator has had the time to write its configuration again, or "".
+	SettledEra string `json:"settled_era,omitempty"`
 }
 
 // UnmarshalJSON decodes the row and checks its times.
--- a/internal/root/relay/backup/versions.go
+++ b/internal/root/relay/backup/versions.go
@@ -19,8 +19,9 @@
 	}
 	versions := map[string]string{}
 	row := versionsRow{
-		AtMS:  nowMS - age.Milliseconds(),
-		Pools: map[string]poolVersion{},
+		AtMS:       nowMS - age.Milliseconds(),
+		Pools:      map[string]poolVersion{},
+		SettledEra: b.settledEra(),
 	}
 	for pool, s := range soles {
 		versions[pool] = s.Version
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -106,6 +106,7 @@
 	history    *origin.History
 	backup     *backup.Backup
 	writers    *hosts.Writers
+	settlement *settlement
 	dialer     *links.Dialer
 	tunnels    *hosts.Tunnels
 	flow       *flow.Service
@@ -133,15 +134,20 @@
 		dispatcher: batch.NewDispatcher(deps, a.Workers(dialer)),
 		meter:      meter.New(),
 		history:    origin.NewHistory(),
+		settlement: &settlement{},
 	}
-	a.Eras.OnEnter(r.lease.Pause)
+	a.Eras.OnEnter(func() {
+		r.lease.Pause()
+		r.settlement.enter(r.plans.Current() != nil)
+	})
 	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync)
 	r.upstreams = follow.NewUpstreams(deps, a.Upstream, s.Upstreams.Forget.D(), r.sync)
 	r.roster = hosts.NewRoster(deps, r.localHost())
 	r.peers = hosts.NewPeers(deps, s.Listen.Peers, r.roster, r.dispatcher)
 	r.peers.ShareKnowledge(knowledge{
-		PlanSink:  r.planSink,
-		Upstreams: r.upstreams,
+		PlanSink:   r.planSink,
+		Upstreams:  r.upstreams,
+		settlement: r.settlement,
 	})
 	r.dispatcher.OnLeaving(r.upstreams.MarkLeaving)
 	r.dispatcher.OnReleased(r.peers.Release)
@@ -152,6 +158,7 @@
 	r.refuter = hosts.NewRefuter(deps, r.crashes, r.upstreamRanAt)
 	r.crashes.SaveWith(r.backup.SaveCrashes)
 	r.backup.OnCrashes(r.crashes.Restore)
+	r.backup.OnSettled(r.settlement.noteWritten)
 	r.limits = hosts.NewLimits(deps, r.peers, r.applyLimit)
 	r.dispatcher.OnLimit(r.limits.Note)
 	r.origins = hosts.NewOrigins(deps, r.peers, r.history, r.backup, hosts.WithStopGrace(s.Stop.Grace.D()))
--- a/internal/stand/rows/store.go
+++ b/internal/stand/rows/store.go
@@ -98,11 +98,16 @@
 	s.era = text
 }
 
-// Row returns the value of a row, or false if the row does not exist.
+// Row returns the value of a row of the partition with the empty name, or false if the row does not exist.
 func (s *Store) Row(table, key string) ([]byte, bool) {
+	return s.RowIn(table, "", key)
+}
+
+// RowIn returns the value of a row of a partition, or false if the row does not exist.
+func (s *Store) RowIn(table, part, key string) ([]byte, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i := slices.IndexFunc(s.rows, Row{Table: table, Key: key}.sameKey)
+	i := slices.IndexFunc(s.rows, Row{Table: table, Part: part, Key: key}.sameKey)
 	if i < 0 {
 		return nil, false
 	}
