--- a/internal/root/relay/flow/resume.go
+++ b/internal/root/relay/flow/resume.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
@@ -20,8 +21,8 @@
 
 // Origins knows at which software version streams began, over all hosts. A stream may continue only at the version that began it, as what two versions write does not fit together.
 type Origins interface {
-	// Record remembers where a stream began, for as long as its caller may resume it. lifetime is the longest time of a stream of its route.
-	Record(k origin.Key, o origin.Origin, keep, lifetime time.Duration)
+	// Record remembers where a stream of the scope began, for as long as its caller may resume it.
+	Record(k origin.Key, o origin.Origin, keep time.Duration, scope origin.Scope)
 	// Find returns where a stream began, or false if that can't be learned.
 	Find(ctx context.Context, l origin.Lookup) (origin.Origin, bool)
 }
@@ -43,10 +44,9 @@
 	}
 	x.originKey = origin.KeyOf(x.account.Name, x.requestHead.Resumes)
 	o, ok := x.Origins.Find(x.r.Context(), origin.Lookup{
-		Key:      x.originKey,
-		Named:    x.requestHead.Resumes != "",
-		Pool:     x.pool,
-		Lifetime: x.streamLifetime(),
+		Key:   x.originKey,
+		Named: x.requestHead.Resumes != "",
+		Scope: x.streamScope(),
 	})
 	if !ok || !x.isCertain(o) {
 		x.abandon(CauseOriginUnknown, "software version that began the stream is not known", beginAgainRetryAfter)
@@ -61,6 +61,17 @@
 	return true
 }
 
+// streamScope returns where a stream of the route may have begun that a caller may still resume, beginning with the pool of the request.
+func (x *exchange) streamScope() origin.Scope {
+	lifetime := x.streamLifetime()
+	others := append(x.route.PoolNames(), x.Moves.PoolsSince(x.route, x.Now().Add(-lifetime))...)
+	others = slices.DeleteFunc(others, func(pool string) bool { return pool == x.pool })
+	return origin.Scope{
+		Pools:    append([]string{x.pool}, others...),
+		Lifetime: lifetime,
+	}
+}
+
 // isCertain reports whether the upstream that began a stream ran the version of its row at that time.
 func (x *exchange) isCertain(o origin.Origin) bool {
 	return o.Known() && !x.Upstreams.MayHaveRestarted(o.Upstream, o.Version, o.SentAt)
@@ -92,7 +103,7 @@
 		x.origin.SentAt = sentAt
 	}
 	if x.route.Resumable && x.origin.Known() && x.isNamed() {
-		x.Origins.Record(x.originKey, x.origin, x.keepOrigin(), x.streamLifetime())
+		x.Origins.Record(x.originKey, x.origin, x.keepOrigin(), x.streamScope())
 	}
 }
 
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -81,6 +81,7 @@
 type Service struct {
 	common.Deps
 	Plans         *plan.Active
+	Moves         *plan.Moves
 	Table         *route.Table
 	Upstreams     Upstreams
 	Limits        Limits
--- a/internal/root/relay/hosts/lookup.go
+++ b/internal/root/relay/hosts/lookup.go
@@ -21,22 +21,22 @@
 	versionLag = time.Second
 )
 
-// Find returns where the stream began, according to this host, to others or to the store. If none knows, the stream began at the version that all upstreams of the pool have had for at least the lifetime of a stream, or had until just now. ok is false if there is no such version.
+// Find returns where the stream began, according to this host, to others or to the store. If none knows, the stream began at the version that all upstreams of its pools have had for at least the lifetime of a stream, or had until just now. ok is false if there is no such version.
 func (o *Origins) Find(ctx context.Context, l origin.Lookup) (begun origin.Origin, ok bool) {
 	if l.Named {
 		if known, found := o.ledger.Find(o.Now(), l.Key); found {
 			return known, known.Known()
 		}
 	}
-	asked := o.askOthers(ctx, originQuestion{
-		Key:     l.Key,
-		Unnamed: !l.Named,
-		Pool:    l.Pool,
-	})
-	if asked.found {
+	s := search{
+		Origins: o,
+		Lookup:  l,
+		answers: map[string]answersOfOthers{},
+	}
+	if asked := s.asked(ctx, l.Scope.Pools[0]); asked.found {
 		return asked.origin, asked.origin.Known()
 	}
-	if version := origin.SeenVersion(o.withOwn(asked.soles, l.Pool), l.Lifetime); version != "" {
+	if version := s.commonVersion(ctx, s.seenVersion); version != "" {
 		return o.conclude(l, version, "only_version")
 	}
 	saved, found, err := o.findInStore(ctx, l.Key)
@@ -44,25 +44,89 @@
 		return saved, saved.Known()
 	}
 	if err != nil {
-		o.Log.WithError(err).WithField("pool", l.Pool).Info("Failed to read where a stream began.")
+		o.Log.WithError(err).WithField("pool", l.Scope.Pools[0]).Info("Failed to read where a stream began.")
 		return origin.Origin{}, false
 	}
-	// The store may just have told this host what earlier ones knew of the pool.
-	if version := o.earlierVersion(asked, l.Lifetime); version != "" {
+	// The store may just have told this host what earlier ones knew of the pools.
+	if version := s.commonVersion(ctx, s.earlierVersion); version != "" {
 		return o.conclude(l, version, "earlier_hosts")
 	}
-	if !l.Named {
-		return o.conclude(l, "", "")
+	return o.conclude(l, s.commonVersion(ctx, s.previousVersion), "previous_version")
+}
+
+// search is the search for a stream that this host does not know.
+type search struct {
+	*Origins
+	origin.Lookup
+	// answers are those of other hosts, by the pool that they were asked for.
+	answers map[string]answersOfOthers
+}
+
+// asked returns the answers of other hosts for a pool.
+func (s search) asked(ctx context.Context, pool string) answersOfOthers {
+	a, ok := s.answers[pool]
+	if !ok {
+		a = s.askOthers(ctx, originQuestion{
+			Key:     s.Key,
+			Unnamed: !s.Named,
+			Pool:    pool,
+		})
+		s.answers[pool] = a
+	}
+	return a
+}
+
+// commonVersion returns the version at which the stream began if it is the same for each pool in which it can have begun, and "" otherwise.
+func (s search) commonVersion(ctx context.Context, versionOf func(ctx context.Context, pool string) string) string {
+	common := ""
+	for _, pool := range s.Scope.Pools {
+		if s.history.Absent(s.Now(), pool, s.Scope.Lifetime) {
+			continue
+		}
+		version := versionOf(ctx, pool)
+		if version == "" || (common != "" && version != common) {
+			return ""
+		}
+		common = version
 	}
-	return o.conclude(l, o.previousVersion(ctx, asked, l.Lifetime), "previous_version")
+	return common
+}
+
+// seenVersion returns the only version of the pool that a host has seen for a stream's lifetime, or "".
+func (s search) seenVersion(ctx context.Context, pool string) string {
+	return origin.SeenVersion(s.withOwn(s.asked(ctx, pool).soles, pool), s.Scope.Lifetime)
 }
 
 // earlierVersion returns the only version of the pool, according to this host, others and what earlier hosts wrote, or "" if there is none, or if a stream in the store contradicts it.
-func (o *Origins) earlierVersion(asked answersOfOthers, lifetime time.Duration) string {
-	pool := asked.question.Pool
-	version := origin.AgreedVersion(o.withOwn(asked.soles, pool), lifetime)
-	now := o.Now()
-	if version == "" || o.backup.BeganAtOther(pool, version, now.Add(-lifetime), now) {
+func (s search) earlierVersion(ctx context.Context, pool string) string {
+	version := origin.AgreedVersion(s.withOwn(s.asked(ctx, pool).soles, pool), s.Scope.Lifetime)
+	now := s.Now()
+	if version == "" || s.backup.BeganAtOther(pool, version, now.Add(-s.Scope.Lifetime), now) {
+		return ""
+	}
+	return version
+}
+
+// previousVersion returns the version that the pool had before others came beside it, or "" if a stream that neither the hosts that were asked nor the store know may have begun later. A host may have begun it that could tell nobody and is gone, or was not asked yet. That a stream without a name is not known tells nothing.
+func (s search) previousVersion(ctx context.Context, pool string) string {
+	if version := s.earlierVersion(ctx, pool); version != "" {
+		return version
+	}
+	asked := s.asked(ctx, pool)
+	version := origin.PreviousVersion(s.withOwn(asked.soles, pool), s.Scope.Lifetime)
+	if version == "" || !asked.complete || !s.Named {
+		return ""
+	}
+	rest := s.askRest(ctx, asked)
+	soles := s.withOwn(rest.soles, pool)
+	if rest.found || !rest.complete || origin.PreviousVersion(soles, s.Scope.Lifetime) != version {
+		return ""
+	}
+	mixedSince := s.Now().Add(-origin.LongestMixed(soles))
+	if s.peers.roster.goneSince(mixedSince.Add(-s.stopGrace)) {
+		return ""
+	}
+	if s.backup.BeganAtOther(pool, version, s.Now().Add(-s.Scope.Lifetime), mixedSince.Add(-versionLag)) {
 		return ""
 	}
 	return version
@@ -75,42 +139,20 @@
 	return o.backup.Find(ctx, k)
 }
 
-// conclude returns the origin of a stream that nobody knows, at a version that was concluded from the versions of its pool, or false if the version is "".
+// conclude returns the origin of a stream that nobody knows, at a version that was concluded from the versions of its pools, or false if the version is "".
 func (o *Origins) conclude(l origin.Lookup, version, basis string) (begun origin.Origin, ok bool) {
-	log := o.Log.WithField("stream", l.Key).WithField("named", l.Named).WithField("pool", l.Pool)
+	log := o.Log.WithField("stream", l.Key).WithField("named", l.Named).WithField("pools", l.Scope.Pools)
 	if version == "" {
 		log.Info("Nobody knows where a stream began.")
 		return origin.Origin{}, false
 	}
 	log.WithField("software", version).WithField("basis", basis).Info("Where a stream began was concluded from the versions of its pool.")
 	return origin.Origin{
-		Pool:    l.Pool,
+		Pool:    l.Scope.Pools[0],
 		Version: version,
 	}, true
 }
 
-// previousVersion returns the version that the pool had before others came beside it, or "" if a stream that neither the hosts that were asked nor the store know may have begun later. A host may have begun it that could tell nobody and is gone, or was not asked yet.
-func (o *Origins) previousVersion(ctx context.Context, asked answersOfOthers, lifetime time.Duration) string {
-	q := asked.question
-	version := origin.PreviousVersion(o.withOwn(asked.soles, q.Pool), lifetime)
-	if version == "" || !asked.complete {
-		return ""
-	}
-	rest := o.askRest(ctx, asked)
-	soles := o.withOwn(rest.soles, q.Pool)
-	if rest.found || !rest.complete || origin.PreviousVersion(soles, lifetime) != version {
-		return ""
-	}
-	mixedSince := o.Now().Add(-origin.LongestMixed(soles))
-	if o.peers.roster.goneSince(mixedSince.Add(-o.stopGrace)) {
-		return ""
-	}
-	if o.backup.BeganAtOther(q.Pool, version, o.Now().Add(-lifetime), mixedSince.Add(-versionLag)) {
-		return ""
-	}
-	return version
-}
-
 // withOwn returns the statements of other hosts on a pool and that of this host, if it has one.
 func (o *Origins) withOwn(soles []origin.Sole, pool string) []origin.Sole {
 	s, known := o.history.Sole(o.Now(), pool)
--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -96,7 +96,7 @@
 	BeganAtOther(pool, version string, from, to time.Time) bool
 }
 
-// Origins knows where streams began, over all hosts. Each stream's origin is kept by the host that began it and by a few others, the first in the ranking for the stream. While a pool has several versions, or had them as long ago as a stream lasts, one host of each failure domain also writes them to the store, in case all hosts are lost.
+// Origins knows where streams began, over all hosts. Each stream's origin is kept by the host that began it and by a few others, the first in the ranking for the stream. While the pools of a route have several versions, or had them as long ago as a stream lasts, one host of each failure domain also writes them to the store, in case all hosts are lost.
 type Origins struct {
 	common.Deps
 	peers   *Peers
@@ -144,8 +144,8 @@
 	mux.HandleFunc("POST "+pathOrigin, o.handleQuestion)
 }
 
-// Record remembers where a stream began, for as long as its caller may resume it, and tells a few other hosts. lifetime is the longest time of a stream of its route.
-func (o *Origins) Record(k origin.Key, begun origin.Origin, keep, lifetime time.Duration) {
+// Record remembers where a stream of the scope began, for as long as its caller may resume it, and tells a few other hosts.
+func (o *Origins) Record(k origin.Key, begun origin.Origin, keep time.Duration, scope origin.Scope) {
 	now := o.Now()
 	o.ledger.AddOwn(now, k, begun, keep)
 	m := o.copyOf(now, origin.Entry{
@@ -160,7 +160,7 @@
 			}
 		}()
 	}
-	if !o.history.Settled(now, begun.Pool, lifetime) {
+	if !o.history.Settled(now, scope) {
 		o.save([]originCopy{m})
 	}
 }
--- a/internal/root/relay/origin/origin.go
+++ b/internal/root/relay/origin/origin.go
@@ -27,8 +27,14 @@
 	Key Key
 	// Named reports that the caller names the stream. Otherwise nothing can be found under Key, and that nothing is known there tells nothing of the stream.
 	Named bool
-	// Pool is where the stream may have begun, and Lifetime the longest time of a stream of its route.
-	Pool     string
+	Scope Scope
+}
+
+// Scope says where a stream of a route may have begun.
+type Scope struct {
+	// Pools are those to which requests of the route are sent, or were sent within Lifetime. The first one is where the stream goes on if all have had the same version.
+	Pools []string
+	// Lifetime is the longest time of a stream of the route.
 	Lifetime time.Duration
 }
 
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,6 +93,7 @@
 	settings   setup.Relay
 	adapter    Adapter
 	plans      *plan.Active
+	moves      *plan.Moves
 	planSink   *follow.PlanSink
 	upstreams  *follow.Upstreams
 	lease      *grant.Lease
@@ -128,6 +130,7 @@
 		settings:   s,
 		adapter:    a,
 		plans:      &plan.Active{},
+		moves:      &plan.Moves{},
 		lease:      grant.New(grant.SinceBoot, s.Keys.Revoke.D()-keyLeaseMargin),
 		table:      route.New(s.Host.Domain),
 		dialer:     dialer,
@@ -165,6 +168,7 @@
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
 		Plans:         r.plans,
+		Moves:         r.moves,
 		Table:         r.table,
 		Upstreams:     r.upstreams,
 		Limits:        r.limits,
@@ -313,7 +317,7 @@
 			Expected: defaultServiceTime,
 		})
 	}
-	r.syncVersions(ups)
+	r.syncVersions(p, ups)
 	r.dialer.Sync(ups)
 	r.table.Sync(specs, ups, r.roster.Count())
 	r.dispatcher.Sync(p, ups)
@@ -322,9 +326,20 @@
 	}
 }
 
-// syncVersions records the software versions of the upstreams. Where several serve now, it has the origins of the streams in progress written to the store.
-func (r *Relay) syncVersions(ups []route.Upstream) {
-	for _, pool := range r.history.Sync(r.Now(), ups) {
+// syncVersions records the software versions of the upstreams and where the plan sends streams. Where several versions serve a pool or a route now, it has the origins of the streams in progress written to the store.
+func (r *Relay) syncVersions(p *plan.Plan, ups []route.Upstream) {
+	now := r.Now()
+	inDoubt := r.history.Sync(now, ups)
+	for _, move := range r.moves.Update(now, p) {
+		scope := origin.Scope{
+			Pools: append(move.Route.PoolNames(), move.Before...),
+		}
+		if !r.history.Settled(now, scope) {
+			inDoubt = append(inDoubt, move.Before...)
+		}
+	}
+	slices.Sort(inDoubt)
+	for _, pool := range slices.Compact(inDoubt) {
 		r.origins.SaveOwn(pool)
 	}
 	r.backup.Wake()
