--- a/internal/root/relay/backup/backup.go
+++ b/internal/root/relay/backup/backup.go
@@ -147,7 +147,7 @@
 		b.writeVersions(ctx)
 		b.writeCrashes(ctx)
 		if b.hasPending() {
-			common.Sleep(ctx, b.delay())
+			b.gather(ctx)
 			b.writeStreams(ctx)
 		}
 		b.clean(ctx)
@@ -162,7 +162,7 @@
 
 // readFirst reads the table unless that has succeeded before, or has failed just now.
 func (b *Backup) readFirst(ctx context.Context) {
-	if _, known := b.clock.now(); known || b.reader.wholeReadPaused(b.Now()) {
+	if _, known := b.clock.now(); known || b.reader.pausesAfterFailure(b.Now()) {
 		return
 	}
 	if err := b.Refresh(ctx); err != nil && ctx.Err() == nil {
@@ -170,6 +170,24 @@
 	}
 }
 
+// gather waits for streams that can be written together with those that wait already. It ends the longer wait when a second version comes meanwhile: other hosts may have learned of that before this one.
+func (b *Backup) gather(ctx context.Context) {
+	began := b.Now()
+	for ctx.Err() == nil {
+		left := b.delay() - b.Now().Sub(began)
+		if left <= 0 {
+			return
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-timer.C:
+		case <-b.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
 // wait waits until the next check is due, or Wake is called.
 func (b *Backup) wait(ctx context.Context) {
 	timer := time.NewTimer(checkInterval)
--- a/internal/root/relay/backup/backup_test.go
+++ b/internal/root/relay/backup/backup_test.go
@@ -97,6 +97,49 @@
 	})
 }
 
+// Guards against streams that are not written in time because the host that writes them for others learned of the second version after them.
+func TestStreamsAreWrittenSoonWhenASecondVersionComesMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemoryTable()
+		versions := []string{"v1"}
+		p := start(t, table, "a", false, func() []string { return versions })
+		time.Sleep(5 * time.Second)
+		for k := range origin.Key(3) {
+			p.Save(k, originAt("v1"), time.Minute)
+		}
+		time.Sleep(20 * time.Millisecond)
+		p.history.Sync(time.Now(), upstreams(twoVersions()))
+		versions = twoVersions()
+		p.Wake()
+		time.Sleep(mixedWriteDelay + 2*callTime)
+		if got := table.counts().rows; got != 1 {
+			t.Errorf("%d rows are written", got)
+		}
+		p.kill()
+	})
+}
+
+// Guards against streams that are refused for long after the first read of the table failed once.
+func TestLookupReadsTheTableAgainSoonAfterAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemoryTable()
+		first := start(t, table, "a", true, twoVersions)
+		time.Sleep(time.Second)
+		first.Save(7, originAt("v1"), time.Minute)
+		time.Sleep(time.Second)
+		first.kill()
+		table.setFailing(true)
+		next := start(t, table, "a", true, twoVersions)
+		time.Sleep(10 * time.Second)
+		table.setFailing(false)
+		time.Sleep(lookupReadPause)
+		if _, found, err := next.Find(t.Context(), 7); !found || err != nil {
+			t.Errorf("found %t, error %v", found, err)
+		}
+		next.kill()
+	})
+}
+
 // Guards against a herd of taken-up streams of which each reads the table.
 func TestManyLookupsShareOneRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/root/relay/backup/reader.go
+++ b/internal/root/relay/backup/reader.go
@@ -16,9 +16,10 @@
 const (
 	// readInterval is the shortest time between the beginnings of two reads.
 	readInterval = 50 * time.Millisecond
-	// minReadPause is the pause after a failed read of the whole table. It doubles with each further failure, up to maxReadPause.
-	minReadPause = time.Second
-	maxReadPause = 30 * time.Second
+	// minReadPause is the pause after a failed read of the whole table. It doubles with each further failure, up to maxReadPause. A lookup, whose caller waits, pauses for lookupReadPause.
+	minReadPause    = time.Second
+	maxReadPause    = 30 * time.Second
+	lookupReadPause = 250 * time.Millisecond
 )
 
 // errReadPaused reports that the whole table would have to be read, which has failed just now.
@@ -32,9 +33,9 @@
 	expired []string
 	// position is from where later changes are read, or unknown if the whole table must be read.
 	position follow.Position
-	// wholeReadAt is when the whole table may be read again after failures, and readPause the pause after the last one.
-	wholeReadAt time.Time
-	readPause   time.Duration
+	// failedAt is when a read of the whole table last failed, or zero, and readPause the pause after it.
+	failedAt  time.Time
+	readPause time.Duration
 	// next is the read that has not begun yet, and active reports that reads are in progress.
 	next    *read
 	active  bool
@@ -61,11 +62,16 @@
 	return r.expired
 }
 
-// wholeReadPaused reports whether the whole table is not to be read yet, as that has failed just now.
-func (r *reader) wholeReadPaused(now time.Time) bool {
+// pausesAfterFailure reports whether the whole table is not to be read yet, as that has failed just now.
+func (r *reader) pausesAfterFailure(now time.Time) bool {
+	return r.failedWithin(now, maxReadPause)
+}
+
+// failedWithin reports whether a read of the whole table has failed within the shorter one of the given time and the pause after it.
+func (r *reader) failedWithin(now time.Time, atMost time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return now.Before(r.wholeReadAt)
+	return !r.failedAt.IsZero() && now.Sub(r.failedAt) < min(atMost, r.readPause)
 }
 
 // recordWholeRead records the result of a read of the whole table.
@@ -73,11 +79,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
+		r.failedAt = time.Time{}
 		r.readPause = 0
 		return
 	}
+	r.failedAt = now
 	r.readPause = min(max(minReadPause, 2*r.readPause), maxReadPause)
-	r.wholeReadAt = now.Add(r.readPause)
 }
 
 func (r *reader) currentPosition() follow.Position {
@@ -217,7 +224,7 @@
 }
 
 func (b *Backup) readWhole(ctx context.Context) error {
-	if b.reader.wholeReadPaused(b.Now()) {
+	if b.reader.failedWithin(b.Now(), lookupReadPause) {
 		return errReadPaused
 	}
 	all, err := b.table.Read(ctx)
