Read the memory and the descriptors of the machine from the settings

Cause: what a host may hold for callers must follow from its machine, and the settings named neither its memory nor its descriptors.

Change: host.memory_mb and host.descriptors, checked, for both daemons. They have no effect yet, so that the tests of callers outside the limits can set them on the code as it stands.

Result: go test ./internal/setup passes.

--- a/internal/setup/settings.go
+++ b/internal/setup/settings.go
@@ -25,10 +25,20 @@
 	Log       Log        `yaml:"log"`
 }
 
-// Host identifies this host.
+const (
+	// minMemoryMB is the least memory in MB with which a host starts.
+	minMemoryMB = 64
+	// minDescriptors is the least number of descriptors with which a host starts.
+	minDescriptors = 128
+)
+
+// Host identifies this host and its machine.
 type Host struct {
 	Name   string `yaml:"name" help:"name of this host, unique among all"`
 	Domain string `yaml:"domain" help:"failure domain of this host"`
+	// MemoryMB is the memory of the machine in MB, and Descriptors how many files and sockets the process may open. 0 takes what the machine states.
+	MemoryMB    int `yaml:"memory_mb" help:"memory of this machine in MB; what callers may hold follows from it; without it, what the machine states"`
+	Descriptors int `yaml:"descriptors" help:"how many files and sockets this process may open; how many connections callers may hold follows from it; without it, the limit of the process"`
 }
 
 // Listen holds the addresses that cornelwingd listens on; each is an IP address and a port.
@@ -194,6 +204,8 @@
 func (h Host) check(c *strict.FaultCollector) {
 	c.Require(h.Name != "", "host.name", "a name is needed")
 	c.Require(h.Domain != "", "host.domain", "a failure domain is needed")
+	c.Require(h.MemoryMB == 0 || h.MemoryMB >= minMemoryMB, "host.memory_mb", "%d is less than %d", h.MemoryMB, minMemoryMB)
+	c.Require(h.Descriptors == 0 || h.Descriptors >= minDescriptors, "host.descriptors", "%d is less than %d", h.Descriptors, minDescriptors)
 }
 
 // check records a fault if the level is unknown.
