--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -38,6 +38,8 @@
 type Server struct {
 	ID      string
 	Service string
+	// Zone is the server's zone, or empty for z.
+	Zone string
 	// Version is the version of the server's software, or empty for v1.
 	Version string
 	// StartedAtMS is the start time of the server in milliseconds, or 0 for 1.
@@ -149,7 +151,7 @@
 
 // RegistrationJSON returns the JSON value of the store row by which the server registers itself with the given state.
 func (s *Server) RegistrationJSON(state string) []byte {
-	return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":%q,"slots":8,"state":%q,"cold_remaining_ms":0,"sequence":1,"born":%d}`, s.Service, s.addr, cmp.Or(s.Version, "v1"), state, cmp.Or(s.StartedAtMS, 1)))
+	return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":8,"state":%q,"cold_remaining_ms":0,"sequence":1,"born":%d}`, s.Service, s.addr, cmp.Or(s.Zone, "z"), cmp.Or(s.Version, "v1"), state, cmp.Or(s.StartedAtMS, 1)))
 }
 
 // SetNextBehaviors sets the behaviors for the following requests, one per request. It replaces the behaviors that are still unused.
