Let the soak evacuate a zone

An operator empties a zone once in each run, beside the faults, and writes the order again after a restore. Four rows of the checkers' test break the new rule, or just don't.

--- a/internal/stand/soak/check.go
+++ b/internal/stand/soak/check.go
@@ -35,6 +35,7 @@
 	h.checkPauses(servers)
 	h.checkLimits(servers)
 	h.checkCrashing(servers)
+	h.checkEvacuations(servers)
 	h.checkRecovery(recovered)
 }
 
--- a/internal/stand/soak/check_test.go
+++ b/internal/stand/soak/check_test.go
@@ -70,6 +70,7 @@
 		servers      []serverLog
 		disturbances []disturbance
 		limits       []limitation
+		evacuations  []evacuation
 		want         string
 	}{
 		{name: "a whole response", requests: []request{answered("a", stream, 1)}},
@@ -92,6 +93,10 @@
 		{name: "as many as it allows", requests: many, servers: []serverLog{{ID: "s", Arrivals: manyArrivals}}, limits: []limitation{{Server: "s", PerSecond: 6, From: after(0), To: after(20)}}},
 		{name: "a part that goes on crashing engines", requests: append(crashes, late...), servers: []serverLog{{Arrivals: append(crashArrivals, lateArrivals...)}}, want: "BUDGET"},
 		{name: "a part that is tried three times", requests: append(crashes, late[:3]...), servers: []serverLog{{Arrivals: append(crashArrivals, lateArrivals[:3]...)}}},
+		{name: "an evacuated zone that is used", requests: many, servers: []serverLog{{Zone: evacuableZone, Arrivals: manyArrivals}}, evacuations: []evacuation{{From: after(3), To: after(20)}}, want: "EVAC"},
+		{name: "an evacuated zone that is used by a host that was cut off", requests: many, servers: []serverLog{{Zone: evacuableZone, Arrivals: manyArrivals}}, evacuations: []evacuation{{From: after(3), To: after(20)}}, disturbances: []disturbance{{From: after(3.5), To: after(4), CutOff: true}}},
+		{name: "an evacuated zone that is used just after the order", requests: ten, servers: []serverLog{{Zone: evacuableZone, Arrivals: tenArrivals}}, evacuations: []evacuation{{From: after(1), To: after(20)}}},
+		{name: "a zone that was taken back", requests: many, servers: []serverLog{{Zone: evacuableZone, Arrivals: manyArrivals}}, evacuations: []evacuation{{From: after(0), To: after(4)}}},
 		{name: "a request that fails after all faults", requests: []request{answered("a", safe, 31).with(func(q *request) { q.Status = 504; q.Stamped = false })}, want: "RECOVER"},
 	}
 	for _, sc := range scenarios {
@@ -100,6 +105,7 @@
 				requests:     append([]request{answered("last", safe, 40)}, sc.requests...),
 				disturbances: sc.disturbances,
 				limits:       sc.limits,
+				evacuations:  sc.evacuations,
 			}
 			h.check(sc.servers, map[string]time.Time{"old": after(0)}, after(30))
 			var rules []string
--- a/internal/stand/soak/fleet.go
+++ b/internal/stand/soak/fleet.go
@@ -79,6 +79,9 @@
 		ID:      fmt.Sprintf("%s-%d", service, len(f.all)),
 		Service: service,
 	}
+	if len(f.all)%serversPerEvacuable == 0 {
+		s.Zone = evacuableZone
+	}
 	if service == "engine" {
 		s.Events = streamEvents
 		s.EventDelay = eventDelay
@@ -169,6 +172,7 @@
 	for _, s := range f.all {
 		l := serverLog{
 			ID:       s.ID,
+			Zone:     s.Zone,
 			Arrivals: s.ArrivalLog(),
 		}
 		for _, run := range s.Runs() {
--- a/internal/stand/soak/history.go
+++ b/internal/stand/soak/history.go
@@ -51,6 +51,7 @@
 // serverLog is what a server has seen: the requests and calls that reached it, and the IDs of those that it began to run.
 type serverLog struct {
 	ID       string
+	Zone     string
 	Arrivals []serv.Arrival
 	Runs     []string
 }
@@ -72,6 +73,7 @@
 	requests     []request
 	disturbances []disturbance
 	limits       []limitation
+	evacuations  []evacuation
 	violations   []Violation
 }
 
--- a/internal/stand/soak/run.go
+++ b/internal/stand/soak/run.go
@@ -84,7 +84,10 @@
 	for n := range clientsPerHost * o.Hosts {
 		clients.Go(func() { r.newClient(n).sendUntil(sending) })
 	}
+	var orders sync.WaitGroup
+	orders.Go(func() { r.evacuate(ctx, o.Faults) })
 	r.playAll(ctx, events)
+	orders.Wait()
 	calmFrom := time.Now()
 	wait(ctx, calmTime)
 	stop()
--- a/internal/stand/soak/world.go
+++ b/internal/stand/soak/world.go
@@ -45,6 +45,8 @@
 	// revokedAt holds when each key was revoked.
 	revokedAt map[string]time.Time
 	copies    []rows.Copy
+	// evacuated reports that the operator wants evacuableZone evacuated.
+	evacuated bool
 	era       int
 }
 
@@ -102,11 +104,11 @@
 	settings := fmt.Sprintf(`host: {name: host-%d, domain: z}
 listen: {callers: %q, ready: %q, peers: %q, metrics: %q}
 store: {address: %q}
-upstreams: {forget: %s}
+upstreams: {forget: %s, evacuate: %s}
 stop: {grace: %s}
 keys: {revoke: %s}
 retry: {ratio: 0.2, extra: 60}
-`, i, addrs[0], addrs[1], addrs[2], addrs[3], l.Addr(), forgetTime, stopGrace, revokeTime)
+`, i, addrs[0], addrs[1], addrs[2], addrs[3], l.Addr(), forgetTime, evacuateTime, stopGrace, revokeTime)
 	if err := os.WriteFile(h.settings, []byte(settings), 0o644); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
@@ -210,6 +212,7 @@
 	time.Sleep(pause)
 	w.mu.Lock()
 	w.writeConfiguration()
+	w.writeEvacuation()
 	w.mu.Unlock()
 	w.servers.registerAll()
 }
