--- a/internal/stage/call.go
+++ b/internal/stage/call.go
@@ -97,10 +97,12 @@
 
 // Load is an upstream's report of its own load.
 type Load struct {
-	Busy    int  `json:"busy"`
-	Queued  int  `json:"queued"`
-	Slots   int  `json:"slots"`
-	Leaving bool `json:"leaving,omitempty"`
+	Busy   int `json:"busy"`
+	Queued int `json:"queued"`
+	Slots  int `json:"slots"`
+	// Pace is how long work takes at the upstream now, as a multiple of the usual time, or 0 if it is not known.
+	Pace    float64 `json:"pace,omitempty"`
+	Leaving bool    `json:"leaving,omitempty"`
 	// AgeMS is the age of the report when the upstream sent it, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
 }
