--- a/cmd/cornelwingd/main.go
+++ b/cmd/cornelwingd/main.go
@@ -10,16 +10,13 @@
 	"syscall"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/guard"
 	"github.com/cornelwing/cornelwing/internal/root"
 	"github.com/cornelwing/cornelwing/internal/setup"
 )
 
-const (
-	// gcPercent makes garbage collections less frequent than the default of 100, as long as the heap is far below memoryLimit.
-	gcPercent = 400
-	// memoryLimit is the soft memory limit of the Go runtime, in bytes. Close to it, garbage collections become more frequent.
-	memoryLimit = 200 << 20
-)
+// gcPercent makes garbage collections less frequent than the default of 100, as long as the heap is far below the soft limit of memory.
+const gcPercent = 400
 
 func main() {
 	os.Exit(run(os.Args[1:]))
@@ -48,7 +45,7 @@
 		return common.ExitUsage
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(memoryLimit)
+	debug.SetMemoryLimit(guard.MachineOf(s.Host.MemoryMB, s.Host.Descriptors).SoftMemory())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := daemon.Run(ctx, func() { deps.Log.Info("Daemon is ready.") }); err != nil {
--- a/cmd/entryd/main.go
+++ b/cmd/entryd/main.go
@@ -11,17 +11,14 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/guard"
 	"github.com/cornelwing/cornelwing/internal/root/relay"
 	"github.com/cornelwing/cornelwing/internal/setup"
 	"github.com/cornelwing/cornelwing/platform"
 )
 
-const (
-	// memoryLimit is the soft memory limit of the Go runtime, in bytes. Close to it, garbage collections become more frequent.
-	memoryLimit = 100 << 20
-	// logFlushTimeout is the maximum time that the exit waits for the last log lines to be written.
-	logFlushTimeout = 200 * time.Millisecond
-)
+// logFlushTimeout is the maximum time that the exit waits for the last log lines to be written.
+const logFlushTimeout = 200 * time.Millisecond
 
 func main() {
 	os.Exit(run(os.Args[1:]))
@@ -37,7 +34,7 @@
 	if code, done := program.ReportSettings(err); done {
 		return code
 	}
-	debug.SetMemoryLimit(memoryLimit)
+	debug.SetMemoryLimit(guard.MachineOf(s.Host.MemoryMB, s.Host.Descriptors).SoftMemory())
 	logs := common.NewAsyncWriter(os.Stdout)
 	defer logs.Close(logFlushTimeout)
 	deps := common.NewDeps(s.Host.Name, s.Host.Domain, logs, s.Log.Threshold())
--- /dev/null
+++ b/internal/guard/doc.go
@@ -0,0 +1,2 @@
+// Package guard bounds what a host holds for callers: bytes in memory, and connections.
+package guard
--- a/internal/root/front/request_reader.go
+++ b/internal/root/front/request_reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -10,7 +9,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/guard"
 	"github.com/cornelwing/cornelwing/internal/root/watch"
+	"github.com/cornelwing/cornelwing/internal/serve"
 	"github.com/cornelwing/cornelwing/pkg/config"
 	"github.com/cornelwing/cornelwing/pkg/wire"
 )
@@ -20,6 +21,9 @@
 // notReadyRetry is the retry delay in the response of a host without a configuration.
 const notReadyRetry = time.Second
 
+// noRoomRetry is the retry delay if there is no memory for a request.
+const noRoomRetry = time.Second
+
 // RequestReader authenticates and validates HTTP requests and converts them to a PipelineRequest.
 type RequestReader struct {
 	common.Deps
@@ -131,13 +135,16 @@
 	rc := http.NewResponseController(w)
 	// If the connection does not support deadlines, the limits of the server apply.
 	_ = rc.SetReadDeadline(time.Now().Add(rr.bodyTimeout))
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, rr.maxBody))
+	data, err := guard.ReadBody(http.MaxBytesReader(w, r.Body, rr.maxBody), r.ContentLength, serve.ClaimOf(r))
 	if err != nil {
 		// The read deadline is kept. Without it the server would wait for the rest of the body before it sends the response.
 		w.Header().Set("Connection", "close")
 	} else {
 		_ = rc.SetReadDeadline(time.Time{})
 	}
+	if errors.Is(err, guard.ErrNoRoom) {
+		return noRoomProblem(req)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		p := wire.NewProblem(wire.KindTooLarge, wire.NotRun, "the body is larger than the host takes")
@@ -153,6 +160,16 @@
 	return nil
 }
 
+// noRoomProblem returns the problem for a request whose body finds no memory. For a request with an idempotency key the outcome is "unknown"
+// rather than "not run", because an earlier send of it may run.
+func noRoomProblem(req *PipelineRequest) *wire.Problem {
+	p := wire.NewProblem(wire.KindOverload, wire.NotRun, "no memory for the body now").WithRetry(noRoomRetry, "")
+	if req.Key != "" {
+		p = p.WithOutcome(wire.Unknown).WithRetry(noRoomRetry, wire.RetrySameKey)
+	}
+	return &p
+}
+
 func malformedProblem(detail string) *wire.Problem {
 	p := wire.NewProblem(wire.KindMalformed, wire.NotRun, detail)
 	return &p
--- a/internal/root/front/server.go
+++ b/internal/root/front/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/guard"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain"
 	"github.com/cornelwing/cornelwing/internal/root/front/claim"
 	"github.com/cornelwing/cornelwing/internal/root/front/tally"
@@ -26,6 +27,7 @@
 	admitter *Admitter
 	onLeave  func()
 	notReady func() string
+	bounds   serve.Option
 }
 
 // Option configures a Server.
@@ -45,6 +47,13 @@
 	}
 }
 
+// WithBounds sets the bounds of what callers hold.
+func WithBounds(conns *guard.Conns, memory *guard.Memory) Option {
+	return func(s *Server) {
+		s.bounds = serve.WithBounds(conns, memory)
+	}
+}
+
 // New returns a server that accepts callers' requests on addr once Run is called.
 func New(deps common.Deps, addr string, limits setup.Limits, active *watch.Active, admitter *Admitter, claims *claim.Manager, runner *chain.Runner, opts ...Option) *Server {
 	deps = deps.WithPart("front")
@@ -66,6 +75,7 @@
 		admitter: admitter,
 		onLeave:  func() {},
 		notReady: func() string { return "" },
+		bounds:   func(*serve.Graceful) {},
 	}
 	for _, o := range opts {
 		o(s)
@@ -75,7 +85,7 @@
 		IdleTimeout:   idleTimeout,
 		DrainWait:     limits.DrainWait.D(),
 		DrainTimeout:  limits.DrainTimeout.D(),
-	}, serve.WithLeaveHook(func() { s.onLeave() }), serve.WithDrainHook(admitter.Drain))
+	}, serve.WithLeaveHook(func() { s.onLeave() }), serve.WithDrainHook(admitter.Drain), s.bounds)
 	return s
 }
 
--- a/internal/root/metrics.go
+++ b/internal/root/metrics.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cornelwing/cornelwing/internal/guard"
 	"github.com/cornelwing/cornelwing/internal/root/front/chain"
 )
 
@@ -14,16 +15,19 @@
 
 // Metrics are the metrics that a host publishes under /debug/vars.
 type Metrics struct {
-	Revision   int64          `json:"revision"`
-	LiveHosts  int            `json:"live_hosts"`
-	Upstreams  int            `json:"upstreams"`
-	Waiting    int            `json:"waiting"`
-	StoreOut   bool           `json:"store_out"`
-	Attempts   Attempts       `json:"attempts"`
-	Peers      PeerTraffic    `json:"peers"`
-	Restarts   map[string]int `json:"restarts"`
-	CPUSeconds float64        `json:"cpu_seconds"`
-	Goroutines int            `json:"goroutines"`
+	Revision  int64          `json:"revision"`
+	LiveHosts int            `json:"live_hosts"`
+	Upstreams int            `json:"upstreams"`
+	Waiting   int            `json:"waiting"`
+	StoreOut  bool           `json:"store_out"`
+	Attempts  Attempts       `json:"attempts"`
+	Peers     PeerTraffic    `json:"peers"`
+	Restarts  map[string]int `json:"restarts"`
+	// Memory and Conns show what this host holds for callers, and how many were turned away for that.
+	Memory     guard.MemoryStats `json:"callers_memory"`
+	Conns      guard.ConnStats   `json:"callers_conns"`
+	CPUSeconds float64           `json:"cpu_seconds"`
+	Goroutines int               `json:"goroutines"`
 }
 
 // Attempts counts attempts without a result, retries and dropped results since the start of the daemon.
@@ -57,6 +61,8 @@
 func (r *Root) Metrics() Metrics {
 	_, out := r.platform.Outage()
 	m := Metrics{
+		Memory:     r.memory.Stats(),
+		Conns:      r.conns.Stats(),
 		Revision:   r.active.Number(),
 		LiveHosts:  r.liveCount(),
 		Upstreams:  len(r.registry.Upstreams(r.Now())),
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 	"github.com/cornelwing/cornelwing/internal/root/retry"
 	"github.com/cornelwing/cornelwing/internal/root/route"
+	"github.com/cornelwing/cornelwing/internal/serve"
 )
 
 // maxBufferedBytes is the size up to which a response is buffered completely before the caller receives its first byte.
@@ -230,6 +231,7 @@
 	if err != nil {
 		return fmt.Errorf("read answer: %w", err)
 	}
+	serve.ClaimOf(x.r).Hold(int64(cap(body)))
 	if len(body) > maxBufferedBytes {
 		return x.forwardUnbuffered(resp, body)
 	}
--- a/internal/root/relay/flow/cause.go
+++ b/internal/root/relay/flow/cause.go
@@ -8,9 +8,11 @@
 	// CauseNone means that the first upstream answered the request.
 	CauseNone Cause = ""
 	// CauseMalformed means that the request is invalid, CauseNoRoute that it matches no route, and CauseUnknownKey that no account has its key.
-	CauseMalformed  Cause = "malformed"
-	CauseTooLarge   Cause = "too_large"
-	CauseNoRoute    Cause = "no_route"
+	CauseMalformed Cause = "malformed"
+	CauseTooLarge  Cause = "too_large"
+	CauseNoRoute   Cause = "no_route"
+	// CauseNoRoom means that the host has no memory for the request.
+	CauseNoRoom     Cause = "no_room"
 	CauseUnknownKey Cause = "unknown_key"
 	// CauseRouteUnusable means that the route of the request can't be served as it is configured.
 	CauseRouteUnusable Cause = "route_unusable"
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime"
 
+	"github.com/cornelwing/cornelwing/internal/guard"
 	"github.com/cornelwing/cornelwing/internal/root/front/tally/burn"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
@@ -44,9 +45,12 @@
 	// BurnRates reports the rates at which this host uses up the error budget of the service-level objective.
 	BurnRates burn.Report `json:"burn"`
 	// Queues holds the statistics of the worker queues that this host runs.
-	Queues     map[string]batch.Stats `json:"queues"`
-	Goroutines int                    `json:"goroutines"`
-	HeapBytes  uint64                 `json:"heap_bytes"`
+	Queues map[string]batch.Stats `json:"queues"`
+	// Memory and Conns show what this host holds for callers, and how many were turned away for that.
+	Memory     guard.MemoryStats `json:"callers_memory"`
+	Conns      guard.ConnStats   `json:"callers_conns"`
+	Goroutines int               `json:"goroutines"`
+	HeapBytes  uint64            `json:"heap_bytes"`
 }
 
 func (r *Relay) metricsHandler() http.Handler {
@@ -69,6 +73,8 @@
 		Routes:     r.meter.Routes(),
 		BurnRates:  r.meter.BurnRates(r.Now(), r.settings.Objective.Attainment),
 		Queues:     r.dispatcher.Stats(),
+		Memory:     r.memory.Stats(),
+		Conns:      r.conns.Stats(),
 		Goroutines: runtime.NumGoroutine(),
 		HeapBytes:  mem.HeapAlloc,
 	}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/guard"
 	"github.com/cornelwing/cornelwing/internal/root/relay/backup"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/flow"
@@ -57,6 +58,9 @@
 	// maxHeaderBytes bounds a caller's request headers regardless of the configuration, as each connection may hold that many bytes.
 	maxHeaderBytes = 256 << 10
 	idleTimeout    = 5 * time.Minute
+	// probeIdleTimeout and maxProbeHeaderBytes are the same for the listeners that only answer probes.
+	probeIdleTimeout    = time.Minute
+	maxProbeHeaderBytes = 16 << 10
 )
 
 // Adapter provides the platform-specific parts of a relay.
@@ -113,6 +117,9 @@
 	tunnels    *hosts.Tunnels
 	flow       *flow.Service
 	callers    *serve.Graceful
+	machine    guard.Machine
+	memory     *guard.Memory
+	conns      *guard.Conns
 	meter      *meter.Meter
 	// rowsRewritten counts how often this host wrote its row again after the store was restored.
 	rowsRewritten atomic.Int64
@@ -138,7 +145,10 @@
 		meter:      meter.New(),
 		history:    origin.NewHistory(),
 		settlement: &settlement{},
+		machine:    guard.MachineOf(s.Host.MemoryMB, s.Host.Descriptors),
 	}
+	r.memory = guard.NewMemory(r.machine.Memory, deps.Now)
+	r.conns = guard.NewConns(r.machine.CallerConns())
 	a.Eras.OnEnter(func() {
 		r.lease.Pause()
 		r.settlement.enter(r.plans.Current() != nil)
@@ -193,7 +203,7 @@
 		HeaderBytes:   maxHeaderBytes,
 		DrainWait:     drain,
 		DrainTimeout:  time.Duration(drainEndShare*float64(grace)) - drain,
-	}, serve.WithLeaveHook(r.deregister))
+	}, serve.WithLeaveHook(r.deregister), serve.WithBounds(r.conns, r.memory))
 	return r
 }
 
@@ -216,6 +226,7 @@
 func (r *Relay) Run(ctx context.Context) error {
 	eras := r.adapter.Eras
 	restorePause := follow.WithRestorePause(r.restorePause)
+	bounds := guard.NewReport(r.memory, r.conns)
 	tree := super.New(r.WithPart("root"), super.WithParts(
 		follow.NewFeed(r.Deps, eras, "configurations", r.adapter.Configurations, r.planSink, r.configPollTimeout(), follow.WithConfirmation(r.startConfirmation), follow.WithBatchPause(r.batchPause), restorePause),
 		follow.NewFeed(r.Deps, eras, "upstreams", r.adapter.Upstreams, r.upstreams, upstreamPollTimeout, follow.WithConfirmation(r.startUpstreamsConfirmation),
@@ -225,6 +236,7 @@
 		r.backup,
 		r.writers,
 		r.refuter,
+		super.Every("bounds", func() time.Duration { return guard.ReportInterval }, func(context.Context) { bounds.Log(r.Log) }),
 		super.Func{
 			Label: "presence",
 			Body:  r.register,
@@ -266,7 +278,9 @@
 func (r *Relay) plainServer(part, addr string, h http.Handler) *serve.Graceful {
 	return serve.New(r.WithPart(part), addr, h, serve.Limits{
 		HeaderTimeout: headerTimeout,
-	})
+		IdleTimeout:   probeIdleTimeout,
+		HeaderBytes:   maxProbeHeaderBytes,
+	}, serve.WithBounds(guard.NewConns(r.machine.ProbeConns()), r.memory))
 }
 
 // startConfirmation records the time before a call for the configuration. The returned function extends the key lease from that time, unless the newest configuration can't be read: it may have taken keys away.
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -9,6 +9,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/certs"
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/guard"
 	"github.com/cornelwing/cornelwing/internal/root/admin"
 	"github.com/cornelwing/cornelwing/internal/root/crash"
 	"github.com/cornelwing/cornelwing/internal/root/front"
@@ -53,6 +54,8 @@
 	lease          *lease.Manager
 	orders         *orders.Controller
 	report         *report.Manager
+	memory         *guard.Memory
+	conns          *guard.Conns
 	restartCounts  restartCounts
 	// syncedRevision is the number of the revision from which the routing table was last updated. It is 0 until the table has upstreams.
 	syncedRevision atomic.Int64
@@ -79,6 +82,9 @@
 		reach:    reach.New(),
 		tracker:  crash.NewTracker(),
 	}
+	machine := guard.MachineOf(s.Host.MemoryMB, s.Host.Descriptors)
+	r.memory = guard.NewMemory(machine.Memory, deps.Now)
+	r.conns = guard.NewConns(machine.CallerConns())
 	for _, o := range opts {
 		o(r)
 	}
@@ -114,7 +120,7 @@
 	r.runner = chain.New(r.Deps, r.table, r.reach,
 		chain.WithCrashGuard(crash.NewGuard(r.Deps, r.tracker, r.isAlive, r.maySendSuspectedRequest, func(ctx context.Context, _ crash.Mark) { r.push(ctx) })),
 		chain.WithOnLeaving(r.onUpstreamLeaving))
-	r.front = front.New(r.Deps, s.Listen.Callers, s.Limits, r.active, r.admitter, r.claims, r.runner, front.WithLeaveHook(r.announceLeaving), front.WithReady(r.notReadyReason))
+	r.front = front.New(r.Deps, s.Listen.Callers, s.Limits, r.active, r.admitter, r.claims, r.runner, front.WithLeaveHook(r.announceLeaving), front.WithReady(r.notReadyReason), front.WithBounds(r.conns, r.memory))
 	r.lease = lease.NewManager(r.Deps, r.platform, "orders", lease.New(s.Host.Name, lease.DefaultTiming(), newNonce))
 	members := func() []route.Upstream { return r.registry.Upstreams(r.Now()) }
 	r.orders = orders.New(r.Deps, r.lease, r.reach, r.active, members, r.missesObjective)
@@ -162,7 +168,9 @@
 	} else {
 		parts = append(parts, r.mesh, r.gossip.Part())
 	}
+	bounds := guard.NewReport(r.memory, r.conns)
 	parts = append(parts,
+		super.Every("bounds", func() time.Duration { return guard.ReportInterval }, func(context.Context) { bounds.Log(r.Log) }),
 		super.Every("list", r.listInterval, r.refreshHostList),
 		watch.NewWatcher(r.revisions, r.active, r.liveCount).Part(),
 		super.Every("table", func() time.Duration { return syncInterval }, r.syncTable),
--- a/internal/serve/graceful.go
+++ b/internal/serve/graceful.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/guard"
 )
 
 // Limits bounds the time and header size that a client may use, and the duration of a graceful stop.
@@ -36,7 +37,10 @@
 	// onLeave is called when the stop begins.
 	onLeave func()
 	// onDrain is called after DrainWait, before new requests are rejected.
-	onDrain    func()
+	onDrain func()
+	// conns and memory bound what clients hold, if they are set.
+	conns      *guard.Conns
+	memory     *guard.Memory
 	leaving    atomic.Bool
 	listenAddr atomic.Pointer[string]
 }
@@ -58,6 +62,14 @@
 	}
 }
 
+// WithBounds bounds the connections of clients, and the memory that the host holds for them unless memory is nil.
+func WithBounds(conns *guard.Conns, memory *guard.Memory) Option {
+	return func(g *Graceful) {
+		g.conns = conns
+		g.memory = memory
+	}
+}
+
 // New returns a server that will listen on addr, a TCP address, once Run is called.
 func New(deps common.Deps, addr string, handler http.Handler, limits Limits, opts ...Option) *Graceful {
 	g := &Graceful{
@@ -104,6 +116,16 @@
 		// net/http must not answer OPTIONS * itself: only the handler may answer a request with success.
 		DisableGeneralOptionsHandler: true,
 	}
+	if g.conns != nil {
+		ln = &gate{
+			Listener: ln,
+			conns:    g.conns,
+			memory:   g.memory,
+		}
+		srv.Handler = trackRequests(srv.Handler)
+		srv.ConnContext = withConn
+		srv.ConnState = onState
+	}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- srv.Serve(ln) }()
 	g.Log.Infof("Listening on %s.", listenAddr)
