--- a/internal/root/route/entry.go
+++ b/internal/root/route/entry.go
@@ -27,6 +27,8 @@
 	Probe bool
 	// Limited means that the upstream takes a limited number of requests per second from all hosts together, so that each of them needs a permit. Pick sets it.
 	Limited bool
+	// Cold means that the upstream is cold, so that a permit for it must be used at once. Pick sets it.
+	Cold bool
 }
 
 // Incarnation identifies one start of an upstream.
@@ -117,6 +119,8 @@
 	// perSecond is the number of requests per second that the upstream takes from all hosts together, or 0 if it has named no limit. heldUntil is the time until which there is no permit for another one.
 	perSecond float64
 	heldUntil time.Time
+	// cold is the time in which the upstream is cold.
+	cold Cold
 	// brittle is how many requests per second the upstream can turn away for want of room without falling over, or 0 for any number. probeAt is the time from which this host may send one more request there than it is known to have room for.
 	brittle int
 	probeAt time.Time
@@ -188,14 +192,13 @@
 	if e.report.Slots > 0 {
 		slots = e.report.Slots
 	}
-	if e.perSecond > 0 && e.avgService > 0 {
-		slots = min(slots, max(1, int(e.perSecond*e.avgService.Seconds())))
+	if rate := e.rate(now); rate > 0 && e.avgService > 0 {
+		slots = min(slots, max(1, int(rate*e.avgService.Seconds())))
 	}
-	since := now.Sub(e.readmittedAt)
-	if e.readmittedAt.IsZero() || since >= slowStart {
-		return float64(slots)
+	ramp := e.cold.share(now)
+	if since := now.Sub(e.readmittedAt); !e.readmittedAt.IsZero() && since < slowStart {
+		ramp = min(ramp, 0.1+0.9*float64(since)/float64(slowStart))
 	}
-	ramp := 0.1 + 0.9*float64(since)/float64(slowStart)
 	return max(1, float64(slots)*ramp)
 }
 
@@ -224,7 +227,7 @@
 
 // mayReturn reports whether nothing but an ejection keeps the upstream from being used.
 func (e *entry) mayReturn(now time.Time, hosts int) bool {
-	return !e.up.Leaving && !e.isPaused(now) && !e.isHeld(now) && !e.isFull(now, hosts)
+	return !e.up.Leaving && !e.isPaused(now) && !e.isHeld(now) && !e.isClosed(now) && !e.isFull(now, hosts)
 }
 
 func (e *entry) isPaused(now time.Time) bool {
@@ -239,6 +242,9 @@
 			at = t
 		}
 	}
+	if e.cold.Closed && e.cold.Until.After(at) {
+		at = e.cold.Until
+	}
 	return at
 }
 
--- a/internal/root/route/limit.go
+++ b/internal/root/route/limit.go
@@ -23,7 +23,7 @@
 	t.Release(now, name)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e, ok := t.byName[name]; ok && e.perSecond > 0 {
+	if e, ok := t.byName[name]; ok && e.rate(now) > 0 {
 		e.heldUntil = now.Add(max(minHold, d))
 	}
 }
--- a/internal/root/route/pause.go
+++ b/internal/root/route/pause.go
@@ -57,7 +57,7 @@
 		if first.IsZero() || at.Before(first) {
 			first = at
 		}
-		paused = paused || e.isPaused(now) || e.isHeld(now)
+		paused = paused || e.isPaused(now) || e.isHeld(now) || e.isClosed(now)
 	}
 	if !paused {
 		return 0, false
@@ -73,8 +73,8 @@
 			continue
 		}
 		served := float64(max(1, p.slots)) / p.expected.Seconds()
-		if e.perSecond > 0 {
-			served = min(served, e.perSecond)
+		if rate := e.rate(first); rate > 0 {
+			served = min(served, rate)
 		}
 		perSecond += served
 	}
--- a/internal/root/route/pressure.go
+++ b/internal/root/route/pressure.go
@@ -53,7 +53,7 @@
 	var service time.Duration
 	inFlight := 0
 	for _, e := range p.entries {
-		if e.up.Leaving || e.isEjected(now) || e.isPaused(now) || e.isHeld(now) {
+		if e.up.Leaving || e.isEjected(now) || e.isPaused(now) || e.isHeld(now) || e.isClosed(now) {
 			continue
 		}
 		total.Upstreams++
--- a/internal/root/route/query.go
+++ b/internal/root/route/query.go
@@ -40,7 +40,7 @@
 	if !e.usable(now, q.hosts) && !(q.includesEjected(now, e) && e.mayReturn(now, q.hosts)) {
 		return false
 	}
-	if (q.Unlimited && e.perSecond > 0) || slices.Contains(q.Exclude, e.up.Name) || (q.remote && e.up.Domain == q.PreferDomain) {
+	if (q.Unlimited && e.rate(now) > 0) || slices.Contains(q.Exclude, e.up.Name) || (q.remote && e.up.Domain == q.PreferDomain) {
 		return false
 	}
 	return q.Allow == nil || q.Allow(e.up.Name)
--- a/internal/root/route/table.go
+++ b/internal/root/route/table.go
@@ -58,6 +58,8 @@
 	hosts  int
 	pools  map[string]*pool
 	byName map[string]*entry
+	// cold holds the upstreams that are cold, also those that are not known otherwise yet.
+	cold map[Incarnation]Cold
 	// pickedAt is the time of the last choice.
 	pickedAt time.Time
 }
@@ -69,6 +71,7 @@
 		hosts:  1,
 		pools:  map[string]*pool{},
 		byName: map[string]*entry{},
+		cold:   map[Incarnation]Cold{},
 	}
 }
 
@@ -115,7 +118,9 @@
 func (t *Table) entryFor(u Upstream) *entry {
 	old, ok := t.byName[u.Name]
 	if !ok || old.up.Addr != u.Addr || old.up.StartedAtMS != u.StartedAtMS {
-		return newEntry(u)
+		e := newEntry(u)
+		e.cold = t.cold[u.Incarnation()]
+		return e
 	}
 	old.up = u
 	return old
@@ -156,7 +161,8 @@
 	p.total.Load += t.hosts
 	up := e.up
 	up.Probe = e.ejections > 0
-	up.Limited = e.perSecond > 0
+	up.Limited = e.rate(now) > 0
+	up.Cold = e.cold.holds(now)
 	return up, true
 }
 
