--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"sync/atomic"
 
+	"github.com/pkg/errors"
+
 	"github.com/cornelwing/cornelwing/internal/jhttp"
 )
 
@@ -27,7 +29,7 @@
 	Sent func()
 }
 
-// Result is the result of a send: Response, Unsent or Broken.
+// Result is the result of a send: Response, Unsent, Late or Broken.
 type Result interface {
 	result()
 }
@@ -46,6 +48,9 @@
 	Err error
 }
 
+// Late reports that the permit for the request had expired once the connection was made, so that no byte of the request left this host.
+type Late struct{}
+
 // Broken reports that no response head arrived after the connection was made. The upstream may have run the request.
 type Broken struct {
 	Err error
@@ -53,6 +58,7 @@
 
 func (Response) result() {}
 func (Unsent) result()   {}
+func (Late) result()     {}
 func (Broken) result()   {}
 
 // Client sends requests to upstreams.
@@ -65,7 +71,7 @@
 	return &Client{
 		transport: &http.Transport{
 			MaxResponseHeaderBytes: jhttp.MaxResponseHead,
-			DialContext:            dial,
+			DialContext:            GuardDial(dial),
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			ReadBufferSize:         bufferSize,
@@ -111,6 +117,9 @@
 			Framing: framingOf(resp),
 		}
 	}
+	if errors.Is(err, ErrPermitExpired) {
+		return Late{}
+	}
 	if !connected.Load() {
 		return Unsent{
 			Err: fmt.Errorf("connect to %s: %w", r.Addr, err),
