--- a/internal/root/relay/batch/dispatcher.go
+++ b/internal/root/relay/batch/dispatcher.go
@@ -47,6 +47,8 @@
 type Dispatcher struct {
 	common.Deps
 	client WorkerClient
+	// permits keeps to the rate that cold workers take.
+	permits Permits
 
 	mu     sync.Mutex
 	queues map[string]*Queue
@@ -69,6 +71,7 @@
 	d := &Dispatcher{
 		Deps:         deps.WithPart("batch"),
 		client:       client,
+		permits:      unlimitedPermits{},
 		queues:       map[string]*Queue{},
 		shards:       map[string][]Shard{},
 		waiters:      map[*Job]chan Outcome{},
@@ -291,7 +294,7 @@
 	timeout := time.Duration(callTimeoutFactor*float64(c.Expected)) + callTimeoutSlack
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	resp, err := d.client.Run(ctx, c.Upstream, c.Items)
+	resp, err := d.call(ctx, c)
 	if resp.Leaving {
 		d.onLeaving(c.Upstream.Incarnation())
 	}
@@ -320,7 +323,7 @@
 	var unused []string
 	switch {
 	case err != nil && resp.PauseFor > 0:
-		log.WithField("pause_ms", resp.PauseFor.Milliseconds()).Info("Worker asked for a pause.")
+		log.WithField("pause_ms", resp.PauseFor.Milliseconds()).WithField("cause", err.Error()).Info("Worker asked for a pause.")
 		ended, unused = q.PauseCall(now, c, resp.PauseFor)
 	case err != nil:
 		log.WithError(err).Warn("Call to worker failed.")
--- a/internal/root/relay/batch/free.go
+++ b/internal/root/relay/batch/free.go
@@ -58,6 +58,13 @@
 	return list
 }
 
+// gatherFrees puts results back that are to be freed by a later call.
+func (d *Dispatcher) gatherFrees(addr string, list []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pendingFrees[addr] = append(list, d.pendingFrees[addr]...)
+}
+
 func (d *Dispatcher) freePending(addr string) {
 	for {
 		d.mu.Lock()
@@ -75,7 +82,14 @@
 			list = append(list, d.takePendingFrees(addr)...)
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-		if err := d.client.Free(ctx, addr, list); err != nil {
+		permitted, retry := d.permitFree(ctx, addr)
+		if retry > 0 {
+			cancel()
+			d.gatherFrees(addr, list)
+			time.Sleep(retry)
+			continue
+		}
+		if err := d.client.Free(permitted, addr, list); err != nil {
 			d.Log.WithError(err).WithField("upstream", addr).WithField("results", len(list)).Info("Failed to free results. The worker drops them when they expire.")
 		}
 		cancel()
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -42,13 +42,26 @@
 	if x.stagesDone && x.fetches.allows(began, x.pool) {
 		req.Sent = release.start
 	}
+	if x.permit != nil {
+		ctx = send.WithPermit(ctx, x.permit.Spend)
+	}
 	result := x.Sender.Do(ctx, req)
 	if release.stop() {
 		x.dropInputs()
 	}
 	switch res := result.(type) {
+	case send.Late:
+		x.sends--
+		x.Table.Release(x.Now(), up.Name)
+		x.excluded = append(x.excluded, up.Name)
+		x.setCause(CauseNotSent, "permit for a cold upstream expired")
+		x.Log.WithField("request", x.requestHead.ID).WithField("upstream", up.Name).Info("Permit for a cold upstream expired before the request was sent.")
+		return retry.Unsent{}, false
 	case send.Unsent:
 		x.sends--
+		if ctx.Err() == nil {
+			x.WarmUps.RecordUnreachable(up)
+		}
 		x.Table.Done(x.Now(), up.Name, x.Now().Sub(began), false)
 		x.Table.Eject(x.Now(), up.Name)
 		x.excluded = append(x.excluded, up.Name)
@@ -59,6 +72,7 @@
 		return x.recordUnknownOutcome(up, began, res.Err), false
 	case send.Response:
 		defer res.Body.Close()
+		x.WarmUps.RecordResponse(up)
 		return x.handleResponse(ctx, up, began, res)
 	default:
 		panic("unknown result")
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 	"github.com/cornelwing/cornelwing/internal/root/retry"
 	"github.com/cornelwing/cornelwing/internal/root/route"
+	"github.com/cornelwing/cornelwing/internal/root/warm"
 )
 
 const (
@@ -65,6 +66,8 @@
 	excluded        []string
 	// trial means that the next attempt is likely to crash its upstream.
 	trial bool
+	// permit is the permit for the next attempt if its upstream is cold, or nil.
+	permit *warm.Permit
 	// sends counts the upstreams that the request was sent to. mayHaveRun reports that one of them may have run the request.
 	sends      int
 	mayHaveRun bool
@@ -178,19 +181,30 @@
 
 // pickUpstream selects an upstream. One that takes a limited number of requests is used only with a permit.
 func (x *exchange) pickUpstream(ctx context.Context) (route.Upstream, bool) {
+	x.permit = nil
 	for denied := 0; ; denied++ {
 		up, ok := x.pickCandidate(denied >= maxPermitRequests)
 		if !ok || !up.Limited {
 			return up, ok
 		}
+		permit := warm.NewPermit(x.PermitClock)
 		granted, retry := x.Limits.Take(ctx, up)
 		if granted {
+			x.usePermit(up, permit)
 			return up, true
 		}
+		x.Log.WithField("request", x.requestHead.ID).WithField("upstream", up.Name).WithField("cold", up.Cold).WithField("retry_ms", retry.Milliseconds()).Debug("No permit for the upstream.")
 		x.Table.Hold(x.Now(), up.Name, retry)
 	}
 }
 
+// usePermit makes the next attempt depend on the permit if the upstream is cold.
+func (x *exchange) usePermit(up route.Upstream, permit *warm.Permit) {
+	if up.Cold {
+		x.permit = permit
+	}
+}
+
 // pickCandidate selects an upstream that is not excluded, or an excluded one if no other is usable, or one that is on trial. For the rest of a stream it selects an ejected one before none. unlimited leaves out those that take a limited number of requests.
 func (x *exchange) pickCandidate(unlimited bool) (route.Upstream, bool) {
 	q := route.Query{
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -70,6 +70,14 @@
 	Take(ctx context.Context, up route.Upstream) (granted bool, retry time.Duration)
 }
 
+// WarmUps learns which upstreams may have restarted, and then take few requests.
+type WarmUps interface {
+	// RecordUnreachable records that no connection to the upstream could be opened.
+	RecordUnreachable(up route.Upstream)
+	// RecordResponse records that the upstream has answered a request.
+	RecordResponse(up route.Upstream)
+}
+
 // Budget configures the retry budget of a pool.
 type Budget struct {
 	// Ratio is how many retries each request adds to the budget. ExtraRetries is how many more retries are allowed within a window on all hosts together. Each host gets an equal part of ExtraRetries.
@@ -80,11 +88,14 @@
 // Service forwards requests to upstreams.
 type Service struct {
 	common.Deps
-	Plans         *plan.Active
-	Moves         *plan.Moves
-	Table         *route.Table
-	Upstreams     Upstreams
-	Limits        Limits
+	Plans     *plan.Active
+	Moves     *plan.Moves
+	Table     *route.Table
+	Upstreams Upstreams
+	Limits    Limits
+	WarmUps   WarmUps
+	// PermitClock is the clock by which permits for cold upstreams expire. It goes on while the host is suspended.
+	PermitClock   func() time.Duration
 	Origins       Origins
 	Sender        Sender
 	Workers       Workers
--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -24,6 +24,8 @@
 	common.Deps
 	decode  DecodeUpstream
 	changed func()
+	// onRow is called with each row that was read, and whether it is of a restored table.
+	onRow func(up route.Upstream, value []byte, restored bool)
 	// retention is how long an upstream is retained after its row disappeared during an outage or soon after it.
 	retention time.Duration
 
@@ -50,6 +52,7 @@
 		Deps:          deps.WithPart("members"),
 		decode:        decode,
 		changed:       changed,
+		onRow:         func(route.Upstream, []byte, bool) {},
 		retention:     time.Duration(retentionShare * float64(forget)),
 		ups:           map[string]route.Upstream{},
 		startSeenAt:   map[string]time.Time{},
@@ -58,6 +61,11 @@
 	}
 }
 
+// OnRow sets the function that is called with each row of an upstream before the change of the table takes effect, and whether the row is of a restored table. It must be called before the view is used.
+func (m *Upstreams) OnRow(f func(up route.Upstream, value []byte, restored bool)) {
+	m.onRow = f
+}
+
 // Reset applies the rows of the whole table, and removes the upstreams that have no row in it.
 func (m *Upstreams) Reset(rows []Row) {
 	m.mu.Lock()
@@ -84,6 +92,7 @@
 			outdated++
 			continue
 		}
+		m.onRow(up, r.Value, true)
 		m.put(up)
 	}
 	m.removeAbsent(rows)
@@ -158,6 +167,7 @@
 	if !up.Leaving {
 		m.leavers.revoke(up.Incarnation())
 	}
+	m.onRow(up, r.Value, false)
 	m.put(up)
 }
 
--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -42,6 +42,8 @@
 	peers  *Peers
 	// save keeps what crashes upstreams in the platform's store.
 	save func(u blame.Update)
+	// unreachable is called with an upstream that lost a connection and can't be connected to.
+	unreachable func(up route.Upstream)
 	// background runs a function that sends messages to other hosts in a goroutine of its own.
 	background func(f func())
 	// assessing serializes assessments, so that each uses the answers to the survey of the one before.
@@ -61,19 +63,25 @@
 // NewCrashes returns the record of crashes on this host, which is shared with other hosts through peers. reachable reports whether a connection to the address of an upstream can be opened. NewCrashes must be called before peers runs.
 func NewCrashes(deps common.Deps, peers *Peers, reachable func(ctx context.Context, addr string) bool) *Crashes {
 	c := &Crashes{
-		Deps:       deps.WithPart("crash"),
-		ledger:     blame.NewLedger(),
-		prober:     crash.NewProber(reachable),
-		peers:      peers,
-		save:       func(blame.Update) {},
-		background: func(f func()) { go f() },
-		gathered:   map[string]*gatheredCrash{},
+		Deps:        deps.WithPart("crash"),
+		ledger:      blame.NewLedger(),
+		prober:      crash.NewProber(reachable),
+		peers:       peers,
+		save:        func(blame.Update) {},
+		unreachable: func(route.Upstream) {},
+		background:  func(f func()) { go f() },
+		gathered:    map[string]*gatheredCrash{},
 	}
 	peers.services = append(peers.services, c)
 	peers.roster.OnJoin(c.notifyJoined)
 	return c
 }
 
+// OnUnreachable sets the function that is called with an upstream that lost a connection and can't be connected to. It must be called before peers runs.
+func (c *Crashes) OnUnreachable(f func(up route.Upstream)) {
+	c.unreachable = f
+}
+
 // SaveWith sets what keeps in the platform's store what crashes upstreams. It must be called before peers runs.
 func (c *Crashes) SaveWith(save func(u blame.Update)) {
 	c.save = save
@@ -138,6 +146,7 @@
 	if c.prober.Reachable(ctx, up) {
 		return
 	}
+	c.unreachable(up)
 	c.Log.Warnf("Upstream %s became unreachable while it ran the request with fingerprint %s.", up.Name, formatFingerprint(r.Own))
 	done := c.gather(r, up)
 	timer := time.NewTimer(reportWait)
--- a/internal/root/relay/hosts/limits.go
+++ b/internal/root/relay/hosts/limits.go
@@ -74,6 +74,8 @@
 	peers  *Peers
 	book   *limit.Book
 	grants *limit.Grants
+	// warmUps keeps to the rates that cold upstreams take.
+	warmUps *WarmUps
 	// source names this process in its notices.
 	source string
 	// apply is called with each changed limit.
@@ -85,14 +87,15 @@
 }
 
 // NewLimits returns the limits that this host knows, which are shared with other hosts through peers. apply is called with each changed limit. NewLimits must be called before peers runs.
-func NewLimits(deps common.Deps, peers *Peers, apply func(i route.Incarnation, perSecond float64)) *Limits {
+func NewLimits(deps common.Deps, peers *Peers, warmUps *WarmUps, apply func(i route.Incarnation, perSecond float64)) *Limits {
 	l := &Limits{
-		Deps:   deps.WithPart("limits"),
-		peers:  peers,
-		book:   limit.NewBook(),
-		grants: limit.NewGrants(),
-		source: fmt.Sprintf("%s/%d", deps.Host, deps.Now().UnixNano()),
-		apply:  apply,
+		Deps:    deps.WithPart("limits"),
+		peers:   peers,
+		book:    limit.NewBook(),
+		grants:  limit.NewGrants(),
+		warmUps: warmUps,
+		source:  fmt.Sprintf("%s/%d", deps.Host, deps.Now().UnixNano()),
+		apply:   apply,
 	}
 	peers.services = append(peers.services, l)
 	return l
@@ -144,9 +147,22 @@
 	return batch.QueueInDomain("limit/"+up.Name, up.Domain)
 }
 
-// Take asks for the permit to send one request to a limited upstream. If there is none now, it returns how long to wait before another try.
+// Take asks for the permit to send one request to an upstream that is cold or names a limit. If there is none now, it returns how long to wait before another try.
 func (l *Limits) Take(ctx context.Context, up route.Upstream) (granted bool, retry time.Duration) {
+	if up.Cold {
+		if granted, retry = l.warmUps.Take(ctx, up); !granted {
+			return false, retry
+		}
+	}
+	return l.takeNamed(ctx, up)
+}
+
+// takeNamed asks for the permit that an upstream needs if it names a limit.
+func (l *Limits) takeNamed(ctx context.Context, up route.Upstream) (granted bool, retry time.Duration) {
 	i := up.Incarnation()
+	if n, _ := l.book.Get(i); up.Cold && n.PerSecond == 0 {
+		return true, 0
+	}
 	owner, _ := l.peers.roster.Owner(grantQueue(up))
 	if owner.Name == l.Host {
 		return l.grant(i)
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/root/front/tally/burn"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
+	"github.com/cornelwing/cornelwing/internal/root/relay/hosts"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
 )
 
@@ -27,6 +28,9 @@
 	Paused int `json:"paused"`
 	// Limited counts the upstreams that take a limited number of requests per second.
 	Limited int `json:"limited"`
+	// Cold counts the upstreams that are cold or may have restarted, and WarmUps the permits and tokens for requests to them.
+	Cold    int               `json:"cold"`
+	WarmUps hosts.WarmUpStats `json:"warm_ups"`
 	// CutPools counts the pools of which this host reaches no upstream by itself, Relayed the connections that it opened through other hosts, and Tunnels those that it keeps open for others.
 	CutPools int   `json:"cut_pools"`
 	Relayed  int64 `json:"relayed"`
@@ -77,6 +81,8 @@
 	s.RowsRewritten = r.rowsRewritten.Load()
 	s.Paused = r.table.Paused(r.Now())
 	s.Limited = r.limits.Limited()
+	s.Cold = r.table.ColdCount(r.Now())
+	s.WarmUps = r.warmUps.Stats()
 	s.CutPools = r.dialer.CutPools()
 	s.Relayed = r.dialer.Relayed()
 	s.Tunnels = r.tunnels.OpenCount()
--- a/internal/root/relay/plan/plan.go
+++ b/internal/root/relay/plan/plan.go
@@ -46,6 +46,15 @@
 	Worker *Worker
 	// Engine is set if the pool's upstreams generate streams from prompts.
 	Engine *Engine
+	// WarmUp says what the upstreams take after they have started.
+	WarmUp WarmUp
+}
+
+// WarmUp describes how an upstream that has started warms up.
+type WarmUp struct {
+	// Duration is how long it stays cold, and PerSecond the number of requests per second that it takes until then, or 0 for any number.
+	Duration  time.Duration
+	PerSecond float64
 }
 
 // Worker describes one upstream that processes pieces in batches.
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -71,8 +71,10 @@
 	// Backups holds what must outlive all hosts.
 	Backups backup.Table
 	// Plan decodes a row of Configurations, and Upstream a row of Upstreams.
-	Plan        func(value []byte) (*plan.Plan, error)
-	Upstream    follow.DecodeUpstream
+	Plan     func(value []byte) (*plan.Plan, error)
+	Upstream follow.DecodeUpstream
+	// Cold returns how much longer an upstream stays cold according to its row.
+	Cold        func(value []byte) time.Duration
 	HeaderCodec flow.HeaderCodec
 	// Workers returns the client for workers that connects by the dialer.
 	Workers func(d *links.Dialer) batch.WorkerClient
@@ -104,6 +106,7 @@
 	crashes    *hosts.Crashes
 	refuter    *hosts.Refuter
 	limits     *hosts.Limits
+	warmUps    *hosts.WarmUps
 	origins    *hosts.Origins
 	history    *origin.History
 	backup     *backup.Backup
@@ -162,8 +165,10 @@
 	r.crashes.SaveWith(r.backup.SaveCrashes)
 	r.backup.OnCrashes(r.crashes.Restore)
 	r.backup.OnSettled(r.settlement.noteWritten)
-	r.limits = hosts.NewLimits(deps, r.peers, r.applyLimit)
+	r.warmUps = r.newWarmUps()
+	r.limits = hosts.NewLimits(deps, r.peers, r.warmUps, r.applyLimit)
 	r.dispatcher.OnLimit(r.limits.Note)
+	r.dispatcher.UsePermits(r.warmUps)
 	r.origins = hosts.NewOrigins(deps, r.peers, r.history, r.backup, hosts.WithStopGrace(s.Stop.Grace.D()))
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
@@ -172,6 +177,8 @@
 		Table:         r.table,
 		Upstreams:     r.upstreams,
 		Limits:        r.limits,
+		WarmUps:       r.warmUps,
+		PermitClock:   grant.SinceBoot,
 		Origins:       r.origins,
 		Sender:        send.New(dialer.DialContext),
 		Workers:       r.peers,
@@ -319,6 +326,8 @@
 	}
 	r.syncVersions(p, ups)
 	r.dialer.Sync(ups)
+	// The cold times go first, so that no request is sent to a new upstream without its permit.
+	r.warmUps.Sync()
 	r.table.Sync(specs, ups, r.roster.Count())
 	r.dispatcher.Sync(p, ups)
 	if loaded {
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -18,6 +18,7 @@
 	Stop      Stop        `yaml:"stop"`
 	Keys      Keys        `yaml:"keys"`
 	Retry     Retry       `yaml:"retry"`
+	WarmUp    WarmUp      `yaml:"warm_up"`
 	Objective Objective   `yaml:"objective"`
 	Log       Log         `yaml:"log"`
 }
@@ -63,6 +64,12 @@
 	ExtraRetries float64 `yaml:"extra" help:"retries of a pool that are allowed besides in a window"`
 }
 
+// WarmUp bounds the requests to an upstream that is cold, over all hosts.
+type WarmUp struct {
+	Overage float64 `yaml:"overage" help:"multiple of the rate that the configuration names for a cold upstream that it may get in any one second; 0 turns the bound off"`
+	Slack   float64 `yaml:"slack" help:"requests that a cold upstream may get besides in any one second"`
+}
+
 // Objective is the service-level objective whose burn rate the metrics report.
 type Objective struct {
 	Attainment float64 `yaml:"attainment" help:"part of the requests that are to be answered whole and on time"`
@@ -116,6 +123,8 @@
 	c.Require(s.Keys.Revoke.D() >= time.Second, "keys.revoke", "%s is less than 1s", s.Keys.Revoke)
 	c.Require(s.Retry.Ratio >= 0, "retry.ratio", "%g is below 0", s.Retry.Ratio)
 	c.Require(s.Retry.ExtraRetries >= 0, "retry.extra", "%g is below 0", s.Retry.ExtraRetries)
+	c.Require(s.WarmUp.Overage >= 0, "warm_up.overage", "%g is below 0", s.WarmUp.Overage)
+	c.Require(s.WarmUp.Slack >= 0, "warm_up.slack", "%g is below 0", s.WarmUp.Slack)
 	c.Require(s.Objective.Attainment > 0 && s.Objective.Attainment < 1, "objective.attainment", "%g is not above 0 and below 1", s.Objective.Attainment)
 	s.Log.check(&c)
 	return c.Faults()
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -57,6 +57,8 @@
 	BodyBytes int
 	// EventDelay is the pause before each event of a streamed response.
 	EventDelay time.Duration
+	// ColdMS is how long the server states in its row that it stays cold, in milliseconds.
+	ColdMS int
 	// Unframed sends responses with neither a length nor chunks, so that only the end of the connection marks their end.
 	Unframed bool
 
@@ -149,7 +151,7 @@
 
 // RegistrationJSON returns the JSON value of the store row by which the server registers itself with the given state.
 func (s *Server) RegistrationJSON(state string) []byte {
-	return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":%q,"slots":8,"state":%q,"cold_remaining_ms":0,"sequence":1,"born":%d}`, s.Service, s.addr, cmp.Or(s.Version, "v1"), state, cmp.Or(s.StartedAtMS, 1)))
+	return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":%q,"slots":8,"state":%q,"cold_remaining_ms":%d,"sequence":1,"born":%d}`, s.Service, s.addr, cmp.Or(s.Version, "v1"), state, s.ColdMS, cmp.Or(s.StartedAtMS, 1)))
 }
 
 // SetNextBehaviors sets the behaviors for the following requests, one per request. It replaces the behaviors that are still unused.
