--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -50,12 +50,12 @@
 	return j.AdmitWithin > 0 && expectedWait+q.sharedCallTime(j.Work, q.Waiting()) > j.AdmitWithin
 }
 
-// expectedWait returns how long a new job is expected to wait until its call starts, behind the jobs that go before it. It returns false if every worker is leaving, or has failed more than once in a row and may not be tried now.
+// expectedWait returns how long a new job is expected to wait until its call starts, behind the jobs that go before it. It returns false if every worker that may do it is closed, or has failed more than once in a row and may not be tried now.
 func (q *Queue) expectedWait(now time.Time, job *Job) (time.Duration, bool) {
 	var speed float64
 	var soonest time.Duration = -1
 	for _, w := range q.workers {
-		if !w.expected(now) {
+		if !w.expected(now) || !job.allows(w.upstream) {
 			continue
 		}
 		speed += min(1/w.slowness(now), w.callShare(q.spec.Call))
@@ -89,7 +89,7 @@
 func (q *Queue) nextTrialIn(now time.Time) time.Duration {
 	soonest := noWorkerRetryAfter
 	for _, w := range q.workers {
-		if w.upstream.Leaving {
+		if w.upstream.Closed() {
 			continue
 		}
 		wait := w.freeIn(now)
@@ -112,10 +112,10 @@
 	return job.hasInputs() && order(waiting, job) > 0
 }
 
-// pauseEnd returns when the first worker can be used again if all workers that are not leaving are in a pause that they have asked for.
+// pauseEnd returns when the first worker can be used again if all workers that are not closed are in a pause that they have asked for.
 func (q *Queue) pauseEnd(now time.Time) (first time.Time, ok bool) {
 	for _, w := range q.workers {
-		if w.upstream.Leaving {
+		if w.upstream.Closed() {
 			continue
 		}
 		if !now.Before(w.pausedUntil) {
--- a/internal/root/relay/batch/dispatcher.go
+++ b/internal/root/relay/batch/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/limit"
+	"github.com/cornelwing/cornelwing/internal/root/place"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
@@ -121,7 +122,7 @@
 			continue
 		}
 		shards := ShardWorkers(name, byPool[name])
-		d.shards[name] = SortedShards(shards)
+		d.shards[name] = SortedShards(withoutEvacuated(shards))
 		for s, workers := range shards {
 			kept[s.Queue] = true
 			d.updateQueue(s.Queue, *pool.Worker, workers)
@@ -226,9 +227,8 @@
 	now := d.Now()
 	for name, q := range d.queues {
 		q.Hedge(now)
-		ended, unused := q.Expire(now)
-		d.notifyWaiters(ended)
-		d.freeLocked(name, unused)
+		d.endJobs(name, q.RefuseEvacuated)
+		d.endJobs(name, func() ([]*Job, []string) { return q.Expire(now) })
 		for queue, handles := range q.Released(now) {
 			go d.onReleasable(queue, handles)
 		}
@@ -236,6 +236,13 @@
 	}
 }
 
+// endJobs ends jobs of one queue by the function, and frees the results that they already have. The caller holds the lock.
+func (d *Dispatcher) endJobs(queue string, end func() (ended []*Job, unused []string)) {
+	ended, unused := end()
+	d.notifyWaiters(ended)
+	d.freeLocked(queue, unused)
+}
+
 // startCalls starts all calls that one queue can make now, and schedules the next tick if the queue is busy; the caller holds the lock.
 func (d *Dispatcher) startCalls(name string, q *Queue) {
 	now := d.Now()
@@ -291,7 +298,7 @@
 	timeout := time.Duration(callTimeoutFactor*float64(c.Expected)) + callTimeoutSlack
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	resp, err := d.client.Run(ctx, c.Upstream, c.Items)
+	resp, err := d.client.Run(place.WithRegions(ctx, c.regions()), c.Upstream, c.Items)
 	if resp.Leaving {
 		d.onLeaving(c.Upstream.Incarnation())
 	}
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -142,7 +142,7 @@
 	batch := max(1, q.spec.Batch)
 	ahead := q.piecesAhead(order)
 	for _, j := range order {
-		if q.waitsForLocal(now, j, w, ahead[j]) {
+		if !j.allows(w.upstream) || q.waitsForLocal(now, j, w, ahead[j]) {
 			continue
 		}
 		n := len(j.waiting)
--- a/internal/root/relay/batch/work.go
+++ b/internal/root/relay/batch/work.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cornelwing/cornelwing/internal/root/place"
 )
 
 // Piece is one part of a request's work at a stage.
@@ -41,6 +43,8 @@
 	Domain string `json:"domain,omitempty"`
 	// TransferBytes is how many bytes of inputs or results cross from one failure domain to another if the worker is outside Domain.
 	TransferBytes int64 `json:"moves,omitempty"`
+	// Regions are the regions of the workers that may run the work. A host of an older build ignores them, so that work with regions is sent to another path.
+	Regions place.Regions `json:"regions,omitempty"`
 	// ForceLocal asks the receiving host to batch the work itself, even if it considers another host the owner of the queue. A host that is about to stop ignores it.
 	ForceLocal bool `json:"keep,omitempty"`
 	// SoftTimeout is the time left to the stage for the request to be on time, and HardTimeout the time left until its result is no longer accepted.
--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -50,7 +50,7 @@
 }
 
 func (w *worker) available(now time.Time, slots int) bool {
-	return !w.upstream.Leaving && w.calls < slots && w.freeIn(now) == 0
+	return !w.upstream.Closed() && w.calls < slots && w.freeIn(now) == 0
 }
 
 // freeIn returns how long the worker gets no calls because of failures, a pause or its limit.
@@ -60,7 +60,7 @@
 
 // expected reports whether new work may be accepted for the worker. One that has just failed more than once in a row is tried with one call at a time, as nothing else shows that it works again.
 func (w *worker) expected(now time.Time) bool {
-	if w.upstream.Leaving {
+	if w.upstream.Closed() {
 		return false
 	}
 	if w.faultCount <= 1 || now.Sub(w.backoffUntil) >= failureMemory {
@@ -69,9 +69,9 @@
 	return w.calls == 0 && w.freeIn(now) == 0
 }
 
-// healthy reports whether the worker is not leaving, has no recent failures and works at about normal speed.
+// healthy reports whether the worker is not closed, has no recent failures and works at about normal speed.
 func (w *worker) healthy(now time.Time) bool {
-	return !w.upstream.Leaving && w.faultCount == 0 && !now.Before(w.pausedUntil) && w.slowness(now) <= slowThreshold
+	return !w.upstream.Closed() && w.faultCount == 0 && !now.Before(w.pausedUntil) && w.slowness(now) <= slowThreshold
 }
 
 // slowness returns how many times longer than expected a call is predicted to take. It decays to 1 while there are no new calls.
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cornelwing/cornelwing/internal/root/place"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 	"github.com/cornelwing/cornelwing/internal/root/retry"
@@ -32,7 +33,7 @@
 	began := x.Now()
 	x.upstream = up
 	x.survived = false
-	ctx, cancel := x.attemptContext(ctx)
+	ctx, cancel := x.attemptContext(place.WithRegions(ctx, x.regions))
 	defer cancel()
 	x.sends++
 	req := x.upstreamRequest(up)
--- a/internal/root/relay/flow/cause.go
+++ b/internal/root/relay/flow/cause.go
@@ -33,6 +33,9 @@
 	CauseUpstreamRefused Cause = "upstream_refused"
 	CauseUpstreamBroken  Cause = "upstream_broke"
 	CauseUpstreamFailed  Cause = "upstream_failed"
+	// CauseEvacuated means that all upstreams of a pool that the request needs are in evacuated failure domains, and CauseOtherRegions that none is in a region that it may use.
+	CauseEvacuated    Cause = "evacuated"
+	CauseOtherRegions Cause = "other_regions"
 	// CausePaused means that all upstreams of the pool have asked for a pause.
 	CausePaused     Cause = "paused"
 	CauseDeadline   Cause = "deadline"
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/crash/blame"
+	"github.com/cornelwing/cornelwing/internal/root/place"
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
@@ -44,6 +45,8 @@
 	account       plan.Account
 	authenticated bool
 	pool          string
+	// regions are the regions that the request may use.
+	regions place.Regions
 	// origin is where the stream began, or unknown before its first event. originFixed reports that an event of an upstream has arrived in this exchange.
 	origin      origin.Origin
 	originKey   origin.Key
@@ -116,7 +119,7 @@
 
 // prepare runs the stages and reports whether an attempt may start. Otherwise it abandons the request.
 func (x *exchange) prepare(ctx context.Context) bool {
-	if x.abandonIfRejected(x.CrashDetector.Check(x.blamable)) || x.abandonIfVersionGone() || x.abandonIfPaused() || !x.runStages(ctx) {
+	if x.abandonIfRejected(x.CrashDetector.Check(x.blamable)) || x.abandonIfMisplaced() || x.abandonIfVersionGone() || x.abandonIfPaused() || !x.runStages(ctx) {
 		return false
 	}
 	if x.abandonIfOver() {
@@ -158,7 +161,7 @@
 
 // abandonIfPaused abandons the request if all upstreams of its pool have asked for a pause, and reports whether it did.
 func (x *exchange) abandonIfPaused() bool {
-	after, ok := x.Table.ReturnAfter(x.Now(), x.pool, x.rank())
+	after, ok := x.Table.ReturnAfter(x.Now(), x.pool, x.rank(), x.regions)
 	if ok {
 		x.abandon(CausePaused, "all upstreams of pool "+x.pool+" have asked for a pause or take no further request now", after)
 	}
@@ -167,7 +170,7 @@
 
 // abandonWithoutUpstream abandons the request because no upstream of its pool is usable.
 func (x *exchange) abandonWithoutUpstream() {
-	if !x.abandonIfVersionGone() && !x.abandonIfPaused() {
+	if !x.abandonIfClosed(x.pool) && !x.abandonIfVersionGone() && !x.abandonIfPaused() {
 		x.abandon(CauseNoUpstream, "no upstream of pool "+x.pool+" is usable", overloadRetryAfter)
 	}
 }
@@ -183,11 +186,9 @@
 		if !ok || !up.Limited {
 			return up, ok
 		}
-		granted, retry := x.Limits.Take(ctx, up)
-		if granted {
+		if x.takePermit(ctx, up) {
 			return up, true
 		}
-		x.Table.Hold(x.Now(), up.Name, retry)
 	}
 }
 
@@ -200,6 +201,7 @@
 		LeastLoaded:  x.trial,
 		Version:      x.origin.Version,
 		Unlimited:    unlimited,
+		Regions:      x.regions,
 	}
 	if x.route.Affinity {
 		q.Affinity = x.requestHead.affinityHash()
@@ -243,7 +245,7 @@
 		}
 		return true
 	case retry.Stop:
-		if x.abandonIfVersionGone() || x.abandonIfPaused() {
+		if x.abandonIfClosed(x.pool) || x.abandonIfVersionGone() || x.abandonIfPaused() {
 			return false
 		}
 		x.abandon(x.cause, x.detail+": "+string(a.Reason), overloadRetryAfter)
--- a/internal/root/relay/flow/response.go
+++ b/internal/root/relay/flow/response.go
@@ -138,6 +138,9 @@
 	if x.account.Name != "" {
 		fields["account"] = x.account.Name
 	}
+	if x.regions.Bound() {
+		fields["regions"] = strings.Join(x.regions, ",")
+	}
 	if x.upstream.Version != "" {
 		fields["software"] = x.upstream.Version
 	}
--- a/internal/root/relay/flow/resume.go
+++ b/internal/root/relay/flow/resume.go
@@ -128,7 +128,7 @@
 
 // abandonIfVersionGone abandons the request if it continues a stream and its pool has no upstream of the version that began it, and reports whether it did.
 func (x *exchange) abandonIfVersionGone() bool {
-	if !x.origin.Known() || x.Table.HasVersion(x.origin.Pool, x.origin.Version) {
+	if !x.origin.Known() || x.Table.HasVersion(x.origin.Pool, x.origin.Version, x.regions) {
 		return false
 	}
 	x.abandonWithoutVersion()
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -90,6 +90,7 @@
 	Workers       Workers
 	CrashDetector CrashDetector
 	Lease         *grant.Lease
+	Evacuations   Evacuations
 	HeaderCodec   HeaderCodec
 	Budget        Budget
 	Meter         *meter.Meter
@@ -131,7 +132,7 @@
 		x.respondUnavailable(notReadyRetryAfter, CauseNotReady, "no configuration yet")
 		return false
 	}
-	if !x.matchRoute() || !x.checkHeaderSize() || !x.authenticate() {
+	if !x.matchRoute() || !x.checkHeaderSize() || !x.authenticate() || !x.bindRegions() || !x.choosePool(rand.Float64()) {
 		return false
 	}
 	wait := x.route.Timeout
@@ -142,13 +143,12 @@
 	if !x.readBody() {
 		return false
 	}
-	x.pool = x.route.Pool(rand.Float64())
 	if !x.findOrigin() {
 		return false
 	}
 	x.blamable = x.blameRequest()
 	if x.route.Affinity {
-		x.preferredDomain = x.Table.PreferredDomain(x.arrived, x.pool, x.requestHead.affinityHash())
+		x.preferredDomain = x.Table.PreferredDomain(x.arrived, x.pool, x.requestHead.affinityHash(), x.regions)
 	}
 	return true
 }
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -197,6 +197,7 @@
 		ResultBytes: s.ResultBytes,
 		Rank:        g.rank(),
 		Domain:      g.preferredDomain,
+		Regions:     g.regions,
 		Resumed:     g.hasKnownBeginning(),
 		SoftTimeout: soft,
 		HardTimeout: hard,
--- a/internal/root/relay/hosts/catchup.go
+++ b/internal/root/relay/hosts/catchup.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/jhttp"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
@@ -34,6 +35,10 @@
 	Leavers() []route.Incarnation
 	// MarkLeft records that an incarnation is leaving or has left.
 	MarkLeft(i route.Incarnation)
+	// UnconfirmedEvacuations returns the operators' orders to evacuate failure domains that the store lacks since it was restored.
+	UnconfirmedEvacuations() []follow.EvacuationNotice
+	// LearnEvacuation puts such an order into force.
+	LearnEvacuation(n follow.EvacuationNotice)
 	// Informed reports whether this host knows what the store held before it was last restored, or that the operator has written again since.
 	Informed() bool
 }
@@ -48,6 +53,8 @@
 	Version       int64               `json:"version"`
 	Configuration []byte              `json:"configuration,omitempty"`
 	Leavers       []route.Incarnation `json:"leavers,omitempty"`
+	// Evacuations are the orders to evacuate failure domains that the store lacks since it was restored.
+	Evacuations []follow.EvacuationNotice `json:"evacuations,omitempty"`
 	// Informed is set if the responding host knows more than what it has just read. A host of an older build does not state it.
 	Informed bool `json:"informed,omitempty"`
 }
@@ -132,6 +139,9 @@
 	for _, i := range resp.Leavers {
 		p.knowledge.MarkLeft(i)
 	}
+	for _, n := range resp.Evacuations {
+		p.knowledge.LearnEvacuation(n)
+	}
 	return resp.Informed, nil
 }
 
@@ -142,8 +152,9 @@
 		return
 	}
 	resp := catchUpResponse{
-		Leavers:  p.knowledge.Leavers(),
-		Informed: p.knowledge.Informed(),
+		Leavers:     p.knowledge.Leavers(),
+		Evacuations: p.knowledge.UnconfirmedEvacuations(),
+		Informed:    p.knowledge.Informed(),
 	}
 	var configuration []byte
 	if resp.Version, configuration = p.knowledge.Newest(); resp.Version > req.Version {
--- a/internal/root/relay/hosts/catchup_test.go
+++ b/internal/root/relay/hosts/catchup_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
@@ -17,6 +18,7 @@
 type fakeKnowledge struct {
 	configuration []byte
 	leavers       []route.Incarnation
+	evacuations   []follow.EvacuationNotice
 	informed      bool
 }
 
@@ -27,7 +29,11 @@
 	return int64(k.configuration[0]), k.configuration
 }
 
-func (k *fakeKnowledge) Offer(configuration []byte)   { k.configuration = configuration }
+func (k *fakeKnowledge) Offer(configuration []byte)                        { k.configuration = configuration }
+func (k *fakeKnowledge) UnconfirmedEvacuations() []follow.EvacuationNotice { return k.evacuations }
+func (k *fakeKnowledge) LearnEvacuation(n follow.EvacuationNotice) {
+	k.evacuations = append(k.evacuations, n)
+}
 func (k *fakeKnowledge) Informed() bool               { return k.informed }
 func (k *fakeKnowledge) Leavers() []route.Incarnation { return k.leavers }
 func (k *fakeKnowledge) MarkLeft(i route.Incarnation) { k.leavers = append(k.leavers, i) }
@@ -39,6 +45,7 @@
 		theirs := &fakeKnowledge{
 			configuration: []byte{6},
 			leavers:       []route.Incarnation{left},
+			evacuations:   []follow.EvacuationNotice{{Domain: "d1", AgeMS: 40, EndsInMS: 1500}},
 			informed:      true,
 		}
 		here, there, _, _, stop := startBothPeers(t, &fakeLocalQueues{name: "remote"}, func(here, there *Peers) {
@@ -52,6 +59,7 @@
 			So(learned.Complete(), ShouldBeTrue)
 			So(mine.configuration, ShouldResemble, []byte{6})
 			So(mine.leavers, ShouldResemble, []route.Incarnation{left})
+			So(mine.evacuations, ShouldResemble, theirs.evacuations)
 		})
 		Convey("the other one learns nothing older", func() {
 			So(there.CatchUp(t.Context()).Answered, ShouldEqual, 1)
--- a/internal/root/relay/hosts/forward.go
+++ b/internal/root/relay/hosts/forward.go
@@ -19,8 +19,10 @@
 // Do sends the work to one of its pool's queues, and to another queue if the first one refuses it. The function returned with a Completed outcome frees the results; otherwise it is nil.
 func (p *Peers) Do(ctx context.Context, w batch.Work) (batch.Outcome, func()) {
 	start := p.Now()
-	var o batch.Outcome
-	for _, s := range p.picker.Candidates(start, w, p.local.Shards(w.Pool), p.roster.self.Domain) {
+	var o batch.Outcome = batch.Refused{
+		After: noShardRetryAfter,
+	}
+	for _, s := range p.candidates(start, w) {
 		inQueue := w.WithElapsed(p.Now().Sub(start))
 		inQueue.Queue = s.Queue
 		var free func()
@@ -38,11 +40,12 @@
 	return o, nil
 }
 
-// doInQueue sends the work to the owner of the queue, and to the next owner if that host is down or no longer owns the queue.
+// doInQueue sends the work to the owner of the queue, and to the next owner if that host is down or no longer owns the queue. Work that the owner may not receive is run by this host.
 func (p *Peers) doInQueue(ctx context.Context, s batch.Shard, w batch.Work) (batch.Outcome, func()) {
 	start := p.Now()
 	owner, down := p.roster.Owner(w.Queue)
 	for i := range p.ownerAttempts(s) {
+		owner = p.receiver(owner, w.Regions)
 		o, next := p.tryHost(ctx, owner, down, w)
 		if next == nil {
 			return o, p.freeFunc(owner, w.Queue, o)
@@ -103,6 +106,8 @@
 	switch {
 	case err == nil && a.Owner == nil:
 		return a.outcome(), nil
+	case errors.Is(err, errUnknownPath) && w.Regions.Bound():
+		return nil, &p.roster.self
 	case err == nil && !a.Leaving:
 		return nil, a.Owner
 	case err == nil:
@@ -174,7 +179,7 @@
 		}
 	}()
 	var a workResponse
-	if err := p.post(ctx, owner, pathWork, w, &a); err != nil {
+	if err := p.post(ctx, owner, workPath(w), w, &a); err != nil {
 		return workResponse{}, fmt.Errorf("send work to owner of queue: %w", err)
 	}
 	return a, nil
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/jhttp"
+	"github.com/cornelwing/cornelwing/internal/root/place"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 )
@@ -118,6 +119,8 @@
 	picker batch.Picker
 	// knowledge is what this host and the others tell each other after the store was restored; it is set before Run is called.
 	knowledge Knowledge
+	// domains are the regions of failure domains; they are set before Run is called.
+	domains place.Domains
 	// services handle the other messages of hosts; all are added before Run is called.
 	services []peerService
 }
@@ -214,6 +217,7 @@
 func (p *Peers) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathWork, p.work)
+	mux.HandleFunc("POST "+pathBoundWork, p.boundWork)
 	mux.HandleFunc("POST "+pathFree, p.free)
 	if p.knowledge != nil {
 		mux.HandleFunc("POST "+pathCatchUp, p.tellNewer)
@@ -227,9 +231,13 @@
 
 func (p *Peers) work(w http.ResponseWriter, r *http.Request) {
 	var work batch.Work
-	if !decodeBody(w, r, &work) {
-		return
+	if decodeBody(w, r, &work) {
+		p.serveWork(w, r, work)
 	}
+}
+
+// serveWork runs a peer's work and responds with its outcome.
+func (p *Peers) serveWork(w http.ResponseWriter, r *http.Request, work batch.Work) {
 	o := p.runForPeer(r.Context(), work)
 	if completed, ok := o.(batch.Completed); ok && r.Context().Err() != nil {
 		p.local.Free(work.Queue, completed.Handles)
--- a/internal/root/relay/hosts/tunnels.go
+++ b/internal/root/relay/hosts/tunnels.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/place"
 	"github.com/cornelwing/cornelwing/internal/root/relay/links"
 )
 
@@ -77,11 +78,11 @@
 	mux.HandleFunc("POST "+pathTunnel, t.serve)
 }
 
-// Open connects to the upstream with the name through another host. It returns links.ErrUnfinished if other hosts answered, but the time was too short to find one that has a link.
+// Open connects to the upstream with the name through another host, in a region that the request to which ctx belongs may use. It returns links.ErrUnfinished if other hosts answered, but the time was too short to find one that has a link.
 func (t *Tunnels) Open(ctx context.Context, upstream string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
 	defer cancel()
-	search := newTunnelSearch(t.candidates())
+	search := newTunnelSearch(t.peers.mayReceive(t.candidates(), place.RegionsOf(ctx)))
 	ways := make([]links.Try, min(tunnelTries, len(search.untried)))
 	for i := range ways {
 		ways[i] = func(ctx context.Context) (net.Conn, error) { return t.openThroughNext(ctx, search, upstream) }
--- a/internal/root/relay/links/dialer.go
+++ b/internal/root/relay/links/dialer.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/place"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
@@ -26,7 +27,7 @@
 
 // Errors of connections that this host opens for another one.
 var (
-	// ErrUnknownUpstream is returned for an upstream that this host does not know, or that is leaving.
+	// ErrUnknownUpstream is returned for an upstream that this host does not know, or that is closed.
 	ErrUnknownUpstream = errors.New("upstream is not known")
 	// ErrNoLink is returned if this host reaches no upstream of the pool by itself, or just now through no other host.
 	ErrNoLink = errors.New("no link to the upstream")
@@ -152,7 +153,7 @@
 	d.mu.Lock()
 	up, known := d.byName[name]
 	d.mu.Unlock()
-	if !known || up.Leaving {
+	if !known || up.Closed() {
 		return nil, ErrUnknownUpstream
 	}
 	if d.justFailed(up) {
@@ -184,8 +185,8 @@
 		return nil, ErrNoLink
 	}
 	c, err := d.relay.Open(ctx, up.Name)
-	// An unfinished search does not show that no host has a link.
-	if err == nil || ctx.Err() == nil && !errors.Is(err, ErrUnfinished) {
+	// An unfinished search, or one among the hosts of some regions, does not show that no host has a link.
+	if err == nil || ctx.Err() == nil && !errors.Is(err, ErrUnfinished) && !place.RegionsOf(ctx).Bound() {
 		d.recordRelay(up.Pool, err == nil)
 	}
 	if err != nil {
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -36,6 +36,8 @@
 	// Blocked counts the requests and parts of prompts that are not sent because they crash upstreams, and CrashTrials how often this host allowed one more request with one of them.
 	Blocked     int `json:"blocked"`
 	CrashTrials int `json:"crash_trials"`
+	// Evacuated lists the evacuated failure domains.
+	Evacuated []evacuated `json:"evacuated,omitempty"`
 	// Leavers counts the incarnations of upstreams that are remembered as leaving or gone.
 	Leavers   int                         `json:"leavers"`
 	Hosts     int                         `json:"hosts"`
@@ -84,6 +86,7 @@
 	crashes := r.crashes.Stats()
 	s.Blocked = crashes.Blocked
 	s.CrashTrials = crashes.Trials
+	s.Evacuated = r.places.evacuated()
 	s.Leavers = len(r.upstreams.Leavers())
 	if p := r.plans.Current(); p != nil {
 		s.Version = p.Version
--- a/internal/root/relay/plan/plan.go
+++ b/internal/root/relay/plan/plan.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cornelwing/cornelwing/internal/root/place"
 )
 
 // Plan is one immutable version of the configuration.
@@ -35,6 +37,8 @@
 	// Rank overrides the rank of the route if HasRank is set. 0 is the most urgent.
 	Rank    int
 	HasRank bool
+	// Regions are the regions that the requests of the account may use.
+	Regions place.Regions
 }
 
 // Pool is a group of upstreams that serve the same kind of work.
--- a/internal/root/relay/plan/route.go
+++ b/internal/root/relay/plan/route.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/root/place"
 )
 
 // Kind determines whether requests of a route may run more than once and whether their responses are streams.
@@ -45,6 +47,8 @@
 	Affinity bool
 	// Resumable streams may be continued by another upstream after the last event that was received.
 	Resumable bool
+	// Regions are the regions that requests of the route may use.
+	Regions place.Regions
 	// Unusable reports that this host can't serve the route, as it does not understand what the operator wrote.
 	Unusable bool
 }
--- a/internal/root/relay/ready.go
+++ b/internal/root/relay/ready.go
@@ -23,6 +23,8 @@
 		return "no requests are taken yet"
 	case p == nil:
 		return "no configuration yet"
+	case !r.ordersLoaded():
+		return "evacuated failure domains are not known yet"
 	case !r.upstreams.Loaded():
 		return "no upstreams are known yet"
 	case !r.synced.Load():
@@ -31,6 +33,8 @@
 		return "no other hosts are known yet"
 	case p.RequiresKeys() && !r.lease.Valid():
 		return "keys are not known to be valid"
+	case !r.ordersComplete():
+		return "evacuated failure domains of a restored store are not known yet"
 	default:
 		return ""
 	}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -34,7 +34,7 @@
 	tableReadRate = 250
 	// batchPauseShare bounds the pause for batching table changes, as a share of the time within which a removed upstream must be forgotten.
 	batchPauseShare = 0.15
-	// configPollShare is how long a call for configuration changes waits, as a share of the time after which a revoked key must be rejected. Most of the key lease then remains when the platform becomes unreachable.
+	// configPollShare is how long a call for configuration changes waits, as a share of the time after which a revoked key must be rejected or a failure domain must be evacuated, whichever is shorter. Most of the key lease then remains when the platform becomes unreachable.
 	configPollShare = 0.3
 	// hostPollTimeout is how long a call for changes of the host table waits. It is longer than upstreamPollTimeout because the local copy of the host table may be stale.
 	hostPollTimeout = 15 * time.Second
@@ -71,8 +71,10 @@
 	// Backups holds what must outlive all hosts.
 	Backups backup.Table
 	// Plan decodes a row of Configurations, and Upstream a row of Upstreams.
-	Plan        func(value []byte) (*plan.Plan, error)
-	Upstream    follow.DecodeUpstream
+	Plan     func(value []byte) (*plan.Plan, error)
+	Upstream follow.DecodeUpstream
+	// Evacuation decodes a row of Configurations that may be an order to evacuate a failure domain.
+	Evacuation  follow.DecodeEvacuation
 	HeaderCodec flow.HeaderCodec
 	// Workers returns the client for workers that connects by the dialer.
 	Workers func(d *links.Dialer) batch.WorkerClient
@@ -90,32 +92,37 @@
 // Relay holds the components of the daemon.
 type Relay struct {
 	common.Deps
-	settings   setup.Relay
-	adapter    Adapter
-	plans      *plan.Active
-	moves      *plan.Moves
-	planSink   *follow.PlanSink
-	upstreams  *follow.Upstreams
-	lease      *grant.Lease
-	table      *route.Table
-	dispatcher *batch.Dispatcher
-	roster     *hosts.Roster
-	peers      *hosts.Peers
-	crashes    *hosts.Crashes
-	refuter    *hosts.Refuter
-	limits     *hosts.Limits
-	origins    *hosts.Origins
-	history    *origin.History
-	backup     *backup.Backup
-	writers    *hosts.Writers
-	settlement *settlement
-	dialer     *links.Dialer
-	tunnels    *hosts.Tunnels
-	flow       *flow.Service
-	callers    *serve.Graceful
-	meter      *meter.Meter
+	settings setup.Relay
+	adapter  Adapter
+	plans    *plan.Active
+	moves    *plan.Moves
+	planSink *follow.PlanSink
+	// evacuations are the orders to evacuate failure domains. It has none unless the settings ask for them.
+	evacuations *follow.Evacuations
+	places      *places
+	upstreams   *follow.Upstreams
+	lease       *grant.Lease
+	table       *route.Table
+	dispatcher  *batch.Dispatcher
+	roster      *hosts.Roster
+	peers       *hosts.Peers
+	crashes     *hosts.Crashes
+	refuter     *hosts.Refuter
+	limits      *hosts.Limits
+	origins     *hosts.Origins
+	history     *origin.History
+	backup      *backup.Backup
+	writers     *hosts.Writers
+	settlement  *settlement
+	dialer      *links.Dialer
+	tunnels     *hosts.Tunnels
+	flow        *flow.Service
+	callers     *serve.Graceful
+	meter       *meter.Meter
 	// rowsRewritten counts how often this host wrote its row again after the store was restored.
 	rowsRewritten atomic.Int64
+	// caughtUp is set once this host has asked the others what a restored store may have lost.
+	caughtUp atomic.Bool
 	// syncMu serializes updates of the routing table and the queues.
 	syncMu sync.Mutex
 	// synced is set once the routing table and the queues have been updated with a configuration and the upstreams.
@@ -141,16 +148,21 @@
 	}
 	a.Eras.OnEnter(func() {
 		r.lease.Pause()
+		r.evacuations.EnterEra()
 		r.settlement.enter(r.plans.Current() != nil)
 	})
 	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync)
 	r.upstreams = follow.NewUpstreams(deps, a.Upstream, s.Upstreams.Forget.D(), r.sync)
+	r.evacuations = follow.NewEvacuations(deps, a.Evacuation, r.sync)
+	r.places = newPlaces(deps, domainsOf(s), r.evacuations)
 	r.roster = hosts.NewRoster(deps, r.localHost())
 	r.peers = hosts.NewPeers(deps, s.Listen.Peers, r.roster, r.dispatcher)
+	r.peers.UseDomains(r.places.domains)
 	r.peers.ShareKnowledge(knowledge{
-		PlanSink:   r.planSink,
-		Upstreams:  r.upstreams,
-		settlement: r.settlement,
+		PlanSink:    r.planSink,
+		Upstreams:   r.upstreams,
+		Evacuations: r.evacuations,
+		settlement:  r.settlement,
 	})
 	r.dispatcher.OnLeaving(r.upstreams.MarkLeaving)
 	r.dispatcher.OnReleased(r.peers.Release)
@@ -177,6 +189,7 @@
 		Workers:       r.peers,
 		CrashDetector: r.crashes,
 		Lease:         r.lease,
+		Evacuations:   r.evacuations,
 		HeaderCodec:   a.HeaderCodec,
 		Budget: flow.Budget{
 			Ratio:        s.Retry.Ratio * retryBudgetShare,
@@ -217,7 +230,7 @@
 	eras := r.adapter.Eras
 	restorePause := follow.WithRestorePause(r.restorePause)
 	tree := super.New(r.WithPart("root"), super.WithParts(
-		follow.NewFeed(r.Deps, eras, "configurations", r.adapter.Configurations, r.planSink, r.configPollTimeout(), follow.WithConfirmation(r.startConfirmation), follow.WithBatchPause(r.batchPause), restorePause),
+		follow.NewFeed(r.Deps, eras, "configurations", r.adapter.Configurations, r.configurationSinks(), r.configPollTimeout(), follow.WithConfirmation(r.startConfirmation), follow.WithBatchPause(r.batchPause), restorePause),
 		follow.NewFeed(r.Deps, eras, "upstreams", r.adapter.Upstreams, r.upstreams, upstreamPollTimeout, follow.WithConfirmation(r.startUpstreamsConfirmation),
 			follow.WithOutage(r.upstreams.OutageStarted, r.upstreams.OutageEnded), follow.WithBatchPause(r.batchPause), restorePause),
 		follow.NewFeed(r.Deps, eras, "hosts", r.adapter.Hosts, r.roster, hostPollTimeout, follow.WithBatchPause(r.batchPause), restorePause),
@@ -253,7 +266,11 @@
 }
 
 func (r *Relay) configPollTimeout() time.Duration {
-	return time.Duration(configPollShare * float64(r.settings.Keys.Revoke.D()))
+	shortest := r.settings.Keys.Revoke.D()
+	if evacuate := r.settings.Upstreams.Evacuate.D(); evacuate > 0 {
+		shortest = min(shortest, evacuate)
+	}
+	return time.Duration(configPollShare * float64(shortest))
 }
 
 // batchPause returns the pause after a call that returned table changes. The pause grows with the number of hosts, as the store sends every change to each of them.
@@ -300,11 +317,11 @@
 	r.syncMu.Lock()
 	defer r.syncMu.Unlock()
 	p := r.plans.Current()
-	if p == nil {
+	if p == nil || !r.ordersLoaded() {
 		return
 	}
 	loaded := r.upstreams.Loaded()
-	ups := r.upstreams.List()
+	ups := r.places.mark(r.upstreams.List())
 	specs := make([]route.PoolSpec, 0, len(p.Pools))
 	for _, pool := range p.Pools {
 		slots := 1
--- a/internal/root/relay/restore.go
+++ b/internal/root/relay/restore.go
@@ -27,6 +27,7 @@
 type knowledge struct {
 	*follow.PlanSink
 	*follow.Upstreams
+	*follow.Evacuations
 	*settlement
 }
 
@@ -89,6 +90,7 @@
 			settledAt := r.Now().Add(restoreSettleTime)
 			if r.settle(ctx, era, entered) {
 				r.lease.Resume(pauses)
+				r.caughtUp.Store(true)
 			}
 			r.recordSettled(ctx, era, entered, settledAt)
 		}
--- a/internal/root/route/entry.go
+++ b/internal/root/route/entry.go
@@ -18,6 +18,10 @@
 	Domain  string
 	Pool    string
 	Leaving bool
+	// Evacuated means that an operator has ordered that nothing new is sent to the upstreams of the failure domain.
+	Evacuated bool
+	// Region is the region of the failure domain, or "" if it is not known.
+	Region string
 	// Version is the version of the upstream's software, or "" if it states none.
 	Version string
 	// StartedAtMS is the start time of the upstream in milliseconds since the Unix epoch, or 0 if it is not known.
@@ -224,14 +228,14 @@
 
 // mayReturn reports whether nothing but an ejection keeps the upstream from being used.
 func (e *entry) mayReturn(now time.Time, hosts int) bool {
-	return !e.up.Leaving && !e.isPaused(now) && !e.isHeld(now) && !e.isFull(now, hosts)
+	return !e.up.Closed() && !e.isPaused(now) && !e.isHeld(now) && !e.isFull(now, hosts)
 }
 
 func (e *entry) isPaused(now time.Time) bool {
 	return now.Before(e.pausedUntil)
 }
 
-// usableAt returns the earliest time at which the upstream may be usable, if it is not leaving.
+// usableAt returns the earliest time at which the upstream may be usable, if it is not closed.
 func (e *entry) usableAt() time.Time {
 	at := e.ejectedUntil
 	for _, t := range []time.Time{e.pausedUntil, e.heldUntil} {
--- a/internal/root/route/pause.go
+++ b/internal/root/route/pause.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cornelwing/cornelwing/internal/root/place"
 	"github.com/cornelwing/cornelwing/internal/root/retry"
 )
 
@@ -36,8 +37,8 @@
 	return n
 }
 
-// ReturnAfter returns how long a caller is to wait if all upstreams of a pool that are not leaving are paused, ejected or without a permit, at least one of them not just ejected. Callers are spread over the time after the first one can be used again, as fast as it and those that follow within pauseSpread serve them, the more urgent first; rank 0 is the most urgent. It returns false otherwise.
-func (t *Table) ReturnAfter(now time.Time, name string, rank int) (time.Duration, bool) {
+// ReturnAfter returns how long a caller is to wait if all upstreams of a pool in the regions that are not closed are paused, ejected or without a permit, at least one of them not just ejected. Callers are spread over the time after the first one can be used again, as fast as it and those that follow within pauseSpread serve them, the more urgent first; rank 0 is the most urgent. It returns false otherwise.
+func (t *Table) ReturnAfter(now time.Time, name string, rank int, regions place.Regions) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, ok := t.pools[name]
@@ -47,7 +48,7 @@
 	var first time.Time
 	paused := false
 	for _, e := range p.entries {
-		if e.up.Leaving {
+		if !e.isOpenIn(regions) {
 			continue
 		}
 		at := e.usableAt()
@@ -62,14 +63,14 @@
 	if !paused {
 		return 0, false
 	}
-	return p.returns.Next(now, first, t.returnSpacing(first, p), rank), true
+	return p.returns.Next(now, first, t.returnSpacing(first, p, regions), rank), true
 }
 
 // returnSpacing returns the time between two callers of this host that the upstreams usable soon after the given time can serve.
-func (t *Table) returnSpacing(first time.Time, p *pool) time.Duration {
+func (t *Table) returnSpacing(first time.Time, p *pool, regions place.Regions) time.Duration {
 	perSecond := 0.0
 	for _, e := range p.entries {
-		if e.up.Leaving || e.usableAt().Sub(first) >= pauseSpread {
+		if !e.isOpenIn(regions) || e.usableAt().Sub(first) >= pauseSpread {
 			continue
 		}
 		served := float64(max(1, p.slots)) / p.expected.Seconds()
--- a/internal/root/route/pressure.go
+++ b/internal/root/route/pressure.go
@@ -5,7 +5,7 @@
 // pressureMaxAge is how long the computed pressure of a pool is reused.
 const pressureMaxAge = 5 * time.Millisecond
 
-// Pressure compares the load of a pool with its capacity. It covers the upstreams that are neither leaving nor ejected.
+// Pressure compares the load of a pool with its capacity. It covers the upstreams that are neither closed nor ejected.
 type Pressure struct {
 	Load  int
 	Slots int
@@ -53,7 +53,7 @@
 	var service time.Duration
 	inFlight := 0
 	for _, e := range p.entries {
-		if e.up.Leaving || e.isEjected(now) || e.isPaused(now) || e.isHeld(now) {
+		if e.up.Closed() || e.isEjected(now) || e.isPaused(now) || e.isHeld(now) {
 			continue
 		}
 		total.Upstreams++
--- a/internal/root/route/query.go
+++ b/internal/root/route/query.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cornelwing/cornelwing/internal/root/place"
 )
 
 // Query describes which upstream Pick may choose.
@@ -24,6 +26,8 @@
 	OnTrial bool
 	// Unlimited excludes the upstreams that take a limited number of requests.
 	Unlimited bool
+	// Regions are the regions of the upstream.
+	Regions place.Regions
 	// Allow, if set, reports whether the upstream may be chosen.
 	Allow func(upstream string) bool
 	// remote excludes the upstreams of the domain PreferDomain.
@@ -34,7 +38,7 @@
 
 // matches reports whether the entry is usable and allowed by the query.
 func (q Query) matches(now time.Time, e *entry) bool {
-	if q.Version != "" && e.up.Version != q.Version {
+	if !q.Regions.Allows(e.up.Region) || (q.Version != "" && e.up.Version != q.Version) {
 		return false
 	}
 	if !e.usable(now, q.hosts) && !(q.includesEjected(now, e) && e.mayReturn(now, q.hosts)) {
--- a/internal/root/route/table.go
+++ b/internal/root/route/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/place"
 	"github.com/cornelwing/cornelwing/internal/root/retry"
 	"github.com/cornelwing/cornelwing/internal/stage"
 )
@@ -182,12 +183,12 @@
 	return best
 }
 
-// HasVersion reports whether a pool has an upstream of the software version that is not leaving.
-func (t *Table) HasVersion(pool, version string) bool {
+// HasVersion reports whether a pool has an upstream of the software version in the regions that is not closed.
+func (t *Table) HasVersion(pool, version string, regions place.Regions) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, ok := t.pools[pool]
-	return ok && slices.ContainsFunc(p.entries, func(e *entry) bool { return !e.up.Leaving && e.up.Version == version })
+	return ok && slices.ContainsFunc(p.entries, func(e *entry) bool { return e.isOpenIn(regions) && e.up.Version == version })
 }
 
 // PickRandomlySeeded is Pick with a randomly seeded generator.
@@ -195,8 +196,8 @@
 	return t.Pick(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), q)
 }
 
-// PreferredDomain returns the failure domain of the upstream that most likely has the prefix cached, over all domains. It returns the host's own domain if there is none.
-func (t *Table) PreferredDomain(now time.Time, name string, affinity uint64) string {
+// PreferredDomain returns the failure domain of the upstream that most likely has the prefix cached, over all domains in the regions. It returns the host's own domain if there is none.
+func (t *Table) PreferredDomain(now time.Time, name string, affinity uint64, regions place.Regions) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, ok := t.pools[name]
@@ -205,6 +206,7 @@
 	}
 	best := highestRanked(now, p.entries, Query{
 		Affinity: affinity,
+		Regions:  regions,
 		hosts:    t.hosts,
 	})
 	if best == nil {
@@ -359,11 +361,11 @@
 	}
 }
 
-// mayEject reports whether the entry may be ejected without exceeding maxEjectedShare. Leaving upstreams count as ejected.
+// mayEject reports whether the entry may be ejected without exceeding maxEjectedShare. Closed upstreams count as ejected.
 func (t *Table) mayEject(now time.Time, p *pool, e *entry) bool {
 	unavailable := 1
 	for _, o := range p.entries {
-		if o != e && (o.isEjected(now) || o.up.Leaving) {
+		if o != e && (o.isEjected(now) || o.up.Closed()) {
 			unavailable++
 		}
 	}
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -18,14 +18,17 @@
 	Stop      Stop        `yaml:"stop"`
 	Keys      Keys        `yaml:"keys"`
 	Retry     Retry       `yaml:"retry"`
-	Objective Objective   `yaml:"objective"`
-	Log       Log         `yaml:"log"`
+	// Domains holds the region of each failure domain.
+	Domains   map[string]string `yaml:"domains" help:"region of each failure domain, by its name; a route or an account that names regions is served only by upstreams of domains listed here"`
+	Objective Objective         `yaml:"objective"`
+	Log       Log               `yaml:"log"`
 }
 
 // RelayHost identifies this host and its capacity.
 type RelayHost struct {
-	Host  `yaml:",inline"`
-	Power float64 `yaml:"power" help:"part of a core that this host has; the more, the more queues of workers it keeps"`
+	Host   `yaml:",inline"`
+	Region string  `yaml:"region" help:"region of this host, if domains does not list its failure domain"`
+	Power  float64 `yaml:"power" help:"part of a core that this host has; the more, the more queues of workers it keeps"`
 }
 
 // RelayListen holds the addresses that entryd listens on; each is an IP address and a port.
@@ -44,6 +47,7 @@
 // Upstreams holds the time limit within which changes of the upstreams must take effect.
 type Upstreams struct {
 	Forget    config.Span `yaml:"forget" help:"time after which nothing may be sent to an upstream that has gone"`
+	Evacuate  config.Span `yaml:"evacuate" help:"time after which nothing new may be sent to the upstreams of an evacuated failure domain; orders to evacuate are ignored without it"`
 	Heartbeat config.Span `yaml:"heartbeat" help:"time between two writes of an upstream's row; after three without one the row is removed"`
 }
 
@@ -112,6 +116,7 @@
 	checkAddr(&c, "store.address", s.Store.Address)
 	c.Require(s.Upstreams.Forget.D() >= 500*time.Millisecond, "upstreams.forget", "%s is less than 500ms", s.Upstreams.Forget)
 	c.Require(s.Upstreams.Heartbeat.D() >= 100*time.Millisecond, "upstreams.heartbeat", "%s is less than 100ms", s.Upstreams.Heartbeat)
+	c.Require(s.Upstreams.Evacuate == 0 || s.Upstreams.Evacuate.D() >= 500*time.Millisecond, "upstreams.evacuate", "%s is less than 500ms", s.Upstreams.Evacuate)
 	c.Require(s.Stop.Grace.D() >= time.Second, "stop.grace", "%s is less than 1s", s.Stop.Grace)
 	c.Require(s.Keys.Revoke.D() >= time.Second, "keys.revoke", "%s is less than 1s", s.Keys.Revoke)
 	c.Require(s.Retry.Ratio >= 0, "retry.ratio", "%g is below 0", s.Retry.Ratio)
