--- a/internal/root/relay/hosts/warmup.go
+++ b/internal/root/relay/hosts/warmup.go
@@ -209,7 +209,7 @@
 	}
 	if b, bounded := w.poolBound(s.Pool); bounded {
 		c.PerSecond = b.Rate()
-		c.Closed = b.Tokens() == 0
+		c.Withheld = b.Tokens() == 0
 	}
 	return c
 }
--- a/internal/root/route/cold.go
+++ b/internal/root/route/cold.go
@@ -11,8 +11,8 @@
 	Until time.Time
 	// PerSecond is the number of requests per second for which all hosts together get permits until then, or 0 if no permits are needed.
 	PerSecond float64
-	// Closed means that the upstream gets no requests until then.
-	Closed bool
+	// Withheld means that the upstream gets no requests until then.
+	Withheld bool
 }
 
 func (c Cold) holds(now time.Time) bool {
@@ -79,7 +79,7 @@
 	return min(e.perSecond, e.cold.PerSecond)
 }
 
-// isClosed reports whether the upstream is cold and gets nothing.
-func (e *entry) isClosed(now time.Time) bool {
-	return e.cold.Closed && e.cold.holds(now)
+// isWithheld reports whether the upstream is cold and gets nothing.
+func (e *entry) isWithheld(now time.Time) bool {
+	return e.cold.Withheld && e.cold.holds(now)
 }
