--- a/internal/root/relay/places.go
+++ b/internal/root/relay/places.go
@@ -117,7 +117,7 @@
 	if !r.followsOrders() {
 		return r.planSink
 	}
-	return follow.Sinks{r.evacuations, r.planSink}
+	return follow.Sinks{r.orders, r.planSink}
 }
 
 // followsOrders reports whether the settings ask for orders to evacuate failure domains.
@@ -127,7 +127,7 @@
 
 // ordersLoaded reports whether the orders in the store are known.
 func (r *Relay) ordersLoaded() bool {
-	return !r.followsOrders() || r.evacuations.Loaded()
+	return !r.followsOrders() || r.orders.Loaded()
 }
 
 // ordersComplete reports whether the orders are known that a restored store may lack.
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -97,28 +97,28 @@
 	plans    *plan.Active
 	moves    *plan.Moves
 	planSink *follow.PlanSink
-	// evacuations are the orders to evacuate failure domains. It has none unless the settings ask for them.
-	evacuations *follow.Evacuations
-	places      *places
-	upstreams   *follow.Upstreams
-	lease       *grant.Lease
-	table       *route.Table
-	dispatcher  *batch.Dispatcher
-	roster      *hosts.Roster
-	peers       *hosts.Peers
-	crashes     *hosts.Crashes
-	refuter     *hosts.Refuter
-	limits      *hosts.Limits
-	origins     *hosts.Origins
-	history     *origin.History
-	backup      *backup.Backup
-	writers     *hosts.Writers
-	settlement  *settlement
-	dialer      *links.Dialer
-	tunnels     *hosts.Tunnels
-	flow        *flow.Service
-	callers     *serve.Graceful
-	meter       *meter.Meter
+	// orders holds the orders to evacuate failure domains, if the settings ask for them.
+	orders     *follow.Evacuations
+	places     *places
+	upstreams  *follow.Upstreams
+	lease      *grant.Lease
+	table      *route.Table
+	dispatcher *batch.Dispatcher
+	roster     *hosts.Roster
+	peers      *hosts.Peers
+	crashes    *hosts.Crashes
+	refuter    *hosts.Refuter
+	limits     *hosts.Limits
+	origins    *hosts.Origins
+	history    *origin.History
+	backup     *backup.Backup
+	writers    *hosts.Writers
+	settlement *settlement
+	dialer     *links.Dialer
+	tunnels    *hosts.Tunnels
+	flow       *flow.Service
+	callers    *serve.Graceful
+	meter      *meter.Meter
 	// rowsRewritten counts how often this host wrote its row again after the store was restored.
 	rowsRewritten atomic.Int64
 	// caughtUp is set once this host has asked the others what a restored store may have lost.
@@ -148,20 +148,20 @@
 	}
 	a.Eras.OnEnter(func() {
 		r.lease.Pause()
-		r.evacuations.EnterEra()
+		r.orders.EnterEra()
 		r.settlement.enter(r.plans.Current() != nil)
 	})
 	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync)
 	r.upstreams = follow.NewUpstreams(deps, a.Upstream, s.Upstreams.Forget.D(), r.sync)
-	r.evacuations = follow.NewEvacuations(deps, a.Evacuation, r.sync)
-	r.places = newPlaces(deps, domainsOf(s), r.evacuations)
+	r.orders = follow.NewEvacuations(deps, a.Evacuation, r.sync)
+	r.places = newPlaces(deps, domainsOf(s), r.orders)
 	r.roster = hosts.NewRoster(deps, r.localHost())
 	r.peers = hosts.NewPeers(deps, s.Listen.Peers, r.roster, r.dispatcher)
 	r.peers.UseDomains(r.places.domains)
 	r.peers.ShareKnowledge(knowledge{
 		PlanSink:    r.planSink,
 		Upstreams:   r.upstreams,
-		Evacuations: r.evacuations,
+		Evacuations: r.orders,
 		settlement:  r.settlement,
 	})
 	r.dispatcher.OnLeaving(r.upstreams.MarkLeaving)
@@ -189,7 +189,7 @@
 		Workers:       r.peers,
 		CrashDetector: r.crashes,
 		Lease:         r.lease,
-		Evacuations:   r.evacuations,
+		Evacuations:   r.orders,
 		HeaderCodec:   a.HeaderCodec,
 		Budget: flow.Budget{
 			Ratio:        s.Retry.Ratio * retryBudgetShare,
