--- /dev/null
+++ b/internal/root/relay/hosts/followers.go
@@ -0,0 +1,46 @@
+package hosts
+
+import (
+	"slices"
+
+	"github.com/cornelwing/cornelwing/internal/root/relay/fanout"
+)
+
+// followersKey is what the names of tables are prefixed with to rank the hosts that follow them.
+const followersKey = "followers/"
+
+// followers returns whether this host is one of the few of its failure domain that follow the table, and the others that do in the order in which this host asks them: those of its domain first. Hosts of builds that do not tell of tables are not usable.
+func (r *Roster) followers(table string, usable func(name string) bool) (self bool, others []Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var chosen []*hostState
+	for _, domain := range r.usableByDomain(usable) {
+		slices.SortFunc(domain, func(a, b *hostState) int { return compareForKey(followersKey+table, a, b) })
+		chosen = append(chosen, domain[:fanout.Followers(len(domain))]...)
+	}
+	slices.SortFunc(chosen, func(a, b *hostState) int { return compareForKey(r.self.Name, a, b) })
+	var near, far []Host
+	for _, s := range chosen {
+		switch {
+		case s.host.Name == r.self.Name:
+			self = true
+		case s.host.Domain == r.self.Domain:
+			near = append(near, s.host)
+		default:
+			far = append(far, s.host)
+		}
+	}
+	return self, append(near, far...)
+}
+
+// usableByDomain returns the hosts that are up and usable, by failure domain. This host is one of them. The caller holds the lock.
+func (r *Roster) usableByDomain(usable func(name string) bool) map[string][]*hostState {
+	out := map[string][]*hostState{}
+	for name, s := range r.states {
+		if s.down == nil || (name != r.self.Name && !usable(name)) {
+			continue
+		}
+		out[s.host.Domain] = append(out[s.host.Domain], s)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/root/relay/hosts/table.go
@@ -0,0 +1,352 @@
+package hosts
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/fanout"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
+)
+
+// HostsTable is the name of the table of hosts, which tells of whom the other tables can be heard.
+const HostsTable = "hosts"
+
+const (
+	// maxAskWait is how long a question to another host waits for changes.
+	maxAskWait = time.Second
+	// askSlack is how much longer than the wait an answer of another host may take.
+	askSlack = 300 * time.Millisecond
+	// ageSlack is how much older than two waits for changes the knowledge of a host that follows the store may be.
+	ageSlack = 500 * time.Millisecond
+	// becomeFollowerWait is how long a question waits for a host to begin to follow the store.
+	becomeFollowerWait = 200 * time.Millisecond
+)
+
+// errHostFailed reports that another host could not tell what is asked, and errStoreFails that no host can at present.
+var (
+	errHostFailed = errors.New("host cannot tell the rows")
+	errStoreFails = errors.New("the hosts that follow the store cannot read it")
+)
+
+// TableStats is what the metrics tell of a table.
+type TableStats struct {
+	// Follows reports that this host reads the table from the store, and AgeMS is how old its knowledge is in milliseconds, or negative if there is none.
+	Follows bool  `json:"follows"`
+	AgeMS   int64 `json:"age_ms"`
+	// StoreCalls and HostCalls count the answers of the store and of other hosts, Told the answers to other hosts, and Fallbacks how often this host turned to the store because no other host could tell.
+	StoreCalls int `json:"store_calls"`
+	HostCalls  int `json:"host_calls"`
+	Told       int `json:"told"`
+	Fallbacks  int `json:"fallbacks"`
+}
+
+// Table is a table of the platform's store that is read from the store or from another host. Only one goroutine may read it; others may be told about it at the same time.
+type Table struct {
+	common.Deps
+	tables *Tables
+	name   string
+	store  follow.Source
+	// maxAge is how old the knowledge of another host may be.
+	maxAge time.Duration
+
+	mu      sync.Mutex
+	chooser *fanout.Chooser
+	record  fanout.Record
+	// follows reports that this host reads the table from the store and has succeeded, and failing that its last call there failed.
+	follows bool
+	failing bool
+	// updated is closed and replaced at each change of what other hosts are told.
+	updated chan struct{}
+	counts  TableStats
+}
+
+// Add adds a table that is read from the store by calls that wait up to wait for changes. It must be called before Run of the peers.
+func (t *Tables) Add(name string, store follow.Source, wait time.Duration) *Table {
+	table := &Table{
+		Deps:    t.Deps,
+		tables:  t,
+		name:    name,
+		store:   store,
+		maxAge:  2*wait + ageSlack,
+		chooser: fanout.NewChooser(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		updated: make(chan struct{}),
+	}
+	t.byName[name] = table
+	return table
+}
+
+// ReadAll returns every row and the position of the table.
+func (t *Table) ReadAll(ctx context.Context) ([]follow.Row, follow.Position, error) {
+	if t.name != HostsTable {
+		t.tables.awaitRoster(ctx)
+	}
+	return t.read(ctx, reading{
+		whole: true,
+	})
+}
+
+// WaitForChanges waits up to wait for changes after the position, and returns them with the position to continue from.
+func (t *Table) WaitForChanges(ctx context.Context, after follow.Position, wait time.Duration) ([]follow.Row, follow.Position, error) {
+	return t.read(ctx, reading{
+		after: after,
+		wait:  wait,
+	})
+}
+
+// ConfirmedAt returns when the call began by which the store confirmed the rows that were read, since boot.
+func (t *Table) ConfirmedAt() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, _ := t.record.ConfirmedAt()
+	return at
+}
+
+// ConfirmedAge returns the time since ConfirmedAt.
+func (t *Table) ConfirmedAge() time.Duration {
+	at := t.ConfirmedAt()
+	return t.tables.sinceBoot() - at
+}
+
+// Heard reports whether the table is read from another host.
+func (t *Table) Heard() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.follows
+}
+
+// reading is one read of a table: the whole table, or the changes after a position.
+type reading struct {
+	whole bool
+	after follow.Position
+	wait  time.Duration
+}
+
+// read reads from where the chooser says, until the store has answered or failed, another host has answered, or ctx is done.
+func (t *Table) read(ctx context.Context, r reading) ([]follow.Row, follow.Position, error) {
+	for ctx.Err() == nil {
+		view, hosts := t.view()
+		switch a := t.next(view).(type) {
+		case fanout.AskHost:
+			rows, position, err := t.readHost(ctx, hosts[a.Name], r)
+			if !errors.Is(err, errHostFailed) {
+				return rows, position, err
+			}
+		case fanout.AskStore:
+			if a.Probe {
+				r.wait = 0
+			}
+			common.Sleep(ctx, a.After)
+			return t.readStore(ctx, r, view)
+		case fanout.GiveUp:
+			return nil, follow.Position{}, fmt.Errorf("read table %s: %w", t.name, errStoreFails)
+		}
+	}
+	return nil, follow.Position{}, fmt.Errorf("read table %s: %w", t.name, ctx.Err())
+}
+
+// view returns what the chooser needs to know of the other hosts, and the candidates by name.
+func (t *Table) view() (fanout.View, map[string]Host) {
+	now := t.tables.sinceBoot()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	self, others := t.tables.peers.roster.followers(t.name, func(name string) bool { return !t.chooser.IsOtherBuild(now, name) })
+	view := fanout.View{
+		Follower: self,
+		Hosts:    t.tables.peers.roster.Count(),
+	}
+	byName := make(map[string]Host, len(others))
+	for _, h := range others {
+		view.Candidates = append(view.Candidates, h.Name)
+		byName[h.Name] = h
+	}
+	return view, byName
+}
+
+// next returns from where to read, and tells waiting hosts if this one no longer follows the store.
+func (t *Table) next(v fanout.View) fanout.Action {
+	now := t.tables.sinceBoot()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.chooser.Next(now, v)
+	if s, ok := a.(fanout.AskStore); ok {
+		if !v.Follower && s.After > 0 {
+			t.Log.WithField("table", t.name).WithField("candidates", len(v.Candidates)).WithField("pause_ms", s.After.Milliseconds()).WithField("probe", s.Probe).Info("No other host tells the rows of the table. Reading the store.")
+		}
+		return a
+	}
+	t.setFollows(false)
+	return a
+}
+
+// setFollows records whether this host reads the table from the store. The caller holds the lock.
+func (t *Table) setFollows(follows bool) {
+	if t.follows == follows {
+		return
+	}
+	t.follows = follows
+	t.Log.WithField("table", t.name).WithField("follows", follows).Info("Whether this host reads the table from the store has changed.")
+	t.notify()
+}
+
+// notify wakes the questions of other hosts. The caller holds the lock.
+func (t *Table) notify() {
+	close(t.updated)
+	t.updated = make(chan struct{})
+}
+
+// readStore reads from the store.
+func (t *Table) readStore(ctx context.Context, r reading, v fanout.View) ([]follow.Row, follow.Position, error) {
+	askedAt := t.tables.sinceBoot()
+	var rows []follow.Row
+	var position follow.Position
+	var err error
+	if r.whole {
+		rows, position, err = t.store.ReadAll(ctx)
+	} else {
+		rows, position, err = t.store.WaitForChanges(ctx, r.after, r.wait)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err != nil && (ctx.Err() != nil || errors.Is(err, follow.ErrHistoryTruncated)) {
+		return nil, follow.Position{}, fmt.Errorf("read table %s from the store: %w", t.name, err)
+	}
+	if err != nil {
+		t.chooser.StoreFailed()
+		t.failing = true
+		t.notify()
+		return nil, follow.Position{}, fmt.Errorf("read table %s from the store: %w", t.name, err)
+	}
+	t.counts.StoreCalls++
+	t.chooser.StoreAnswered(t.tables.sinceBoot(), v)
+	t.failing = false
+	t.setFollows(true)
+	t.add(r, rows, position, askedAt)
+	return rows, position, nil
+}
+
+// add adds rows that were read to the record, confirmed at a time since boot. The caller holds the lock.
+func (t *Table) add(r reading, rows []follow.Row, position follow.Position, confirmedAt time.Duration) {
+	if r.whole {
+		t.record.Replace(rows, position, confirmedAt)
+	} else {
+		t.record.Apply(rows, position, confirmedAt)
+	}
+	t.notify()
+}
+
+// readHost reads from another host. The error is errHostFailed if another one is to be asked.
+func (t *Table) readHost(ctx context.Context, h Host, r reading) ([]follow.Row, follow.Position, error) {
+	askedAt := t.tables.sinceBoot()
+	a, err := t.ask(ctx, h, r)
+	if ctx.Err() != nil {
+		return nil, follow.Position{}, fmt.Errorf("ask host for table %s: %w", t.name, ctx.Err())
+	}
+	if err != nil {
+		return nil, follow.Position{}, t.noteFailure(h, failureOf(err), err)
+	}
+	return t.accept(h, r, a, askedAt)
+}
+
+// ask asks another host for the rows.
+func (t *Table) ask(ctx context.Context, h Host, r reading) (tableAnswer, error) {
+	wait := min(r.wait, maxAskWait)
+	ctx, cancel := context.WithTimeout(ctx, wait+askSlack)
+	defer cancel()
+	question := tableQuestion{
+		Table:  t.name,
+		Whole:  r.whole,
+		Era:    eraNumber(r.after.Era),
+		After:  r.after.Version,
+		WaitMS: wait.Milliseconds(),
+	}
+	var a tableAnswer
+	if err := t.tables.post(ctx, h, pathTable, question, &a); err != nil {
+		return tableAnswer{}, fmt.Errorf("ask for table %s: %w", t.name, err)
+	}
+	return a, nil
+}
+
+// failureOf returns why a question failed.
+func failureOf(err error) fanout.Failure {
+	if errors.Is(err, errUnknownPath) {
+		return fanout.OtherBuild
+	}
+	return fanout.Silent
+}
+
+// noteFailure records that a host could not tell the rows, and returns errHostFailed. A host that cannot be reached is down.
+func (t *Table) noteFailure(h Host, f fanout.Failure, cause error) error {
+	t.Log.WithError(cause).WithField("host", h.Name).WithField("table", t.name).WithField("failure", f).Info("A host could not tell the rows of a table.")
+	if f == fanout.Silent && !errors.Is(cause, context.DeadlineExceeded) {
+		t.tables.peers.roster.MarkDown(h, cause)
+	}
+	now := t.tables.sinceBoot()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.chooser.Failed(now, h.Name, f)
+	return errHostFailed
+}
+
+// accept takes over the answer of another host.
+func (t *Table) accept(h Host, r reading, a tableAnswer, askedAt time.Duration) ([]follow.Row, follow.Position, error) {
+	answeredAt := t.tables.sinceBoot()
+	switch a.State {
+	case tableFollowed:
+	case tableFailing:
+		return nil, follow.Position{}, t.noteFailure(h, fanout.Stale, errStoreFails)
+	default:
+		return nil, follow.Position{}, t.noteFailure(h, fanout.NotFollowing, errHostFailed)
+	}
+	confirmedAt, err := a.confirmation().At(askedAt, answeredAt)
+	if err != nil {
+		return nil, follow.Position{}, t.noteFailure(h, fanout.NotFollowing, err)
+	}
+	if answeredAt-confirmedAt > t.maxAge {
+		return nil, follow.Position{}, t.noteFailure(h, fanout.Stale, errStoreFails)
+	}
+	if err := t.tables.eras.ObserveHeard(a.position().Era); err != nil {
+		return nil, follow.Position{}, t.noteFailure(h, fanout.NotFollowing, err)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.chooser.Answered(h.Name)
+	t.counts.HostCalls++
+	if a.Truncated {
+		return nil, follow.Position{}, fmt.Errorf("hear table %s: %w", t.name, follow.ErrHistoryTruncated)
+	}
+	if r.whole && a.position().Before(t.record.Position()) {
+		t.chooser.Failed(answeredAt, h.Name, fanout.NotFollowing)
+		return nil, follow.Position{}, errHostFailed
+	}
+	t.add(r, a.rows(), a.position(), confirmedAt)
+	return a.rows(), a.position(), nil
+}
+
+// confirmation returns how old the knowledge in the answer is.
+func (a tableAnswer) confirmation() fanout.Confirmation {
+	return fanout.Confirmation{
+		Held: time.Duration(a.HeldMS) * time.Millisecond,
+		Age:  time.Duration(a.AgeMS) * time.Millisecond,
+	}
+}
+
+// stats returns what the metrics tell of the table.
+func (t *Table) stats() TableStats {
+	now := t.tables.sinceBoot()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.counts
+	s.Follows = t.follows
+	s.Fallbacks = t.chooser.Fallbacks()
+	s.AgeMS = -1
+	if at, ok := t.record.ConfirmedAt(); ok {
+		s.AgeMS = (now - at).Milliseconds()
+	}
+	return s
+}
--- /dev/null
+++ b/internal/root/relay/hosts/tables_test.go
@@ -0,0 +1,493 @@
+package hosts
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
+	"github.com/cornelwing/cornelwing/internal/root/relay/grant"
+)
+
+const (
+	// tableSeeds is how many random courses the tests of tables play.
+	tableSeeds = 1000
+	// testTerm is the term of a lease, testTableWait how long a call to the store waits, and testStoreTimeout by how much longer it lasts if there is no answer.
+	testTerm         = 4750 * time.Millisecond
+	testTableWait    = 1500 * time.Millisecond
+	testStoreTimeout = 700 * time.Millisecond
+	testTable        = "configurations"
+	revokedRow       = "revoked"
+)
+
+var errTestLost = errors.New("message is lost")
+
+// tableStore is a store with one table, which can be cut from hosts.
+type tableStore struct {
+	mu      sync.Mutex
+	era     int64
+	version int64
+	rows    map[string]int64
+	changed chan struct{}
+	calls   int
+	// cutUntil holds until when hosts are cut from the store, by name.
+	cutUntil map[string]time.Time
+}
+
+func (s *tableStore) put(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.rows[key] = s.version
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *tableStore) since(version int64) ([]follow.Row, follow.Position, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []follow.Row
+	for key, v := range s.rows {
+		if v > version {
+			out = append(out, follow.Row{
+				Key: key,
+			})
+		}
+	}
+	return out, follow.Position{
+		Era:     follow.EraOf(s.era),
+		Version: s.version,
+	}, s.changed
+}
+
+func (s *tableStore) isCut(host string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.cutUntil[host])
+}
+
+// tableHost is a host that follows the table, or hears it from others.
+type tableHost struct {
+	c      *tableCluster
+	host   Host
+	roster *Roster
+	tables *Tables
+	table  *Table
+	lease  *grant.Lease
+
+	mu          sync.Mutex
+	frozenUntil time.Time
+	deadAt      time.Time
+	revoked     bool
+}
+
+func (h *tableHost) Reset(rows []follow.Row)   { h.Apply(rows) }
+func (h *tableHost) Restore(rows []follow.Row) { h.Apply(rows) }
+func (h *tableHost) Apply(rows []follow.Row) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range rows {
+		h.revoked = h.revoked || r.Key == revokedRow
+	}
+}
+
+func (h *tableHost) knowsRevocation() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.revoked
+}
+
+// awaitThaw waits as long as the host is frozen, and reports whether it lives.
+func (h *tableHost) awaitThaw() bool {
+	h.mu.Lock()
+	wait, dead := time.Until(h.frozenUntil), !h.deadAt.IsZero() && time.Now().After(h.deadAt)
+	h.mu.Unlock()
+	time.Sleep(max(0, wait))
+	return !dead
+}
+
+// ReadAll reads the whole table from the store.
+func (h *tableHost) ReadAll(ctx context.Context) ([]follow.Row, follow.Position, error) {
+	return h.callStore(ctx, -1, 0)
+}
+
+// WaitForChanges reads changes from the store.
+func (h *tableHost) WaitForChanges(ctx context.Context, after follow.Position, wait time.Duration) ([]follow.Row, follow.Position, error) {
+	return h.callStore(ctx, after.Version, wait)
+}
+
+func (h *tableHost) callStore(ctx context.Context, after int64, wait time.Duration) ([]follow.Row, follow.Position, error) {
+	s := h.c.store
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	h.awaitThaw()
+	sentIn, _ := h.tables.eras.Current()
+	common.Sleep(ctx, h.c.delay())
+	end := time.Now().Add(wait)
+	for {
+		rows, position, changed := s.since(after)
+		if s.isCut(h.host.Name) {
+			common.Sleep(ctx, wait+testStoreTimeout)
+			h.awaitThaw()
+			return nil, follow.Position{}, errTestLost
+		}
+		if len(rows) > 0 || !time.Now().Before(end) || after < 0 {
+			common.Sleep(ctx, h.c.delay())
+			h.awaitThaw()
+			if _, err := h.tables.eras.Observe(sentIn, position.Era); err != nil {
+				return nil, follow.Position{}, err
+			}
+			return rows, position, ctx.Err()
+		}
+		timer := time.NewTimer(time.Until(end))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, follow.Position{}, ctx.Err()
+		}
+		timer.Stop()
+	}
+}
+
+// tableCluster is hosts of two failure domains that exchange messages without a network.
+type tableCluster struct {
+	store *tableStore
+	hosts []*tableHost
+	start time.Time
+	// mutate, if set, changes the answers that hosts hear.
+	mutate func(a *tableAnswer, elapsed time.Duration)
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// lossShare is the share of messages that are lost.
+	lossShare float64
+	// cuts holds until when pairs of hosts are cut, and heard counts the answers between hosts.
+	cuts  map[[2]string]time.Time
+	heard int
+}
+
+// delay returns how long a message is on its way: mostly some milliseconds.
+func (c *tableCluster) delay() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.random.IntN(50) == 0 {
+		return time.Duration(c.random.Int64N(int64(400 * time.Millisecond)))
+	}
+	return time.Duration(c.random.Int64N(int64(5 * time.Millisecond)))
+}
+
+func (c *tableCluster) loses(a, b string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := max(c.cuts[[2]string{a, b}].UnixNano(), c.cuts[[2]string{b, a}].UnixNano())
+	return c.random.Float64() < c.lossShare || time.Now().UnixNano() < until
+}
+
+func (c *tableCluster) byName(name string) *tableHost {
+	for _, h := range c.hosts {
+		if h.host.Name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+// newTableCluster returns hosts of two domains, all of which know each other.
+func newTableCluster(hosts int, random *rand.Rand) *tableCluster {
+	c := &tableCluster{
+		store: &tableStore{
+			rows:     map[string]int64{},
+			changed:  make(chan struct{}),
+			cutUntil: map[string]time.Time{},
+		},
+		start:  time.Now(),
+		random: random,
+		cuts:   map[[2]string]time.Time{},
+	}
+	var all []Host
+	for i := range hosts {
+		all = append(all, Host{
+			Name:   fmt.Sprintf("h%d", i),
+			Addr:   fmt.Sprintf("10.0.0.%d:1", i),
+			Domain: fmt.Sprintf("d%d", i%2),
+		})
+	}
+	for _, host := range all {
+		c.hosts = append(c.hosts, c.newHost(host, all))
+	}
+	return c
+}
+
+func (c *tableCluster) sinceBoot() time.Duration { return time.Since(c.start) + time.Hour }
+
+func (c *tableCluster) newHost(host Host, all []Host) *tableHost {
+	deps := common.NewQuietDeps(host.Name, host.Domain)
+	deps.Now = time.Now
+	h := &tableHost{
+		c:      c,
+		host:   host,
+		roster: NewRoster(deps, host),
+		lease:  grant.New(c.sinceBoot, testTerm),
+	}
+	h.roster.Reset(rowsOf(all...))
+	peers := NewPeers(deps, host.Addr, h.roster, &fakeLocalQueues{})
+	h.tables = NewTables(deps, peers, follow.NewEras(deps), c.sinceBoot)
+	h.tables.post = h.post
+	h.table = h.tables.Add(testTable, h, testTableWait)
+	return h
+}
+
+// post carries a question to another host and its answer back.
+func (h *tableHost) post(ctx context.Context, to Host, _ string, body, into any) error {
+	h.awaitThaw()
+	askedAt := time.Now()
+	peer := h.c.byName(to.Name)
+	if !common.Sleep(ctx, h.c.delay()) || h.c.loses(h.host.Name, to.Name) || !peer.awaitThaw() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	answered := make(chan tableAnswer, 1)
+	go func() { answered <- peer.table.tell(ctx, body.(tableQuestion)) }()
+	var a tableAnswer
+	select {
+	case a = <-answered:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	// What was said before the host froze is on its way, or leaves it once it wakes.
+	alive := peer.awaitThaw()
+	if !alive || !common.Sleep(ctx, h.c.delay()) || h.c.loses(h.host.Name, to.Name) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	h.awaitThaw()
+	if h.c.mutate != nil {
+		h.c.mutate(&a, time.Since(askedAt))
+	}
+	h.c.mu.Lock()
+	h.c.heard++
+	h.c.mu.Unlock()
+	*into.(*tableAnswer) = a
+	return nil
+}
+
+// run runs the feeds of all hosts, and the probes of those that are down, until the returned function is called.
+func (c *tableCluster) run() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, h := range c.hosts {
+		feed := follow.NewFeed(h.tables.Deps, h.tables.eras, testTable, h.table, h, testTableWait, follow.WithConfirmation(func() func() {
+			return func() { h.lease.Confirm(h.table.ConfirmedAt()) }
+		}))
+		go func() { _ = feed.Run(ctx, func() {}) }()
+		go func() {
+			for common.Sleep(ctx, probeInterval) {
+				h.probe()
+			}
+		}()
+	}
+	return func() {
+		cancel()
+		// All that freezes or waits ends within this time.
+		time.Sleep(time.Minute)
+	}
+}
+
+func (h *tableHost) probe() {
+	for _, down := range h.roster.DueProbes() {
+		peer := h.c.byName(down.Name)
+		peer.mu.Lock()
+		answers := peer.deadAt.IsZero() && !time.Now().Before(peer.frozenUntil)
+		peer.mu.Unlock()
+		h.roster.RecordProbe(down, answers && !h.c.loses(h.host.Name, down.Name))
+	}
+}
+
+// disturb lets something happen to a random host, for a random time: it freezes, dies, or is cut from another one or from the store.
+func (c *tableCluster) disturb() {
+	c.mu.Lock()
+	h := c.hosts[c.random.IntN(len(c.hosts))]
+	// Those that the others hear from are met more often.
+	if c.random.IntN(2) == 0 {
+		for _, other := range c.hosts {
+			if other.table.followed() {
+				h = other
+			}
+		}
+	}
+	until := time.Now().Add(time.Duration(c.random.Int64N(int64(6 * time.Second))))
+	kind := c.random.IntN(10)
+	other := c.hosts[c.random.IntN(len(c.hosts))]
+	c.cuts[[2]string{h.host.Name, other.host.Name}] = until
+	c.mu.Unlock()
+	switch {
+	case kind < 4:
+		h.mu.Lock()
+		h.frozenUntil = until
+		h.mu.Unlock()
+	case kind < 5:
+		h.mu.Lock()
+		h.deadAt = time.Now()
+		h.mu.Unlock()
+	case kind < 8:
+		c.store.mu.Lock()
+		c.store.cutUntil[h.host.Name] = until
+		c.store.mu.Unlock()
+	case kind < 9:
+		c.store.mu.Lock()
+		for _, each := range c.hosts {
+			c.store.cutUntil[each.host.Name] = until
+		}
+		c.store.mu.Unlock()
+	}
+}
+
+// lateLeases plays one random course in which a key is revoked, and returns how many hosts held a lease without knowing of it once the term had passed.
+func lateLeases(seed uint64, mutate func(a *tableAnswer, elapsed time.Duration)) (late int) {
+	random := rand.New(rand.NewPCG(seed, 42))
+	c := newTableCluster(8+random.IntN(5), random)
+	c.mutate = mutate
+	c.lossShare = []float64{0, 0.02, 0.1}[random.IntN(3)]
+	defer c.run()()
+	time.Sleep(2 * time.Second)
+	disturbances := random.IntN(12)
+	revokedAt := time.Now().Add(time.Duration(random.Int64N(int64(4 * time.Second))))
+	revoked := false
+	held := map[string]bool{}
+	for range 240 {
+		time.Sleep(50 * time.Millisecond)
+		if disturbances > 0 && random.IntN(8) == 0 {
+			disturbances--
+			c.disturb()
+		}
+		if !revoked && time.Now().After(revokedAt) {
+			revoked = true
+			revokedAt = time.Now()
+			c.store.put(revokedRow)
+		}
+		for _, h := range c.hosts {
+			if revoked && time.Since(revokedAt) >= testTerm && h.lease.Valid() && !h.knowsRevocation() {
+				held[h.host.Name] = true
+			}
+		}
+	}
+	return len(held)
+}
+
+// Guards against a revoked key that a host goes on accepting because it takes what another host says for newer than it is (rule on strict revocation).
+func TestRandomLossesNeverLengthenALease(t *testing.T) {
+	play := func(seed uint64, mutate func(a *tableAnswer, elapsed time.Duration)) (late int) {
+		synctest.Test(t, func(*testing.T) { late = lateLeases(seed, mutate) })
+		return late
+	}
+	for seed := range uint64(tableSeeds) {
+		if late := play(seed, nil); late > 0 {
+			t.Fatalf("seed %d: %d hosts held a lease for longer than its term after a revocation", seed, late)
+		}
+	}
+	mutants := []struct {
+		name   string
+		mutate func(a *tableAnswer, elapsed time.Duration)
+	}{
+		{
+			name: "counts from the arrival of the answer",
+			mutate: func(a *tableAnswer, elapsed time.Duration) {
+				a.AgeMS = 0
+				a.HeldMS = elapsed.Milliseconds()
+			},
+		},
+		{
+			name: "takes no account of the age",
+			mutate: func(a *tableAnswer, _ time.Duration) {
+				a.AgeMS = 0
+			},
+		},
+	}
+	for _, m := range mutants {
+		caught := 0
+		for seed := range uint64(tableSeeds / 4) {
+			caught += min(1, play(seed, m.mutate))
+		}
+		t.Logf("%s: caught by %d of %d seeds", m.name, caught, tableSeeds/4)
+		if caught == 0 {
+			t.Errorf("a host that %s is not caught", m.name)
+		}
+	}
+}
+
+// calmCourse runs hosts without disturbances for 10 s, during which the row is written once. It returns how often the store was called per second, how long the last host took to learn of the row, and how many leases are valid at the end.
+func calmCourse(hosts int) (callsPerSecond float64, slowest time.Duration, leases int) {
+	c := newTableCluster(hosts, rand.New(rand.NewPCG(1, 2)))
+	defer c.run()()
+	time.Sleep(5 * time.Second)
+	c.store.mu.Lock()
+	c.store.calls = 0
+	c.store.mu.Unlock()
+	c.store.put(revokedRow)
+	writtenAt := time.Now()
+	for _, h := range c.hosts {
+		for !h.knowsRevocation() && time.Since(writtenAt) < time.Second {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	slowest = time.Since(writtenAt)
+	time.Sleep(10*time.Second - slowest)
+	for _, h := range c.hosts {
+		if h.lease.Valid() {
+			leases++
+		}
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	return float64(c.store.calls) / 10, slowest, leases
+}
+
+// Guards against calls to the store that grow with the number of hosts, and against hosts that learn late because of it.
+func TestCallsToTheStoreGrowWithDomains(t *testing.T) {
+	cases := []struct {
+		hosts     int
+		atMost    float64
+		everyHost bool
+	}{
+		{
+			hosts:     6,
+			atMost:    6,
+			everyHost: true,
+		},
+		{
+			hosts:  12,
+			atMost: 2,
+		},
+		{
+			hosts:  60,
+			atMost: 4.5,
+		},
+		{
+			hosts:  195,
+			atMost: 6,
+		},
+	}
+	for _, sc := range cases {
+		Convey(fmt.Sprintf("%d hosts of two domains", sc.hosts), t, func() {
+			var calls float64
+			var slowest time.Duration
+			var leases int
+			synctest.Test(t, func(*testing.T) { calls, slowest, leases = calmCourse(sc.hosts) })
+			t.Logf("%d hosts: %.1f calls to the store per second, the last host learns after %v", sc.hosts, calls, slowest)
+			So(calls, ShouldBeLessThanOrEqualTo, sc.atMost)
+			So(calls > float64(sc.hosts)/2, ShouldEqual, sc.everyHost)
+			So(slowest, ShouldBeLessThan, 500*time.Millisecond)
+			So(leases, ShouldEqual, sc.hosts)
+		})
+	}
+}
--- /dev/null
+++ b/internal/root/relay/hosts/tell.go
@@ -0,0 +1,113 @@
+package hosts
+
+import (
+	"context"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
+)
+
+// tell answers the question of another host, once there is something new to tell or its wait is over.
+func (t *Table) tell(ctx context.Context, q tableQuestion) tableAnswer {
+	l := listener{
+		Table:     t,
+		question:  q,
+		arrivedAt: t.tables.sinceBoot(),
+	}
+	following, seen := t.current()
+	l.seen = seen
+	wait := q.wait()
+	if !following {
+		wait = becomeFollowerWait
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		a, ready, updated := l.answer()
+		if ready || (following && a.State == tableNotFollowed && !t.followed()) {
+			return a
+		}
+		select {
+		case <-updated:
+		case <-timer.C:
+			a, _, _ = l.answer()
+			return a
+		case <-ctx.Done():
+			return a
+		}
+	}
+}
+
+// current reports whether this host follows the store, and when its knowledge was confirmed.
+func (t *Table) current() (follows bool, confirmedAt time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, _ := t.record.ConfirmedAt()
+	return t.follows, at
+}
+
+// followed reports whether this host follows the store.
+func (t *Table) followed() bool {
+	follows, _ := t.current()
+	return follows
+}
+
+// listener is another host that waits for an answer.
+type listener struct {
+	*Table
+	question  tableQuestion
+	arrivedAt time.Duration
+	// seen is when the knowledge of this host was confirmed as the question arrived.
+	seen time.Duration
+}
+
+// answer returns the answer as of now. ready reports that there is something new to tell; otherwise updated is closed when there may be.
+func (l listener) answer() (a tableAnswer, ready bool, updated <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	confirmedAt, confirmed := l.record.ConfirmedAt()
+	switch {
+	case !l.follows || !confirmed:
+		return tableAnswer{
+			State: tableNotFollowed,
+		}, false, l.updated
+	case l.failing:
+		return tableAnswer{
+			State: tableFailing,
+		}, true, l.updated
+	case l.isAhead():
+		return tableAnswer{
+			State: tableNotFollowed,
+		}, false, l.updated
+	}
+	now := l.tables.sinceBoot()
+	a = tableAnswer{
+		State:   tableFollowed,
+		Era:     eraNumber(l.record.Position().Era),
+		Version: l.record.Position().Version,
+		HeldMS:  (now - l.arrivedAt).Milliseconds(),
+		AgeMS:   (now - confirmedAt).Milliseconds() + 1,
+	}
+	rows, known := l.rows()
+	a.Rows = tableRows(rows)
+	a.Truncated = !known
+	ready = l.question.Whole || !known || len(rows) > 0 || confirmedAt > l.seen
+	if ready {
+		l.counts.Told++
+	}
+	return a, ready, l.updated
+}
+
+// isAhead reports whether the other host knows a later era of the store.
+func (l listener) isAhead() bool {
+	asked, own := l.question.after(), l.record.Position()
+	return asked.Era != own.Era && asked.Era.Known() && own.Before(asked)
+}
+
+// rows returns the rows that the other host asks for, or false if this host cannot tell what changed.
+func (l listener) rows() ([]follow.Row, bool) {
+	if l.question.Whole {
+		return l.record.All(), true
+	}
+	return l.record.Since(l.question.after())
+}
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/root/front/tally/burn"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
+	"github.com/cornelwing/cornelwing/internal/root/relay/hosts"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
 )
 
@@ -37,7 +38,9 @@
 	Blocked     int `json:"blocked"`
 	CrashTrials int `json:"crash_trials"`
 	// Leavers counts the incarnations of upstreams that are remembered as leaving or gone.
-	Leavers   int                         `json:"leavers"`
+	Leavers int `json:"leavers"`
+	// Tables reports from where this host reads each table of the store.
+	Tables    map[string]hosts.TableStats `json:"tables"`
 	Hosts     int                         `json:"hosts"`
 	Upstreams int                         `json:"upstreams"`
 	Routes    map[string]meter.RouteStats `json:"routes"`
@@ -80,6 +83,7 @@
 	s.CutPools = r.dialer.CutPools()
 	s.Relayed = r.dialer.Relayed()
 	s.Tunnels = r.tunnels.OpenCount()
+	s.Tables = r.tables.Stats()
 	s.Streams = r.origins.Streams()
 	crashes := r.crashes.Stats()
 	s.Blocked = crashes.Blocked
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -45,6 +45,9 @@
 	drainEndShare  = 0.92
 	// backupRank is the key by which the hosts are ranked for the backups that one of them writes for all.
 	backupRank = "backup/versions"
+	// configurationsTable and upstreamsTable are the names by which hosts ask each other for these tables.
+	configurationsTable = "configurations"
+	upstreamsTable      = "upstreams"
 	// missedHeartbeats is after how many heartbeats without a write the row of an upstream is removed, and heartbeatMargin how much later that may be.
 	missedHeartbeats = 3
 	heartbeatMargin  = 500 * time.Millisecond
@@ -111,9 +114,12 @@
 	settlement *settlement
 	dialer     *links.Dialer
 	tunnels    *hosts.Tunnels
-	flow       *flow.Service
-	callers    *serve.Graceful
-	meter      *meter.Meter
+	tables     *hosts.Tables
+	// configurationTable, upstreamTable and hostTable are read from the store or from the hosts that follow it.
+	configurationTable, upstreamTable, hostTable *hosts.Table
+	flow                                         *flow.Service
+	callers                                      *serve.Graceful
+	meter                                        *meter.Meter
 	// rowsRewritten counts how often this host wrote its row again after the store was restored.
 	rowsRewritten atomic.Int64
 	// syncMu serializes updates of the routing table and the queues.
@@ -157,6 +163,10 @@
 	r.backup = backup.New(deps, a.Backups, r.history, grant.SinceBoot, func() bool { return r.roster.IsWriter(backupRank) })
 	r.writers = hosts.NewWriters(deps, r.peers, backupRank, r.backup.CanWrite)
 	r.tunnels = hosts.NewTunnels(deps, r.peers, dialer)
+	r.tables = hosts.NewTables(deps, r.peers, a.Eras, grant.SinceBoot)
+	r.configurationTable = r.tables.Add(configurationsTable, a.Configurations, r.configPollTimeout())
+	r.upstreamTable = r.tables.Add(upstreamsTable, a.Upstreams, upstreamPollTimeout)
+	r.hostTable = r.tables.Add(hosts.HostsTable, a.Hosts, hostPollTimeout)
 	r.crashes = hosts.NewCrashes(deps, r.peers, dialer.Reaches)
 	r.refuter = hosts.NewRefuter(deps, r.crashes, r.upstreamRanAt)
 	r.crashes.SaveWith(r.backup.SaveCrashes)
@@ -217,10 +227,10 @@
 	eras := r.adapter.Eras
 	restorePause := follow.WithRestorePause(r.restorePause)
 	tree := super.New(r.WithPart("root"), super.WithParts(
-		follow.NewFeed(r.Deps, eras, "configurations", r.adapter.Configurations, r.planSink, r.configPollTimeout(), follow.WithConfirmation(r.startConfirmation), follow.WithBatchPause(r.batchPause), restorePause),
-		follow.NewFeed(r.Deps, eras, "upstreams", r.adapter.Upstreams, r.upstreams, upstreamPollTimeout, follow.WithConfirmation(r.startUpstreamsConfirmation),
-			follow.WithOutage(r.upstreams.OutageStarted, r.upstreams.OutageEnded), follow.WithBatchPause(r.batchPause), restorePause),
-		follow.NewFeed(r.Deps, eras, "hosts", r.adapter.Hosts, r.roster, hostPollTimeout, follow.WithBatchPause(r.batchPause), restorePause),
+		follow.NewFeed(r.Deps, eras, configurationsTable, r.configurationTable, r.planSink, r.configPollTimeout(), follow.WithConfirmation(r.confirmConfiguration), follow.WithBatchPause(r.batchPauseOf(r.configurationTable)), restorePause),
+		follow.NewFeed(r.Deps, eras, upstreamsTable, r.upstreamTable, r.upstreams, upstreamPollTimeout, follow.WithConfirmation(r.confirmUpstreams),
+			follow.WithOutage(r.upstreams.OutageStarted, r.upstreams.OutageEnded), follow.WithBatchPause(r.batchPauseOf(r.upstreamTable)), restorePause),
+		follow.NewFeed(r.Deps, eras, hosts.HostsTable, r.hostTable, r.roster, hostPollTimeout, follow.WithBatchPause(r.batchPauseOf(r.hostTable)), restorePause),
 		r.peers,
 		r.backup,
 		r.writers,
@@ -262,6 +272,16 @@
 	return min(maxPause, time.Duration(r.roster.Count())*time.Second/tableReadRate)
 }
 
+// batchPauseOf returns the function that returns the pause after changes of the table: none if another host tells them, which has paused before.
+func (r *Relay) batchPauseOf(t *hosts.Table) func() time.Duration {
+	return func() time.Duration {
+		if t.Heard() {
+			return 0
+		}
+		return r.batchPause()
+	}
+}
+
 // plainServer returns a server that does not drain its requests when it stops.
 func (r *Relay) plainServer(part, addr string, h http.Handler) *serve.Graceful {
 	return serve.New(r.WithPart(part), addr, h, serve.Limits{
@@ -269,22 +289,23 @@
 	})
 }
 
-// startConfirmation records the time before a call for the configuration. The returned function extends the key lease from that time, unless the newest configuration can't be read: it may have taken keys away.
-func (r *Relay) startConfirmation() func() {
-	requestedAt := r.lease.RequestTime()
+// confirmConfiguration returns a function that extends the key lease from when the store was asked for the configuration, by this host or by the one that told it. It does not if the newest configuration can't be read: it may have taken keys away.
+func (r *Relay) confirmConfiguration() func() {
 	return func() {
 		if r.planSink.IsNewest() {
-			r.lease.Confirm(requestedAt)
+			r.lease.Confirm(r.configurationTable.ConfirmedAt())
 		}
 	}
 }
 
-// startUpstreamsConfirmation records the time before a call for changes of the upstreams. The returned function records that the upstreams were up to date then.
-func (r *Relay) startUpstreamsConfirmation() func() {
-	requestedAt := r.Now()
+// confirmUpstreams returns a function that records when the upstreams were up to date.
+func (r *Relay) confirmUpstreams() func() {
 	return func() {
-		r.history.Confirm(requestedAt)
-		r.upstreams.Confirm(requestedAt)
+		// The clock is read before the age, so that a pause in between makes the time earlier.
+		now := r.Now()
+		at := now.Add(-r.upstreamTable.ConfirmedAge())
+		r.history.Confirm(at)
+		r.upstreams.Confirm(at)
 	}
 }
 
