--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -83,7 +83,7 @@
 
 // ReadAll returns every row and the position of the table.
 func (t *Table) ReadAll(ctx context.Context) ([]follow.Row, follow.Position, error) {
-	if t.name != HostsTable {
+	if t.tables.shared && t.name != HostsTable {
 		t.tables.awaitRoster(ctx)
 	}
 	return t.read(ctx, reading{
@@ -152,6 +152,11 @@
 
 // view returns what the chooser needs to know of the other hosts, and the candidates by name.
 func (t *Table) view() (fanout.View, map[string]Host) {
+	if !t.tables.shared {
+		return fanout.View{
+			Follower: true,
+		}, nil
+	}
 	now := t.tables.sinceBoot()
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/root/relay/hosts/tables.go
+++ b/internal/root/relay/hosts/tables.go
@@ -167,10 +167,22 @@
 	// post sends a message to another host.
 	post   func(ctx context.Context, h Host, path string, body, into any) error
 	byName map[string]*Table
+	// shared reports that hosts that are not among the few do not read the store.
+	shared bool
+}
+
+// TablesOption configures Tables under construction.
+type TablesOption func(*Tables)
+
+// WithSharedReads sets whether only few hosts of each failure domain read the store. Without it every host does, and tells those that ask.
+func WithSharedReads(shared bool) TablesOption {
+	return func(t *Tables) {
+		t.shared = shared
+	}
 }
 
 // NewTables returns an empty set of tables. It must be called before peers runs.
-func NewTables(deps common.Deps, peers *Peers, eras *follow.Eras, sinceBoot func() time.Duration) *Tables {
+func NewTables(deps common.Deps, peers *Peers, eras *follow.Eras, sinceBoot func() time.Duration, opts ...TablesOption) *Tables {
 	t := &Tables{
 		Deps:      deps.WithPart("tables"),
 		peers:     peers,
@@ -179,6 +191,9 @@
 		post:      peers.post,
 		byName:    map[string]*Table{},
 	}
+	for _, o := range opts {
+		o(t)
+	}
 	peers.services = append(peers.services, t)
 	return t
 }
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -163,7 +163,7 @@
 	r.backup = backup.New(deps, a.Backups, r.history, grant.SinceBoot, func() bool { return r.roster.IsWriter(backupRank) })
 	r.writers = hosts.NewWriters(deps, r.peers, backupRank, r.backup.CanWrite)
 	r.tunnels = hosts.NewTunnels(deps, r.peers, dialer)
-	r.tables = hosts.NewTables(deps, r.peers, a.Eras, grant.SinceBoot)
+	r.tables = hosts.NewTables(deps, r.peers, a.Eras, grant.SinceBoot, hosts.WithSharedReads(s.Store.SharedReads))
 	r.configurationTable = r.tables.Add(configurationsTable, a.Configurations, r.configPollTimeout())
 	r.upstreamTable = r.tables.Add(upstreamsTable, a.Upstreams, upstreamPollTimeout)
 	r.hostTable = r.tables.Add(hosts.HostsTable, a.Hosts, hostPollTimeout)
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -36,9 +36,10 @@
 	Metrics string `yaml:"metrics" help:"address of the metrics (TCP)"`
 }
 
-// Store holds the address of the platform's store.
+// Store holds the address of the platform's store, and how hosts read it.
 type Store struct {
-	Address string `yaml:"address" help:"address of the platform's store, an IP number and a port"`
+	Address     string `yaml:"address" help:"address of the platform's store, an IP number and a port"`
+	SharedReads bool   `yaml:"shared_reads" help:"whether few hosts of each failure domain read the store, and the others hear from them what it holds"`
 }
 
 // Upstreams holds the time limit within which changes of the upstreams must take effect.
