--- a/internal/root/relay/fanout/chooser.go
+++ b/internal/root/relay/fanout/chooser.go
@@ -7,18 +7,21 @@
 )
 
 const (
-	// silentPause, staleAnswerPause, notFollowingPause and otherBuildPause are how long a host is not asked again after it did not answer, could not tell news, reads the table from another host itself, or does not know the question.
-	silentPause       = 2 * time.Second
+	// silentPause, staleAnswerPause, notFollowingPause and otherBuildPause are how long a host is not asked again after it did not answer, could not tell news, reads the table from another host itself, or does not know the question. passedOverPause is how long it is not if it did not answer several times in a row.
+	silentPause       = time.Second
+	passedOverPause   = 5 * time.Second
 	staleAnswerPause  = 250 * time.Millisecond
 	notFollowingPause = 200 * time.Millisecond
 	otherBuildPause   = 30 * time.Second
+	// maxSilences is how many questions in a row a host may leave unanswered before the next one in rank takes its place.
+	maxSilences = 2
 	// maxFailures is how many hosts may fail in a row before the store is read.
 	maxFailures = 2
 	// fallbackRate is the rate at which all hosts together turn to the store, in calls per second, and maxFallbackPause the longest pause before that, so that a lease does not expire meanwhile.
 	fallbackRate     = 250
 	maxFallbackPause = 400 * time.Millisecond
 	// probeRate is the rate at which all hosts together try the store while those that follow it say that it fails, in calls per second, and minProbePause the shortest pause of a host between two of them.
-	probeRate     = 40
+	probeRate     = 10
 	minProbePause = time.Second
 	// fallbackTerm is how long a host reads the store at the least after it turned to it. A random part of the same time is added.
 	fallbackTerm = 2 * time.Second
@@ -104,6 +107,8 @@
 type failed struct {
 	failure Failure
 	until   time.Duration
+	// silences counts the questions in a row that it left unanswered.
+	silences int
 }
 
 // Chooser decides from where a host reads a table. All times are since boot. It is not safe for concurrent use.
@@ -115,6 +120,8 @@
 	failures int
 	// storeUntil is when this host stops reading the store that it has turned to, and nextProbe when it may turn to it again while those that follow it say that it fails.
 	storeUntil, nextProbe time.Duration
+	// turning reports that this host turns to the store by its current call.
+	turning bool
 	// fallbacks counts how often this host has turned to the store.
 	fallbacks int
 }
@@ -165,6 +172,7 @@
 		return GiveUp{}
 	}
 	c.fallbacks++
+	c.turning = true
 	c.nextProbe = now + c.within(max(minProbePause, perHost(v.Hosts, probeRate))) + minProbePause/2
 	return AskStore{
 		After: c.within(min(maxFallbackPause, perHost(v.Hosts, fallbackRate))),
@@ -197,28 +205,39 @@
 
 // Failed records that a host could not tell news.
 func (c *Chooser) Failed(now time.Duration, name string, f Failure) {
-	c.failed[name] = failed{
+	next := failed{
 		failure: f,
 		until:   now + f.pause(),
 	}
+	if f == Silent {
+		next.silences = c.failed[name].silences + 1
+	}
+	if next.silences >= maxSilences {
+		next.until = now + passedOverPause
+	}
+	c.failed[name] = next
 	c.failures++
 }
 
-// StoreAnswered records that the store answered. A host that turned to it although it is no follower goes on reading it for a while.
-func (c *Chooser) StoreAnswered(now time.Duration, v View) {
-	if !v.Follower && len(v.Candidates) > 0 && now >= c.storeUntil {
+// StoreAnswered records that the store answered, so that it may be tried again at any time. A host that turned to it although it is no follower goes on reading it for a while.
+func (c *Chooser) StoreAnswered(now time.Duration) {
+	c.nextProbe = 0
+	if c.turning {
 		c.storeUntil = now + fallbackTerm + c.within(fallbackTerm)
 	}
+	c.turning = false
 }
 
 // StoreFailed records that the store did not answer.
 func (c *Chooser) StoreFailed() {
 	c.storeUntil = 0
+	c.turning = false
 }
 
-// IsOtherBuild reports whether the host did not know the question when it was last asked.
-func (c *Chooser) IsOtherBuild(now time.Duration, name string) bool {
-	return c.avoids(now, name) && c.failed[name].failure == OtherBuild
+// PassesOver reports whether the host is not to be counted among the followers, since it did not answer or does not know the question. The next one in rank takes its place. A host for which the store fails keeps its place, as the store may fail for all.
+func (c *Chooser) PassesOver(now time.Duration, name string) bool {
+	f := c.failed[name]
+	return c.avoids(now, name) && (f.silences >= maxSilences || f.failure == OtherBuild)
 }
 
 // Fallbacks returns how often this host has turned to the store because no other host told news.
--- a/internal/root/relay/hosts/followers.go
+++ b/internal/root/relay/hosts/followers.go
@@ -9,7 +9,7 @@
 // followersKey is what the names of tables are prefixed with to rank the hosts that follow them.
 const followersKey = "followers/"
 
-// followers returns whether this host is one of the few of its failure domain that follow the table, and the others that do in the order in which this host asks them: those of its domain first. Hosts of builds that do not tell of tables are not usable.
+// followers returns whether this host is one of the few of its failure domain that follow the table, and the others that do in the order in which this host asks them: those of its domain first. Hosts that are not usable are passed over.
 func (r *Roster) followers(table string, usable func(name string) bool) (self bool, others []Host) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -20,8 +20,8 @@
 const (
 	// maxAskWait is how long a question to another host waits for changes.
 	maxAskWait = time.Second
-	// askSlack is how much longer than the wait an answer of another host may take.
-	askSlack = 300 * time.Millisecond
+	// askSlack is how much longer than the wait an answer of another host may take. With a wait it is longer than a connection to a frozen host lives.
+	askSlack = 500 * time.Millisecond
 	// ageSlack is how much older than two waits for changes the knowledge of a host that follows the store may be.
 	ageSlack = 500 * time.Millisecond
 	// becomeFollowerWait is how long a question waits for a host to begin to follow the store.
@@ -142,7 +142,7 @@
 				r.wait = 0
 			}
 			common.Sleep(ctx, a.After)
-			return t.readStore(ctx, r, view)
+			return t.readStore(ctx, r)
 		case fanout.GiveUp:
 			return nil, follow.Position{}, fmt.Errorf("read table %s: %w", t.name, errStoreFails)
 		}
@@ -160,7 +160,7 @@
 	now := t.tables.sinceBoot()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	self, others := t.tables.peers.roster.followers(t.name, func(name string) bool { return !t.chooser.IsOtherBuild(now, name) })
+	self, others := t.tables.peers.roster.followers(t.name, func(name string) bool { return !t.chooser.PassesOver(now, name) })
 	view := fanout.View{
 		Follower: self,
 		Hosts:    t.tables.peers.roster.Count(),
@@ -206,7 +206,7 @@
 }
 
 // readStore reads from the store.
-func (t *Table) readStore(ctx context.Context, r reading, v fanout.View) ([]follow.Row, follow.Position, error) {
+func (t *Table) readStore(ctx context.Context, r reading) ([]follow.Row, follow.Position, error) {
 	askedAt := t.tables.sinceBoot()
 	var rows []follow.Row
 	var position follow.Position
@@ -228,7 +228,7 @@
 		return nil, follow.Position{}, fmt.Errorf("read table %s from the store: %w", t.name, err)
 	}
 	t.counts.StoreCalls++
-	t.chooser.StoreAnswered(t.tables.sinceBoot(), v)
+	t.chooser.StoreAnswered(t.tables.sinceBoot())
 	t.failing = false
 	t.setFollows(true)
 	t.add(r, rows, position, askedAt)
@@ -269,6 +269,7 @@
 		Era:    eraNumber(r.after.Era),
 		After:  r.after.Version,
 		WaitMS: wait.Milliseconds(),
+		AgeMS:  t.confirmedAgeMS(),
 	}
 	var a tableAnswer
 	if err := t.tables.post(ctx, h, pathTable, question, &a); err != nil {
@@ -277,6 +278,19 @@
 	return a, nil
 }
 
+// confirmedAgeMS returns how old the knowledge of this host is, or nil if it has none.
+func (t *Table) confirmedAgeMS() *int64 {
+	now := t.tables.sinceBoot()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.record.ConfirmedAt()
+	if !ok {
+		return nil
+	}
+	age := max(0, now-at).Milliseconds()
+	return &age
+}
+
 // failureOf returns why a question failed.
 func failureOf(err error) fanout.Failure {
 	if errors.Is(err, errUnknownPath) {
--- a/internal/root/relay/hosts/tables.go
+++ b/internal/root/relay/hosts/tables.go
@@ -46,6 +46,8 @@
 	Era    *int64 `json:"era,omitempty"`
 	After  int64  `json:"after"`
 	WaitMS int64  `json:"wait_ms"`
+	// AgeMS is how old the knowledge of the host that asks is, or nil if it has none.
+	AgeMS *int64 `json:"age_ms,omitempty"`
 }
 
 // UnmarshalJSON decodes a question and checks its figures.
@@ -55,7 +57,7 @@
 	if err := json.Unmarshal(b, &p); err != nil {
 		return fmt.Errorf("decode question: %w", err)
 	}
-	if p.Table == "" || p.WaitMS < 0 {
+	if p.Table == "" || p.WaitMS < 0 || (p.AgeMS != nil && *p.AgeMS < 0) {
 		return fmt.Errorf("check question: %w", errTableMessage)
 	}
 	*q = tableQuestion(p)
--- a/internal/root/relay/hosts/tell.go
+++ b/internal/root/relay/hosts/tell.go
@@ -7,6 +7,9 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 )
 
+// confirmationSlack is how much later than the confirmation that the other host knows another one must be to count as new, as the time of its question on the way is not known.
+const confirmationSlack = 50 * time.Millisecond
+
 // tell answers the question of another host, once there is something new to tell or its wait is over.
 func (t *Table) tell(ctx context.Context, q tableQuestion) tableAnswer {
 	l := listener{
@@ -14,8 +17,7 @@
 		question:  q,
 		arrivedAt: t.tables.sinceBoot(),
 	}
-	following, seen := t.current()
-	l.seen = seen
+	following := t.followed()
 	wait := q.wait()
 	if !following {
 		wait = becomeFollowerWait
@@ -38,18 +40,11 @@
 	}
 }
 
-// current reports whether this host follows the store, and when its knowledge was confirmed.
-func (t *Table) current() (follows bool, confirmedAt time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	at, _ := t.record.ConfirmedAt()
-	return t.follows, at
-}
-
 // followed reports whether this host follows the store.
 func (t *Table) followed() bool {
-	follows, _ := t.current()
-	return follows
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.follows
 }
 
 // listener is another host that waits for an answer.
@@ -57,8 +52,6 @@
 	*Table
 	question  tableQuestion
 	arrivedAt time.Duration
-	// seen is when the knowledge of this host was confirmed as the question arrived.
-	seen time.Duration
 }
 
 // answer returns the answer as of now. ready reports that there is something new to tell; otherwise updated is closed when there may be.
@@ -91,13 +84,22 @@
 	rows, known := l.rows()
 	a.Rows = tableRows(rows)
 	a.Truncated = !known
-	ready = l.question.Whole || !known || len(rows) > 0 || confirmedAt > l.seen
+	ready = l.question.Whole || !known || len(rows) > 0 || l.isNews(confirmedAt)
 	if ready {
 		l.counts.Told++
 	}
 	return a, ready, l.updated
 }
 
+// isNews reports whether the store has confirmed the rows since it did so for the other host.
+func (l listener) isNews(confirmedAt time.Duration) bool {
+	if l.question.AgeMS == nil {
+		return true
+	}
+	known := l.arrivedAt - time.Duration(*l.question.AgeMS)*time.Millisecond
+	return confirmedAt > known+confirmationSlack
+}
+
 // isAhead reports whether the other host knows a later era of the store.
 func (l listener) isAhead() bool {
 	asked, own := l.question.after(), l.record.Position()
