--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -137,6 +137,8 @@
 			if !errors.Is(err, errHostFailed) {
 				return rows, position, err
 			}
+			// The time for a wait has passed with the host that failed: what is known is to be confirmed at once.
+			r.wait = 0
 		case fanout.AskStore:
 			if a.Probe {
 				r.wait = 0
