--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -115,11 +115,13 @@
 	dialer     *links.Dialer
 	tunnels    *hosts.Tunnels
 	tables     *hosts.Tables
+	flow       *flow.Service
+	callers    *serve.Graceful
+	meter      *meter.Meter
 	// configurationTable, upstreamTable and hostTable are read from the store or from the hosts that follow it.
-	configurationTable, upstreamTable, hostTable *hosts.Table
-	flow                                         *flow.Service
-	callers                                      *serve.Graceful
-	meter                                        *meter.Meter
+	configurationTable *hosts.Table
+	upstreamTable      *hosts.Table
+	hostTable          *hosts.Table
 	// rowsRewritten counts how often this host wrote its row again after the store was restored.
 	rowsRewritten atomic.Int64
 	// syncMu serializes updates of the routing table and the queues.
