--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -44,7 +44,9 @@
 	// Evacuated lists the evacuated failure domains.
 	Evacuated []evacuated `json:"evacuated,omitempty"`
 	// Leavers counts the incarnations of upstreams that are remembered as leaving or gone.
-	Leavers   int                         `json:"leavers"`
+	Leavers int `json:"leavers"`
+	// Tables reports from where this host reads each table of the store.
+	Tables    map[string]hosts.TableStats `json:"tables"`
 	Hosts     int                         `json:"hosts"`
 	Upstreams int                         `json:"upstreams"`
 	Routes    map[string]meter.RouteStats `json:"routes"`
@@ -94,6 +96,7 @@
 	s.CutPools = r.dialer.CutPools()
 	s.Relayed = r.dialer.Relayed()
 	s.Tunnels = r.tunnels.OpenCount()
+	s.Tables = r.tables.Stats()
 	s.Streams = r.origins.Streams()
 	crashes := r.crashes.Stats()
 	s.Blocked = crashes.Blocked
