--- a/internal/root/relay/fanout/few.go
+++ b/internal/root/relay/fanout/few.go
@@ -2,7 +2,7 @@
 
 const (
 	// smallDomain is the number of hosts of a failure domain below which each of them reads the store.
-	smallDomain = 3
+	smallDomain = 4
 	// hostsPerFollower is the number of hosts of a failure domain for each further follower there, and maxFollowers bounds the followers of a domain.
 	hostsPerFollower = 16
 	maxFollowers     = 3
