--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -200,6 +200,7 @@
 		LeastLoaded:  x.trial,
 		Version:      x.origin.Version,
 		Unlimited:    unlimited,
+		Prompt:       x.requestHead.prompt(),
 	}
 	if x.route.Affinity {
 		q.Affinity = x.requestHead.affinityHash()
--- a/internal/root/relay/flow/headers.go
+++ b/internal/root/relay/flow/headers.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelwing/cornelwing/internal/root/limit"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 	"github.com/cornelwing/cornelwing/internal/stage"
 )
 
@@ -83,6 +84,14 @@
 	return int64(n)
 }
 
+// prompt returns the size of the prompt.
+func (h RequestHead) prompt() route.Prompt {
+	return route.Prompt{
+		Tokens: h.PromptTokens,
+		Shared: min(h.PromptTokens, int(h.sharedTokens())),
+	}
+}
+
 // pieceCount returns the number of pieces of a stage.
 func (h RequestHead) pieceCount(stage int) int {
 	if stage < len(h.Pieces) {
--- a/internal/root/relay/flow/response.go
+++ b/internal/root/relay/flow/response.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -154,6 +155,12 @@
 	if x.limit > 0 {
 		fields["limit"] = x.limit
 	}
+	if e := x.upstream.Estimate; e.Pace > 0 {
+		fields["pace"] = math.Round(100*e.Pace) / 100
+		fields["queued"] = math.Round(100*e.Queued) / 100
+		fields["report_ms"] = e.ReportAge.Milliseconds()
+		fields["expected_ms"] = e.Wait.Milliseconds()
+	}
 	if x.stageTime > 0 {
 		fields["stages_ms"] = int64(common.Millis(x.stageTime))
 	}
--- a/internal/root/route/entry.go
+++ b/internal/root/route/entry.go
@@ -27,6 +27,8 @@
 	Probe bool
 	// Limited means that the upstream takes a limited number of requests per second from all hosts together, so that each of them needs a permit. Pick sets it.
 	Limited bool
+	// Estimate is what is expected of the upstream. Pick sets it in pools whose upstreams state their pace.
+	Estimate Estimate
 }
 
 // Incarnation identifies one start of an upstream.
@@ -101,6 +103,8 @@
 
 	report   stage.Load
 	reportAt time.Time
+	// reportShared reports that another host has told the report.
+	reportShared bool
 	// inFlightAtReport is the number of this host's attempts in flight at the time of the report, and othersInFlight the number of requests in the report that other hosts sent.
 	inFlightAtReport int
 	othersInFlight   int
@@ -124,6 +128,9 @@
 	slotFreedAt time.Time
 	// rejectedAt is when the upstream last turned a request of this host away for want of room.
 	rejectedAt time.Time
+	// pace is how long work takes there, and sent are the times of this host's sends.
+	pace paceBook
+	sent sentTimes
 }
 
 func newEntry(up Upstream) *entry {
@@ -179,6 +186,7 @@
 func (e *entry) setReport(load stage.Load, at time.Time) {
 	e.report = load
 	e.reportAt = at
+	e.pace.record(load, at)
 	e.inFlightAtReport = e.inFlightAt(at)
 	e.othersInFlight = max(0, load.Busy+load.Queued-e.inFlightAtReport)
 }
--- a/internal/root/route/query.go
+++ b/internal/root/route/query.go
@@ -10,6 +10,8 @@
 	Pool string
 	// Affinity is the hash of the prompt's prefix, or 0 if no upstream is preferred.
 	Affinity uint64
+	// Prompt is the size of the request's prompt.
+	Prompt Prompt
 	// PreferDomain is the preferred failure domain of the upstream, or "" for the host's own.
 	PreferDomain string
 	// Exclude holds the names of upstreams that must not be chosen, such as those that were tried already.
--- a/internal/root/route/table.go
+++ b/internal/root/route/table.go
@@ -49,6 +49,8 @@
 	totalAt time.Time
 	// returns spreads the callers that come back when a paused upstream can be used again.
 	returns retry.Returns
+	// even holds what is learned of the upstreams if they state their pace.
+	even evenPool
 }
 
 // Table holds the upstreams of all pools, with the load, service time and failures of each. It is safe for concurrent use.
@@ -58,6 +60,8 @@
 	hosts  int
 	pools  map[string]*pool
 	byName map[string]*entry
+	// byHash holds the same entries by the hash of their names.
+	byHash map[uint64]*entry
 	// pickedAt is the time of the last choice.
 	pickedAt time.Time
 }
@@ -69,6 +73,7 @@
 		hosts:  1,
 		pools:  map[string]*pool{},
 		byName: map[string]*entry{},
+		byHash: map[uint64]*entry{},
 	}
 }
 
@@ -87,9 +92,11 @@
 		}
 		if old, ok := t.pools[s.Name]; ok {
 			pools[s.Name].returns = old.returns
+			pools[s.Name].even = old.even
 		}
 	}
 	names := make(map[string]*entry, len(ups))
+	hashes := make(map[uint64]*entry, len(ups))
 	added := map[*pool][]*entry{}
 	for _, u := range ups {
 		p, ok := pools[u.Pool]
@@ -101,6 +108,7 @@
 			added[p] = append(added[p], e)
 		}
 		names[u.Name] = e
+		hashes[e.hash] = e
 		p.entries = append(p.entries, e)
 		p.byDomain[u.Domain] = append(p.byDomain[u.Domain], e)
 	}
@@ -109,6 +117,7 @@
 	}
 	t.pools = pools
 	t.byName = names
+	t.byHash = hashes
 }
 
 // entryFor returns the entry of an upstream. It returns a new entry if the upstream is new, has another address or has restarted.
@@ -130,6 +139,8 @@
 		return
 	}
 	e.setReport(load, at)
+	e.reportShared = false
+	t.pools[e.up.Pool].even.recordReport(e)
 }
 
 // Pick chooses an upstream and counts an attempt on it, which the caller ends by Done or Release. It returns false if no upstream is usable.
@@ -145,7 +156,7 @@
 		q.PreferDomain = t.domain
 	}
 	q.hosts = t.hosts
-	e := t.choose(now, rng, p, q)
+	e, estimate := t.choose(now, rng, p, q)
 	if e == nil {
 		return Upstream{}, false
 	}
@@ -153,22 +164,27 @@
 		e.postponeProbe(now, t.hosts)
 	}
 	e.setInFlight(now, e.inFlight+1)
+	e.sent.add(now)
 	p.total.Load += t.hosts
 	up := e.up
+	up.Estimate = estimate
 	up.Probe = e.ejections > 0
 	up.Limited = e.perSecond > 0
 	return up, true
 }
 
-// choose returns the entry for the query, or nil if none is usable.
-func (t *Table) choose(now time.Time, rng *rand.Rand, p *pool, q Query) *entry {
+// choose returns the entry for the query, or nil if none is usable, and what is expected of it.
+func (t *Table) choose(now time.Time, rng *rand.Rand, p *pool, q Query) (*entry, Estimate) {
 	if q.LeastLoaded {
-		return t.leastLoaded(now, p, q)
+		return t.leastLoaded(now, p, q), Estimate{}
+	}
+	if p.even.paced() && q.Prompt.Tokens > 0 {
+		return t.evenEntry(now, rng, p, q)
 	}
 	if e := t.affinityEntry(now, p, q); e != nil {
-		return e
+		return e, Estimate{}
 	}
-	return t.sampledEntry(now, rng, p, q)
+	return t.sampledEntry(now, rng, p, q), Estimate{}
 }
 
 // leastLoaded returns the usable entry with the fewest requests, or nil.
@@ -203,10 +219,14 @@
 	if !ok || affinity == 0 {
 		return t.domain
 	}
-	best := highestRanked(now, p.entries, Query{
+	q := Query{
 		Affinity: affinity,
 		hosts:    t.hosts,
-	})
+	}
+	best := highestRanked(now, p.entries, q)
+	if p.even.paced() {
+		best = highestRankedByPace(now, p, p.entries, q)
+	}
 	if best == nil {
 		return t.domain
 	}
