--- a/internal/root/relay/hosts/forward.go
+++ b/internal/root/relay/hosts/forward.go
@@ -188,7 +188,7 @@
 }
 
 func (p *Peers) post(ctx context.Context, h Host, path string, body, into any) error {
-	resp, err := jhttp.Do(ctx, p.http, jhttp.Call{
+	resp, err := jhttp.Do(ctx, p.calls, jhttp.Call{
 		Method: http.MethodPost,
 		URL:    "http://" + h.Addr + path,
 		Body:   body,
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -115,7 +115,10 @@
 	local  LocalQueues
 	addr   string
 	http   *http.Transport
-	picker batch.Picker
+	// calls sends the messages whose bodies are JSON, and loadShare adds load reports to some of them, if it is not nil.
+	calls     http.RoundTripper
+	loadShare *loadShare
+	picker    batch.Picker
 	// knowledge is what this host and the others tell each other after the store was restored; it is set before Run is called.
 	knowledge Knowledge
 	// services handle the other messages of hosts; all are added before Run is called.
@@ -144,6 +147,7 @@
 			},
 		},
 	}
+	p.calls = p.http
 	roster.OnChange(p.reassignUnowned)
 	return p
 }
@@ -230,11 +234,13 @@
 	if !decodeBody(w, r, &work) {
 		return
 	}
+	p.recordLoads(r)
 	o := p.runForPeer(r.Context(), work)
 	if completed, ok := o.(batch.Completed); ok && r.Context().Err() != nil {
 		p.local.Free(work.Queue, completed.Handles)
 		return
 	}
+	p.tellLoads(w, r)
 	writeJSON(w, p.responseFor(work.Queue, o))
 }
 
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/front/tally/burn"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 // snapshot is the JSON document served on the metrics address.
@@ -44,9 +45,11 @@
 	// BurnRates reports the rates at which this host uses up the error budget of the service-level objective.
 	BurnRates burn.Report `json:"burn"`
 	// Queues holds the statistics of the worker queues that this host runs.
-	Queues     map[string]batch.Stats `json:"queues"`
-	Goroutines int                    `json:"goroutines"`
-	HeapBytes  uint64                 `json:"heap_bytes"`
+	Queues map[string]batch.Stats `json:"queues"`
+	// Even shows how evenly the upstreams of each pool are loaded that state their pace.
+	Even       map[string]route.EvenStats `json:"even"`
+	Goroutines int                        `json:"goroutines"`
+	HeapBytes  uint64                     `json:"heap_bytes"`
 }
 
 func (r *Relay) metricsHandler() http.Handler {
@@ -69,6 +72,7 @@
 		Routes:     r.meter.Routes(),
 		BurnRates:  r.meter.BurnRates(r.Now(), r.settings.Objective.Attainment),
 		Queues:     r.dispatcher.Stats(),
+		Even:       r.table.EvenStats(r.Now()),
 		Goroutines: runtime.NumGoroutine(),
 		HeapBytes:  mem.HeapAlloc,
 	}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -152,6 +152,7 @@
 		Upstreams:  r.upstreams,
 		settlement: r.settlement,
 	})
+	r.peers.ShareLoads(r.table)
 	r.dispatcher.OnLeaving(r.upstreams.MarkLeaving)
 	r.dispatcher.OnReleased(r.peers.Release)
 	r.backup = backup.New(deps, a.Backups, r.history, grant.SinceBoot, func() bool { return r.roster.IsWriter(backupRank) })
