--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -210,6 +210,7 @@
 		Version:      x.origin.Version,
 		Unlimited:    unlimited,
 		Regions:      x.regions,
+		Prompt:       x.requestHead.prompt(),
 	}
 	if x.route.Affinity {
 		q.Affinity = x.requestHead.affinityHash()
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -116,7 +116,10 @@
 	local  LocalQueues
 	addr   string
 	http   *http.Transport
-	picker batch.Picker
+	// calls sends the messages whose bodies are JSON, and loadShare adds load reports to some of them, if it is not nil.
+	calls     http.RoundTripper
+	loadShare *loadShare
+	picker    batch.Picker
 	// knowledge is what this host and the others tell each other after the store was restored; it is set before Run is called.
 	knowledge Knowledge
 	// domains are the regions of failure domains; they are set before Run is called.
@@ -147,6 +150,7 @@
 			},
 		},
 	}
+	p.calls = p.http
 	roster.OnChange(p.reassignUnowned)
 	return p
 }
@@ -238,11 +242,13 @@
 
 // serveWork runs a peer's work and responds with its outcome.
 func (p *Peers) serveWork(w http.ResponseWriter, r *http.Request, work batch.Work) {
+	p.recordLoads(r)
 	o := p.runForPeer(r.Context(), work)
 	if completed, ok := o.(batch.Completed); ok && r.Context().Err() != nil {
 		p.local.Free(work.Queue, completed.Handles)
 		return
 	}
+	p.tellLoads(w, r)
 	writeJSON(w, p.responseFor(work.Queue, o))
 }
 
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/hosts"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 // snapshot is the JSON document served on the metrics address.
@@ -59,6 +60,8 @@
 	Conns      guard.ConnStats   `json:"callers_conns"`
 	Goroutines int               `json:"goroutines"`
 	HeapBytes  uint64            `json:"heap_bytes"`
+	// Even shows how evenly the upstreams of each pool are loaded that state their pace.
+	Even map[string]route.EvenStats `json:"even"`
 }
 
 func (r *Relay) metricsHandler() http.Handler {
@@ -83,6 +86,7 @@
 		Queues:     r.dispatcher.Stats(),
 		Memory:     r.memory.Stats(),
 		Conns:      r.conns.Stats(),
+		Even:       r.table.EvenStats(r.Now()),
 		Goroutines: runtime.NumGoroutine(),
 		HeapBytes:  mem.HeapAlloc,
 	}
--- a/internal/root/route/entry.go
+++ b/internal/root/route/entry.go
@@ -33,6 +33,8 @@
 	Limited bool
 	// Cold means that the upstream is cold, so that a permit for it must be used at once. Pick sets it.
 	Cold bool
+	// Estimate is what is expected of the upstream. Pick sets it in pools whose upstreams state their pace.
+	Estimate Estimate
 }
 
 // Incarnation identifies one start of an upstream.
@@ -107,6 +109,8 @@
 
 	report   stage.Load
 	reportAt time.Time
+	// reportShared reports that another host has told the report.
+	reportShared bool
 	// inFlightAtReport is the number of this host's attempts in flight at the time of the report, and othersInFlight the number of requests in the report that other hosts sent.
 	inFlightAtReport int
 	othersInFlight   int
@@ -132,6 +136,9 @@
 	slotFreedAt time.Time
 	// rejectedAt is when the upstream last turned a request of this host away for want of room.
 	rejectedAt time.Time
+	// pace is how long work takes there, and sent are the times of this host's sends.
+	pace paceBook
+	sent sentTimes
 }
 
 func newEntry(up Upstream) *entry {
@@ -187,6 +194,7 @@
 func (e *entry) setReport(load stage.Load, at time.Time) {
 	e.report = load
 	e.reportAt = at
+	e.pace.record(load, at)
 	e.inFlightAtReport = e.inFlightAt(at)
 	e.othersInFlight = max(0, load.Busy+load.Queued-e.inFlightAtReport)
 }
