--- a/internal/model/queue.go
+++ b/internal/model/queue.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
+	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/relay/room"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
@@ -68,6 +70,7 @@
 			})
 		}
 	}
+	s.upstreams[p.Name] = ups
 	spec := *s.plan.Pools[p.Name].Worker
 	shards := batch.ShardWorkers(p.Name, ups)
 	for _, shard := range batch.SortedShards(shards) {
@@ -127,8 +130,12 @@
 	shard := candidates[0]
 	sentAt := s.now
 	w.Queue = shard.Queue
+	w.Chain = s.withReports(h, w, shard)
 	finish := func(o batch.Outcome) {
+		report := s.queues[shard.Queue].q.Report(s.now, shard.Queue)
 		s.after(s.settings.Hop.D(), func() {
+			report.Age = s.settings.Hop.D()
+			h.reports.Record(s.now, report)
 			refused, ok := o.(batch.Refused)
 			if !ok || cancel.canceled {
 				done(o, shard.Queue)
@@ -184,3 +191,28 @@
 		f()
 	}
 }
+
+// connectQueues tells each queue which part of the other pools its requests use.
+func (s *simulation) connectQueues() {
+	workers := map[string]map[batch.Shard][]route.Upstream{}
+	specs := map[string]plan.Worker{}
+	for _, p := range s.settings.Pools {
+		workers[p.Name] = batch.ShardWorkers(p.Name, s.upstreams[p.Name])
+		specs[p.Name] = *s.plan.Pools[p.Name].Worker
+	}
+	for pool, shards := range workers {
+		for shard := range shards {
+			s.queues[shard.Queue].q.SetPools(pool, batch.PartsOfPools(pool, shard, workers, specs))
+		}
+	}
+}
+
+// withReports returns the chain of the work with what the host knows of the queues in the failure domain of the shard.
+func (s *simulation) withReports(h *host, w batch.Work, shard batch.Shard) *room.Request {
+	if w.Chain == nil {
+		return nil
+	}
+	chain := *w.Chain
+	chain.Reports = h.reports.Reports(s.now, batch.QueuesOfChain(chain, shard, s.shards))
+	return &chain
+}
--- a/internal/model/simulation.go
+++ b/internal/model/simulation.go
@@ -8,6 +8,8 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/graph"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/relay/room"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 // settleTime is how long after the last arrival the simulation goes on.
@@ -33,6 +35,8 @@
 	domain string
 	times  graph.Times
 	picker batch.Picker
+	// reports are what the host knows of the queues.
+	reports room.Book
 }
 
 // simulation is one run.
@@ -50,10 +54,12 @@
 	queues     map[string]*queue
 	queueNames []string
 	shards     map[string][]batch.Shard
-	requests   map[string]*request
-	attempts   int
-	handles    int
-	result     *Result
+	// upstreams are the workers of each pool.
+	upstreams map[string][]route.Upstream
+	requests  map[string]*request
+	attempts  int
+	handles   int
+	result    *Result
 }
 
 func requestID(n int) string {
@@ -63,16 +69,17 @@
 // Run simulates the deployment.
 func Run(settings *Settings, o Options) *Result {
 	s := &simulation{
-		settings: settings,
-		options:  o,
-		arrivals: rand.New(rand.NewPCG(o.Seed, 1)),
-		rng:      rand.New(rand.NewPCG(o.Seed, 2)),
-		routes:   map[string]plan.Route{},
-		workers:  map[string]*worker{},
-		queues:   map[string]*queue{},
-		shards:   map[string][]batch.Shard{},
-		requests: map[string]*request{},
-		result:   newResult(settings, o),
+		settings:  settings,
+		options:   o,
+		arrivals:  rand.New(rand.NewPCG(o.Seed, 1)),
+		rng:       rand.New(rand.NewPCG(o.Seed, 2)),
+		routes:    map[string]plan.Route{},
+		workers:   map[string]*worker{},
+		queues:    map[string]*queue{},
+		shards:    map[string][]batch.Shard{},
+		requests:  map[string]*request{},
+		upstreams: map[string][]route.Upstream{},
+		result:    newResult(settings, o),
 	}
 	s.now = epoch
 	s.plan, s.routes = planOf(settings)
@@ -84,6 +91,7 @@
 	for i := range settings.Pools {
 		s.addPool(&settings.Pools[i])
 	}
+	s.connectQueues()
 	for i := range settings.Kinds {
 		s.planArrivals(&settings.Kinds[i])
 	}
--- a/internal/root/relay/batch/admit.go
+++ b/internal/root/relay/batch/admit.go
@@ -32,6 +32,17 @@
 			After: min(max(expectedWait/2, minRetryAfter), maxRetryAfter),
 		}
 	}
+	if q.reserves(w) {
+		if r := q.reserve(now, j); r != nil {
+			q.stats.Refused++
+			q.stats.RefusedFor[r.Pool]++
+			return nil, &Refused{
+				After: min(max(r.After, minRetryAfter), maxRetryAfter),
+				Pool:  r.Pool,
+			}
+		}
+		q.stats.Reserved++
+	}
 	q.jobs = append(q.jobs, j)
 	q.pacer.recordArrivals(now, len(w.Pieces))
 	return j, nil
@@ -47,6 +58,9 @@
 	if expectedWait+q.callTime(j.Work) > j.HardTimeout {
 		return true
 	}
+	if q.reserves(j.Work) {
+		return expectedWait > j.Chain.Slack
+	}
 	return j.AdmitWithin > 0 && expectedWait+q.sharedCallTime(j.Work, q.Waiting()) > j.AdmitWithin
 }
 
--- a/internal/root/relay/batch/dispatcher.go
+++ b/internal/root/relay/batch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/limit"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/relay/room"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
@@ -60,6 +61,8 @@
 	onReleasable func(queue string, handles []string)
 	// onLeaving is called with workers that announced that they are leaving.
 	onLeaving func(i route.Incarnation)
+	// reports is what this host knows of all queues.
+	reports room.Book
 	// onLimit is called with the limit that a worker states in the response to a call sent at the given time.
 	onLimit func(up route.Upstream, perSecond float64, sentAt time.Time)
 }
@@ -116,15 +119,21 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	kept := map[string]bool{}
+	sharded := map[string]map[Shard][]route.Upstream{}
+	specs := map[string]plan.Worker{}
 	for name, pool := range p.Pools {
 		if pool.Worker == nil {
 			continue
 		}
-		shards := ShardWorkers(name, byPool[name])
+		sharded[name] = ShardWorkers(name, byPool[name])
+		specs[name] = *pool.Worker
+	}
+	for name, shards := range sharded {
 		d.shards[name] = SortedShards(shards)
 		for s, workers := range shards {
 			kept[s.Queue] = true
-			d.updateQueue(s.Queue, *pool.Worker, workers)
+			d.updateQueue(s.Queue, specs[name], workers)
+			d.queues[s.Queue].SetPools(name, PartsOfPools(name, s, sharded, specs))
 		}
 	}
 	d.retireQueues(kept)
@@ -218,6 +227,9 @@
 		log.WithField("result_kb", w.ResultBytes>>10).WithField("room_kb", q.usableRoom()>>10).Warn("Work refused: no worker has room for one of its results.")
 		return
 	}
+	if r.Pool != "" {
+		log = log.WithField("pool", r.Pool).WithField("slack_ms", w.Chain.Slack.Milliseconds())
+	}
 	log.Info("Work refused: it would not finish in time.")
 }
 
--- a/internal/root/relay/batch/finish.go
+++ b/internal/root/relay/batch/finish.go
@@ -8,7 +8,11 @@
 // CompleteCall records the results of a call, one for each item. It returns the jobs that have ended, and the results to free because no job needs them.
 func (q *Queue) CompleteCall(now time.Time, c *Call, results []Result) (ended []*Job, unused []string) {
 	took := now.Sub(c.startedAt)
+	q.observePace(now, c, results)
 	q.removeCall(c)
+	if q.Waiting() >= max(1, q.spec.Batch) {
+		c.worker.idleSince = now
+	}
 	q.stats.Pieces += int64(len(c.Items))
 	c.worker.recordSuccess(now, took, c.baseline)
 	q.updateItemTimes(c, took)
@@ -38,6 +42,9 @@
 		p.job.remaining--
 		p.job.resultsByDomain[c.Upstream.Domain]++
 		if p.job.remaining == 0 {
+			if now.After(p.job.softDeadline) {
+				q.stats.Late++
+			}
 			q.releaseInputs(p.job)
 			q.endJob(p.job, Completed{
 				Handles: p.job.handles,
@@ -83,6 +90,7 @@
 // removeCall removes a call from the running calls.
 func (q *Queue) removeCall(c *Call) {
 	c.worker.calls--
+	c.worker.idleSince = time.Time{}
 	q.stats.Calls++
 	q.running = slices.DeleteFunc(q.running, func(o *Call) bool { return o == c })
 }
--- a/internal/root/relay/batch/job.go
+++ b/internal/root/relay/batch/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cornelwing/cornelwing/internal/root/relay/room"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
@@ -22,6 +23,9 @@
 	// lastCallAt is when a piece was last put into a call. inputsReleased is set once the inputs were released; the pieces can't be computed again after that.
 	lastCallAt     time.Time
 	inputsReleased bool
+	// claims is what is reserved for the request, and reservedFor the time by which its work must have begun.
+	claims      []room.Claim
+	reservedFor time.Time
 	// resultsByDomain counts the results by the failure domain that holds them.
 	resultsByDomain map[string]int
 }
@@ -72,6 +76,9 @@
 	startedAt time.Time
 	// baseline is how long the call is expected to take at a worker of normal speed.
 	baseline time.Duration
+	// saturated is set if more work waited than the call could take, and idleSince is since when the worker could have begun it.
+	saturated bool
+	idleSince time.Time
 	// hedged is set once the call has taken too long and its pieces were queued for another worker as well.
 	hedged bool
 }
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -165,6 +165,8 @@
 	if len(c.Items) == 0 {
 		return nil
 	}
+	c.saturated = len(c.Items) >= batch || q.Waiting() > 0
+	c.idleSince = w.idleSince
 	w.calls++
 	w.recordCall(now)
 	q.running = append(q.running, c)
--- a/internal/root/relay/batch/queue.go
+++ b/internal/root/relay/batch/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/relay/room"
 	"github.com/cornelwing/cornelwing/internal/root/retry"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
@@ -46,6 +47,13 @@
 	// returns spreads the callers that come back when a paused worker can be used again.
 	returns retry.Returns
 	stats   Stats
+	// ledger holds what requests whose first work came to this queue need of the pools, which are set by SetPools.
+	ledger room.Ledger
+	pool   string
+	pools  map[string]room.Pool
+	// pace is that of the own workers, and reports hold those of other queues.
+	pace    room.Pace
+	reports room.Book
 }
 
 // NewQueue returns an empty queue for workers with the properties in spec.
@@ -57,7 +65,8 @@
 		itemTimes:  map[costClass]time.Duration{},
 		releasable: map[string][]string{},
 		stats: Stats{
-			Missed: map[Reason]int64{},
+			Missed:     map[Reason]int64{},
+			RefusedFor: map[string]int64{},
 		},
 	}
 }
@@ -119,6 +128,9 @@
 func (q *Queue) endJob(j *Job, o Outcome) {
 	j.Outcome = o
 	j.waiting = nil
+	if _, ok := o.(Completed); !ok {
+		q.giveBack(j)
+	}
 	if i := slices.Index(q.jobs, j); i >= 0 {
 		q.jobs = slices.Delete(q.jobs, i, i+1)
 	}
--- a/internal/root/relay/batch/stats.go
+++ b/internal/root/relay/batch/stats.go
@@ -1,5 +1,7 @@
 package batch
 
+import "maps"
+
 // Stats counts what one queue has done on this host.
 type Stats struct {
 	// Waiting is the number of pieces that wait now.
@@ -15,6 +17,11 @@
 	Missed map[Reason]int64 `json:"missed"`
 	// Refused counts the work that was refused on arrival.
 	Refused int64 `json:"refused"`
+	// Reserved counts the requests for which all stages were reserved, and RefusedFor those that were refused as a pool of their chain had no time for them, by pool.
+	Reserved   int64            `json:"reserved,omitempty"`
+	RefusedFor map[string]int64 `json:"refused_for,omitempty"`
+	// Late counts the work that ended later than its request needed it to be on time.
+	Late int64 `json:"late,omitempty"`
 }
 
 // Stats returns the counters of each queue by its name. Queues that have made no call and refused no work are left out.
@@ -32,6 +39,7 @@
 		for reason, n := range q.stats.Missed {
 			s.Missed[reason] = n
 		}
+		s.RefusedFor = maps.Clone(q.stats.RefusedFor)
 		out[name] = s
 	}
 	return out
--- a/internal/root/relay/batch/work.go
+++ b/internal/root/relay/batch/work.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cornelwing/cornelwing/internal/root/relay/room"
 )
 
 // Piece is one part of a request's work at a stage.
@@ -37,6 +39,8 @@
 	Resumed bool `json:"resumed,omitempty"`
 	// AdmitWithin, if not 0, is the time within which the work must end. Work that would end later is refused at once, as its request has not begun and its caller can come back.
 	AdmitWithin time.Duration `json:"admit_within,omitempty"`
+	// Chain is set on the first work of a request, and says what its stages need of all pools. The request is refused at once if they can't all end in time.
+	Chain *room.Request `json:"chain,omitempty"`
 	// Domain is the failure domain in which the work should run: the one that holds its inputs if they are large, otherwise the one in which the results are needed.
 	Domain string `json:"domain,omitempty"`
 	// TransferBytes is how many bytes of inputs or results cross from one failure domain to another if the worker is outside Domain.
@@ -55,6 +59,10 @@
 	if w.AdmitWithin > 0 {
 		w.AdmitWithin = max(time.Nanosecond, w.AdmitWithin-d)
 	}
+	if w.Chain != nil {
+		chain := w.Chain.WithElapsed(d)
+		w.Chain = &chain
+	}
 	return w
 }
 
@@ -75,6 +83,8 @@
 // Refused reports that no part of the work was or will be done; After is the delay before a retry.
 type Refused struct {
 	After time.Duration
+	// Pool is the pool of a later stage that has no time for the request, or "". It is known to the owner of the queue alone.
+	Pool string
 }
 
 // Failed reports that the work was abandoned, and the reason.
--- a/internal/root/relay/batch/worker.go
+++ b/internal/root/relay/batch/worker.go
@@ -47,6 +47,8 @@
 	// perSecond is the number of calls per second that the worker takes, or 0 if it names no limit, and nextCall the earliest time of the next one.
 	perSecond float64
 	nextCall  time.Time
+	// idleSince is since when the worker has been idle while work waited, or zero.
+	idleSince time.Time
 }
 
 func (w *worker) available(now time.Time, slots int) bool {
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -204,8 +204,10 @@
 	if len(s.DependsOn) == 0 {
 		w.Key = g.requestHead.PieceKey
 		if g.stageRuns == 1 && g.sends == 0 {
-			w.AdmitWithin = g.graph().AdmitWithin(now, &g.stageTimes, i)
+			g.askForRoom(now, &w)
 		}
+	} else if domain := g.leadDomain(); domain != "" && s.ResultBytes*int64(n) < localityBytes {
+		w.Domain = domain
 	}
 	if left, ok := g.retentionLeft(s.DependsOn); ok {
 		w.HardTimeout = min(w.HardTimeout, left)
@@ -228,6 +230,29 @@
 	return w
 }
 
+// askForRoom adds to the first work of the request what all of its stages need. AdmitWithin is for hosts of the build before, which don't know the chain.
+func (g *stageGraph) askForRoom(now time.Time, w *batch.Work) {
+	if w.Stage != g.graph().LeadStage() {
+		return
+	}
+	w.AdmitWithin = g.graph().AdmitWithin(now, &g.stageTimes, w.Stage)
+	w.Chain = g.graph().Needs()
+	if w.Chain != nil {
+		w.Chain.Rank = w.Rank
+	}
+}
+
+// leadDomain returns the failure domain in which the first work of the request ran, as its later stages are reserved there, or "" if it is not done.
+func (g *stageGraph) leadDomain() string {
+	lead := g.graph().LeadStage()
+	if lead < 0 {
+		return ""
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.results[lead].Domain
+}
+
 // keepsPrefixDomain reports whether stage i is a final stage whose results, of size bytes, are large, but cheaper to transfer than processing the shared prompt parts again. The request then goes to the failure domain that has cached these parts, wherever the results are.
 func (g *stageGraph) keepsPrefixDomain(i int, size int64) bool {
 	if size < localityBytes || size > g.requestHead.sharedTokens()*promptTokenBytes {
--- a/internal/root/relay/graph/request.go
+++ b/internal/root/relay/graph/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/relay/room"
 )
 
 const (
@@ -15,6 +16,8 @@
 	callTimeFactor = 1.4
 	// toleranceShare is the share of its slack by which a request may be expected to be late and still begin. The times of later stages are known only from earlier requests, and trouble with a few workers raises them for a moment.
 	toleranceShare = 0.5
+	// minSlackShare is the least share of the slack with usual calls that counts where full calls leave less.
+	minSlackShare = 0.25
 	// startDelaySafety and startDelayMargin shorten the start delay of a stage, so that no other stage has to wait if this stage is slow. Its chain may take startDelaySafety times its expected time, plus startDelayMargin.
 	startDelaySafety = 1.5
 	startDelayMargin = 100 * time.Millisecond
@@ -86,15 +89,60 @@
 
 // slack returns how long the request may wait over all stages and still be on time.
 func (r *Request) slack() time.Duration {
+	return r.slackWith(r.expectedCallTime)
+}
+
+// slackWith returns the slack with the time of a call by timeOf.
+func (r *Request) slackWith(timeOf func(stage int) time.Duration) time.Duration {
 	var longest time.Duration
 	for i, s := range r.Route.Stages {
 		if len(s.DependsOn) == 0 && r.PieceCount(i) > 0 {
-			longest = max(longest, r.expectedCallTime(i)+r.longestChain(i, r.expectedCallTime))
+			longest = max(longest, timeOf(i)+r.longestChain(i, timeOf))
 		}
 	}
 	return r.Route.Objective - longest - onTimeEngineTime
 }
 
+// LeadStage returns the stage with which the request begins: the one that depends on no other whose chain is expected to take longest.
+func (r *Request) LeadStage() int {
+	lead := -1
+	var longest time.Duration
+	for i, s := range r.Route.Stages {
+		if len(s.DependsOn) > 0 || r.PieceCount(i) == 0 {
+			continue
+		}
+		if t := r.expectedCallTime(i) + r.longestChain(i, r.expectedCallTime); lead < 0 || t > longest {
+			lead = i
+			longest = t
+		}
+	}
+	return lead
+}
+
+// Needs returns what the stages need of all pools, and how long they may wait in all. It returns nil for a request that would be late even if nothing else waited, or that continues a stream.
+func (r *Request) Needs() *room.Request {
+	idle := r.slack()
+	if r.Resumed || idle <= 0 {
+		return nil
+	}
+	slack := max(r.slackWith(r.fullCallTime), time.Duration(minSlackShare*float64(idle)))
+	out := &room.Request{
+		Slack: slack,
+		Rank:  r.Route.Rank,
+	}
+	for i, s := range r.Route.Stages {
+		if n := r.PieceCount(i); n > 0 {
+			out.Needs = append(out.Needs, room.Need{
+				Pool:   s.Pool,
+				Stage:  i,
+				Pieces: n,
+				Bytes:  s.ResultBytes,
+			})
+		}
+	}
+	return out
+}
+
 // StartDelay returns how long to delay the start of a stage that depends on no other, so that its chain ends about when the longest chain ends. An earlier start would only make its results occupy memory at their worker for longer.
 func (r *Request) StartDelay(now time.Time, t *Times, i int) time.Duration {
 	var longest time.Duration
@@ -145,3 +193,12 @@
 	}
 	return time.Duration(callTimeFactor * float64(w.Call))
 }
+
+// fullCallTime returns the time of a full call to a worker of the stage's pool.
+func (r *Request) fullCallTime(stage int) time.Duration {
+	w := r.Plan.Pools[r.Route.Stages[stage].Pool].Worker
+	if w == nil {
+		return 0
+	}
+	return w.Call + time.Duration(max(1, w.Batch))*w.PieceTime
+}
--- a/internal/root/relay/hosts/forward.go
+++ b/internal/root/relay/hosts/forward.go
@@ -23,6 +23,7 @@
 	for _, s := range p.picker.Candidates(start, w, p.local.Shards(w.Pool), p.roster.self.Domain) {
 		inQueue := w.WithElapsed(p.Now().Sub(start))
 		inQueue.Queue = s.Queue
+		inQueue = p.local.WithReports(inQueue, s)
 		var free func()
 		o, free = p.doInQueue(ctx, s, inQueue)
 		switch completed := o.(type) {
@@ -95,6 +96,7 @@
 	if owner.Name == p.Host {
 		o = p.local.Do(ctx, w)
 		if _, ok := o.(batch.OwnerChanged); !ok {
+			p.recordOwnReport(w.Queue)
 			return o, nil
 		}
 		return nil, p.currentOwner(w.Queue)
@@ -102,6 +104,9 @@
 	a, err := p.runOnHost(ctx, owner, down, w)
 	switch {
 	case err == nil && a.Owner == nil:
+		if a.Report != nil {
+			p.local.RecordReport(*a.Report)
+		}
 		return a.outcome(), nil
 	case err == nil && !a.Leaving:
 		return nil, a.Owner
@@ -113,6 +118,13 @@
 	return nil, p.currentOwner(w.Queue)
 }
 
+// recordOwnReport records what this host knows of a queue that it owns.
+func (p *Peers) recordOwnReport(queue string) {
+	if r, ok := p.local.Report(queue); ok {
+		p.local.RecordReport(r)
+	}
+}
+
 func (p *Peers) currentOwner(queue string) *Host {
 	owner, _ := p.roster.Owner(queue)
 	return &owner
--- a/internal/root/relay/hosts/hosts_test.go
+++ b/internal/root/relay/hosts/hosts_test.go
@@ -14,6 +14,7 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
+	"github.com/cornelwing/cornelwing/internal/root/relay/room"
 	"github.com/cornelwing/cornelwing/internal/stand"
 )
 
@@ -136,6 +137,16 @@
 	f.freed = append(f.freed, handles...)
 }
 
+func (f *fakeLocalQueues) Report(string) (room.Report, bool) {
+	return room.Report{}, false
+}
+
+func (f *fakeLocalQueues) RecordReport(room.Report) {}
+
+func (f *fakeLocalQueues) WithReports(w batch.Work, _ batch.Shard) batch.Work {
+	return w
+}
+
 func (f *fakeLocalQueues) Shards(pool string) []batch.Shard {
 	return []batch.Shard{{Queue: pool}}
 }
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -12,6 +12,7 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/jhttp"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
+	"github.com/cornelwing/cornelwing/internal/root/relay/room"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 )
 
@@ -50,6 +51,10 @@
 	ReassignUnstarted(owns func(queue string) bool)
 	// Shards returns the queues of a pool.
 	Shards(pool string) []batch.Shard
+	// Report returns what senders of work need to know of a queue of this host, RecordReport records it for a queue of any host, and WithReports adds what is known to work.
+	Report(queue string) (r room.Report, ok bool)
+	RecordReport(r room.Report)
+	WithReports(w batch.Work, s batch.Shard) batch.Work
 }
 
 // workResponse is the response to a request to run work. It contains the handles and their domain, a delay after which to retry, the reason of a failure, or the owner of the queue.
@@ -61,6 +66,8 @@
 	// Owner is the host to send the work to instead, and Leaving is set if the responding host is about to stop.
 	Owner   *Host `json:"owner,omitempty"`
 	Leaving bool  `json:"leaving,omitempty"`
+	// Report is about the queue. Hosts of an older build send none.
+	Report *room.Report `json:"report,omitempty"`
 }
 
 func (p *Peers) responseFor(queue string, o batch.Outcome) workResponse {
@@ -235,7 +242,11 @@
 		p.local.Free(work.Queue, completed.Handles)
 		return
 	}
-	writeJSON(w, p.responseFor(work.Queue, o))
+	response := p.responseFor(work.Queue, o)
+	if report, ok := p.local.Report(work.Queue); ok && response.Owner == nil {
+		response.Report = &report
+	}
+	writeJSON(w, response)
 }
 
 // runForPeer runs a peer's work if this host owns the queue, or if the work sets ForceLocal and this host is not about to stop. Otherwise it returns OwnerChanged.
