--- a/internal/root/relay/batch/reserve.go
+++ b/internal/root/relay/batch/reserve.go
@@ -10,7 +10,7 @@
 )
 
 // capacityShare is the share of what a pool does that is reserved. The rest is for calls that are not full at once, and for requests that are not reserved.
-const capacityShare = 0.95
+const capacityShare = 0.92
 
 // SetPools sets the pool of the queue, and the parts of the pools for which it reserves work, by pool.
 func (q *Queue) SetPools(own string, pools map[string]room.Pool) {
@@ -29,7 +29,7 @@
 		q.reports.Record(now, r)
 	}
 	claims := q.claims(j.Work)
-	refused := q.ledger.Reserve(now, claims, j.Chain.Slack, func(pool string) float64 { return q.capacity(now, pool) })
+	refused := q.ledger.Reserve(now, j.Chain.Rank, claims, j.Chain.Slack, func(pool string) float64 { return q.capacity(now, pool) })
 	if refused == nil {
 		j.claims = claims
 		j.reservedFor = now.Add(j.Chain.Slack)
@@ -39,7 +39,9 @@
 
 // giveBack ends the reservation of a request that does not go on.
 func (q *Queue) giveBack(j *Job) {
-	q.ledger.Cancel(j.claims, j.reservedFor)
+	if len(j.claims) > 0 {
+		q.ledger.Cancel(j.Chain.Rank, j.claims, j.reservedFor)
+	}
 	j.claims = nil
 }
 
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -282,6 +282,7 @@
 		resp.Header.Del("Content-Length")
 		if ev.count == 1 {
 			x.Table.RecordAnswering(x.Now(), x.upstream.Name)
+			x.stageTimes.ObserveEngine(x.Now(), x.route.Name, x.Now().Sub(sentAt))
 		}
 		x.sendHead(resp)
 		x.freeAllResults()
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -236,7 +236,7 @@
 		return
 	}
 	w.AdmitWithin = g.graph().AdmitWithin(now, &g.stageTimes, w.Stage)
-	w.Chain = g.graph().Needs()
+	w.Chain = g.graph().Needs(now, &g.stageTimes)
 	if w.Chain != nil {
 		w.Chain.Rank = w.Rank
 	}
--- a/internal/root/relay/graph/request.go
+++ b/internal/root/relay/graph/request.go
@@ -89,18 +89,18 @@
 
 // slack returns how long the request may wait over all stages and still be on time.
 func (r *Request) slack() time.Duration {
-	return r.slackWith(r.expectedCallTime)
+	return r.slackWith(r.expectedCallTime, onTimeEngineTime)
 }
 
-// slackWith returns the slack with the time of a call by timeOf.
-func (r *Request) slackWith(timeOf func(stage int) time.Duration) time.Duration {
+// slackWith returns the slack with the time of a call by timeOf, and the time that the engine takes.
+func (r *Request) slackWith(timeOf func(stage int) time.Duration, engineTime time.Duration) time.Duration {
 	var longest time.Duration
 	for i, s := range r.Route.Stages {
 		if len(s.DependsOn) == 0 && r.PieceCount(i) > 0 {
 			longest = max(longest, timeOf(i)+r.longestChain(i, timeOf))
 		}
 	}
-	return r.Route.Objective - longest - onTimeEngineTime
+	return r.Route.Objective - longest - engineTime
 }
 
 // LeadStage returns the stage with which the request begins: the one that depends on no other whose chain is expected to take longest.
@@ -120,12 +120,13 @@
 }
 
 // Needs returns what the stages need of all pools, and how long they may wait in all. It returns nil for a request that would be late even if nothing else waited, or that continues a stream.
-func (r *Request) Needs() *room.Request {
+func (r *Request) Needs(now time.Time, t *Times) *room.Request {
 	idle := r.slack()
 	if r.Resumed || idle <= 0 {
 		return nil
 	}
-	slack := max(r.slackWith(r.fullCallTime), time.Duration(minSlackShare*float64(idle)))
+	engineTime := t.EngineTime(now, r.Route.Name)
+	slack := max(r.slackWith(r.fullCallTime, engineTime), time.Duration(minSlackShare*float64(idle)))
 	out := &room.Request{
 		Slack: slack,
 		Rank:  r.Route.Rank,
--- a/internal/root/relay/graph/times.go
+++ b/internal/root/relay/graph/times.go
@@ -66,3 +66,16 @@
 	weight := math.Exp(-float64(now.Sub(v.at)) / float64(stageTimeDecay))
 	return fallback + time.Duration(weight*float64(v.average-fallback))
 }
+
+// engineStage is the index under which the times of engines are kept, by route.
+const engineStage = -1
+
+// ObserveEngine adds the time from sending a request of a route to its engine until the first event of the response.
+func (t *Times) ObserveEngine(now time.Time, route string, took time.Duration) {
+	t.Observe(now, route, engineStage, took)
+}
+
+// EngineTime returns the time until an engine's first event that a request of a route is planned with: the average, or the usual time if that is longer.
+func (t *Times) EngineTime(now time.Time, route string) time.Duration {
+	return max(onTimeEngineTime, t.average(now, route, engineStage, onTimeEngineTime))
+}
--- a/internal/root/relay/room/ledger.go
+++ b/internal/root/relay/room/ledger.go
@@ -25,14 +25,17 @@
 	After time.Duration
 }
 
-// Reserve reserves the work of a request, which may wait for slack, or returns why it can't be done in time. capacity returns how much work a pool does per second, in seconds of a worker.
-func (l *Ledger) Reserve(now time.Time, claims []Claim, slack time.Duration, capacity func(pool string) float64) *Refusal {
+// Reserve reserves the work of a request of a rank, which may wait for slack, or returns why it can't be done in time. capacity returns how much work a pool does per second, in seconds of a worker.
+func (l *Ledger) Reserve(now time.Time, rank int, claims []Claim, slack time.Duration, capacity func(pool string) float64) *Refusal {
 	sums := sum(claims)
+	due := now.Add(slack)
 	var refused *Refusal
 	for _, c := range sums {
+		perSecond := capacity(c.Pool)
 		a := l.account(c.Pool)
-		a.advance(now, capacity(c.Pool))
-		late := a.lateBy(now, now.Add(slack), c.Work, capacity(c.Pool))
+		a.advance(now, perSecond)
+		late := a.lateBy(now, rank, due, c.Work, perSecond)
+		a.rank(rank).asked.add(now, c.Work)
 		if late > 0 && (refused == nil || late > refused.After) {
 			refused = &Refusal{
 				Pool:  c.Pool,
@@ -44,15 +47,17 @@
 		return refused
 	}
 	for _, c := range sums {
-		l.account(c.Pool).add(now.Add(slack), c.Work)
+		r := l.account(c.Pool).rank(rank)
+		r.reserved.add(now, c.Work)
+		r.add(due, c.Work)
 	}
 	return nil
 }
 
-// Cancel gives back what was reserved for a request that does not go on.
-func (l *Ledger) Cancel(claims []Claim, due time.Time) {
+// Cancel gives back what was reserved for a request of a rank that does not go on, and whose work was due at a time.
+func (l *Ledger) Cancel(rank int, claims []Claim, due time.Time) {
 	for _, c := range sum(claims) {
-		l.account(c.Pool).remove(due, c.Work)
+		l.account(c.Pool).rank(rank).remove(due, c.Work)
 	}
 }
 
