--- a/internal/model/queue.go
+++ b/internal/model/queue.go
@@ -62,6 +62,9 @@
 		for range n {
 			name := fmt.Sprintf("%s-%d", p.Name, len(ups))
 			s.workers[name] = newWorker(p)
+			if p.Name == s.options.SlowPool && len(ups)%3 == 0 {
+				s.workers[name].slowness = s.options.SlowFactor
+			}
 			ups = append(ups, route.Upstream{
 				Name:   name,
 				Addr:   name,
--- a/internal/model/result.go
+++ b/internal/model/result.go
@@ -30,6 +30,8 @@
 	OnTime  int    `json:"on_time"`
 	Late    int    `json:"late"`
 	Refused int    `json:"refused"`
+	// Left is how many callers left before they had an answer.
+	Left int `json:"left,omitempty"`
 	// Limit is how many could have been on time according to the fluid limit.
 	Limit int `json:"limit"`
 }
@@ -122,6 +124,7 @@
 		sum.OnTime += k.OnTime
 		sum.Late += k.Late
 		sum.Refused += k.Refused
+		sum.Left += k.Left
 		sum.Limit += k.Limit
 	}
 	return sum
--- a/internal/model/simulation.go
+++ b/internal/model/simulation.go
@@ -28,6 +28,14 @@
 	Seed uint64
 	// ReleaseAfter is how long after a request is sent to its engine the results of its stages are freed, or 0 if they are freed with its first event.
 	ReleaseAfter time.Duration
+	// SlowFactor is how many times longer calls take at a third of the workers of the pool SlowPool.
+	SlowPool   string
+	SlowFactor float64
+	// RepeatAtOnce lets callers come back at once after a refusal.
+	RepeatAtOnce bool
+	// LeaveShare is the share of callers who leave after LeaveAfter.
+	LeaveShare float64
+	LeaveAfter time.Duration
 }
 
 // host is an entry host with what it has learned.
--- a/internal/model/worker.go
+++ b/internal/model/worker.go
@@ -11,12 +11,15 @@
 	pool      *Pool
 	held      map[string]int64
 	heldBytes int64
+	// slowness is how many times longer than usual calls take.
+	slowness float64
 }
 
 func newWorker(p *Pool) *worker {
 	return &worker{
-		pool: p,
-		held: map[string]int64{},
+		pool:     p,
+		held:     map[string]int64{},
+		slowness: 1,
 	}
 }
 
@@ -63,6 +66,7 @@
 		r.workTime += pieceTime + w.pool.Call.D()/time.Duration(len(c.Items))
 		results[i].Handle = handle
 	}
+	took = time.Duration(w.slowness * float64(took))
 	q.counts.add(c, took)
 	s.after(took+2*s.settings.Hop.D(), func() { s.endCall(q, c, results) })
 }
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -59,21 +59,39 @@
 	return out
 }
 
-// order returns the order of jobs for workers of the domain: those of resumed requests come first, then those that can be on time, then by rank, by whether their results are needed in the domain, and by the time left to be on time. Of equal ones the earlier comes first.
+// order returns the order of jobs for workers of the domain: those of resumed requests come first, then those that can be on time, then those with a reservation that must go now, then by rank, by whether their results are needed in the domain, and by the time left to be on time. Of equal ones the earlier comes first.
 func (q *Queue) order(now time.Time, domain string) func(a, b *Job) int {
 	waiting := q.Waiting()
 	late := func(j *Job) bool { return now.Add(q.timeToEnd(j, waiting)).After(j.softDeadline) }
+	rank := func(j *Job) int {
+		if q.isLastChance(now, j, waiting) {
+			return lastChanceRank
+		}
+		return j.Rank
+	}
 	return func(a, b *Job) int {
 		return cmp.Or(
 			common.CompareBool(!a.Resumed, !b.Resumed),
 			common.CompareBool(late(a), late(b)),
-			cmp.Compare(a.Rank, b.Rank),
+			cmp.Compare(rank(a), rank(b)),
 			common.CompareBool(a.Domain != domain, b.Domain != domain),
 			a.softDeadline.Compare(b.softDeadline),
 		)
 	}
 }
 
+// lastChanceRank is the rank of work that goes before that of all ranks.
+const lastChanceRank = -1
+
+// isLastChance reports whether work for which time was reserved must go into the next call to be on time. Less urgent requests are only given what more urgent ones leave, but what they were given they get.
+func (q *Queue) isLastChance(now time.Time, j *Job, waiting int) bool {
+	if j.Chain == nil && !j.Reserved {
+		return false
+	}
+	end := now.Add(q.timeToEnd(j, waiting))
+	return !end.After(j.softDeadline) && end.Add(q.sharedCallTime(j.Work, waiting)).After(j.softDeadline)
+}
+
 // timeToEnd returns how long a job is expected to take once it is put into a call. Work with inputs takes as long as a call that is filled with what waits. With the time of its own pieces alone, the jobs with the least time left would go first, and all be done a little late. Other work has time to catch up at its later stages.
 func (q *Queue) timeToEnd(j *Job, waiting int) time.Duration {
 	if !j.hasInputs() {
--- a/internal/root/relay/batch/reserve.go
+++ b/internal/root/relay/batch/reserve.go
@@ -9,8 +9,12 @@
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
-// capacityShare is the share of what a pool does that is reserved. The rest is for calls that are not full at once, and for requests that are not reserved.
-const capacityShare = 0.92
+const (
+	// capacityShare is the share of what a pool does that is reserved. The rest is for calls that are not full at once, and for requests that are not reserved.
+	capacityShare = 0.97
+	// marginShare is the part of its slack that a request keeps, as a share of the fixed time of a call, since calls do not begin when it comes.
+	marginShare = 0.5
+)
 
 // SetPools sets the pool of the queue, and the parts of the pools for which it reserves work, by pool.
 func (q *Queue) SetPools(own string, pools map[string]room.Pool) {
@@ -29,10 +33,11 @@
 		q.reports.Record(now, r)
 	}
 	claims := q.claims(j.Work)
-	refused := q.ledger.Reserve(now, j.Chain.Rank, claims, j.Chain.Slack, func(pool string) float64 { return q.capacity(now, pool) })
+	slack := max(j.Chain.Slack-time.Duration(marginShare*float64(q.spec.Call)), j.Chain.Slack/2)
+	refused := q.ledger.Reserve(now, j.Chain.Rank, claims, slack, func(pool string) float64 { return q.capacity(now, pool) })
 	if refused == nil {
 		j.claims = claims
-		j.reservedFor = now.Add(j.Chain.Slack)
+		j.reservedFor = now.Add(slack)
 	}
 	return refused
 }
--- a/internal/root/relay/batch/work.go
+++ b/internal/root/relay/batch/work.go
@@ -41,6 +41,8 @@
 	AdmitWithin time.Duration `json:"admit_within,omitempty"`
 	// Chain is set on the first work of a request, and says what its stages need of all pools. The request is refused at once if they can't all end in time.
 	Chain *room.Request `json:"chain,omitempty"`
+	// Reserved reports that the work was reserved by the first work of its request.
+	Reserved bool `json:"reserved,omitempty"`
 	// Domain is the failure domain in which the work should run: the one that holds its inputs if they are large, otherwise the one in which the results are needed.
 	Domain string `json:"domain,omitempty"`
 	// TransferBytes is how many bytes of inputs or results cross from one failure domain to another if the worker is outside Domain.
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -203,11 +203,9 @@
 	}
 	if len(s.DependsOn) == 0 {
 		w.Key = g.requestHead.PieceKey
-		if g.stageRuns == 1 && g.sends == 0 {
-			g.askForRoom(now, &w)
-		}
-	} else if domain := g.leadDomain(); domain != "" && s.ResultBytes*int64(n) < localityBytes {
-		w.Domain = domain
+	}
+	if g.stageRuns == 1 && g.sends == 0 && g.graph().CanWait() {
+		g.askForRoom(now, &w)
 	}
 	if left, ok := g.retentionLeft(s.DependsOn); ok {
 		w.HardTimeout = min(w.HardTimeout, left)
@@ -230,15 +228,19 @@
 	return w
 }
 
-// askForRoom adds to the first work of the request what all of its stages need. AdmitWithin is for hosts of the build before, which don't know the chain.
+// askForRoom adds to the first work of the request what all of its stages need, and to other work that this was reserved. AdmitWithin is for hosts of the build before, which don't know the chain.
 func (g *stageGraph) askForRoom(now time.Time, w *batch.Work) {
-	if w.Stage != g.graph().LeadStage() {
+	if w.Stage == g.graph().LeadStage() {
+		w.AdmitWithin = g.graph().AdmitWithin(now, &g.stageTimes, w.Stage)
+		w.Chain = g.graph().Needs(now, &g.stageTimes)
+		w.Chain.Rank = w.Rank
 		return
 	}
-	w.AdmitWithin = g.graph().AdmitWithin(now, &g.stageTimes, w.Stage)
-	w.Chain = g.graph().Needs(now, &g.stageTimes)
-	if w.Chain != nil {
-		w.Chain.Rank = w.Rank
+	w.Reserved = true
+	s := g.route.Stages[w.Stage]
+	size := s.ResultBytes * int64(g.requestHead.pieceCount(w.Stage))
+	if domain := g.leadDomain(); len(s.DependsOn) > 0 && domain != "" && size < localityBytes {
+		w.Domain = domain
 	}
 }
 
--- a/internal/root/relay/graph/request.go
+++ b/internal/root/relay/graph/request.go
@@ -119,12 +119,14 @@
 	return lead
 }
 
-// Needs returns what the stages need of all pools, and how long they may wait in all. It returns nil for a request that would be late even if nothing else waited, or that continues a stream.
+// CanWait reports whether the request can wait at its stages and still be on time. One that continues a stream waits behind no other.
+func (r *Request) CanWait() bool {
+	return !r.Resumed && r.slack() > 0
+}
+
+// Needs returns what the stages need of all pools, and how long they may wait in all. The request must be one that can wait.
 func (r *Request) Needs(now time.Time, t *Times) *room.Request {
 	idle := r.slack()
-	if r.Resumed || idle <= 0 {
-		return nil
-	}
 	engineTime := t.EngineTime(now, r.Route.Name)
 	slack := max(r.slackWith(r.fullCallTime, engineTime), time.Duration(minSlackShare*float64(idle)))
 	out := &room.Request{
--- a/internal/root/relay/room/account.go
+++ b/internal/root/relay/room/account.go
@@ -66,14 +66,21 @@
 	return r
 }
 
-// advance lets the pool work until now.
+// advance lets the pool work until now. minShare of the work is done for the least urgent.
 func (a *account) advance(now time.Time, capacity float64) {
 	done := time.Duration(capacity * float64(max(0, now.Sub(a.at))))
 	if a.at.IsZero() {
 		done = 0
 	}
 	a.at = now
-	for _, rank := range slices.Sorted(maps.Keys(a.ranks)) {
+	ranks := slices.Sorted(maps.Keys(a.ranks))
+	kept := time.Duration(minShare * float64(done))
+	done -= kept
+	for i := len(ranks) - 1; i >= 0; i-- {
+		kept = a.ranks[ranks[i]].advance(kept)
+	}
+	done += kept
+	for _, rank := range ranks {
 		done = a.ranks[rank].advance(done)
 	}
 }
@@ -112,16 +119,18 @@
 
 // lateBy returns by how much work of a rank that is due at a time, or other work of the rank behind it, would be late, or 0 if all can be done in time.
 func (a *account) lateBy(now time.Time, rank int, due time.Time, work time.Duration, capacity float64) time.Duration {
-	ahead := work
+	var urgent time.Duration
 	for other, r := range a.ranks {
 		if other < rank {
-			ahead += r.total()
+			urgent += r.total()
 		}
 	}
+	ahead := work
 	perSecond := a.share(now, rank, capacity)
+	kept := max(minShare*capacity, minCapacity)
 	var late time.Duration
 	check := func(by time.Time) {
-		needed := time.Duration(float64(ahead) / perSecond)
+		needed := time.Duration(min(float64(urgent+ahead)/perSecond, float64(ahead)/kept))
 		late = max(late, needed-max(0, by.Sub(now)))
 	}
 	checked := false
