--- a/internal/root/relay/batch/job.go
+++ b/internal/root/relay/batch/job.go
@@ -76,7 +76,7 @@
 	startedAt time.Time
 	// baseline is how long the call is expected to take at a worker of normal speed.
 	baseline time.Duration
-	// saturated is set if more work waited than the call could take, and idleSince is since when the worker could have begun it.
+	// saturated is set if the call is full or as many pieces as fill another one went on waiting, and idleSince is since when the worker could have begun it.
 	saturated bool
 	idleSince time.Time
 	// hedged is set once the call has taken too long and its pieces were queued for another worker as well.
--- a/internal/root/relay/batch/next.go
+++ b/internal/root/relay/batch/next.go
@@ -183,7 +183,7 @@
 	if len(c.Items) == 0 {
 		return nil
 	}
-	c.saturated = len(c.Items) >= batch || q.Waiting() > 0
+	c.saturated = len(c.Items) >= batch || q.Waiting() >= batch
 	c.idleSince = w.idleSince
 	w.calls++
 	w.recordCall(now)
--- a/internal/root/relay/batch/reserve.go
+++ b/internal/root/relay/batch/reserve.go
@@ -11,7 +11,7 @@
 
 const (
 	// capacityShare is the share of what a pool does that is reserved. The rest is for calls that are not full at once, and for requests that are not reserved.
-	capacityShare = 0.97
+	capacityShare = 0.95
 	// marginShare is the part of its slack that a request keeps, as a share of the fixed time of a call, since calls do not begin when it comes.
 	marginShare = 0.5
 )
