--- a/internal/model/simulation.go
+++ b/internal/model/simulation.go
@@ -8,6 +8,8 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/graph"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/relay/room"
+	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
 // settleTime is how long after the last arrival the simulation goes on.
@@ -26,6 +28,14 @@
 	Seed uint64
 	// ReleaseAfter is how long after a request is sent to its engine the results of its stages are freed, or 0 if they are freed with its first event.
 	ReleaseAfter time.Duration
+	// SlowFactor is how many times longer calls take at a third of the workers of the pool SlowPool.
+	SlowPool   string
+	SlowFactor float64
+	// RepeatAtOnce lets callers come back at once after a refusal.
+	RepeatAtOnce bool
+	// LeaveShare is the share of callers who leave after LeaveAfter.
+	LeaveShare float64
+	LeaveAfter time.Duration
 }
 
 // host is an entry host with what it has learned.
@@ -33,6 +43,8 @@
 	domain string
 	times  graph.Times
 	picker batch.Picker
+	// reports are what the host knows of the queues.
+	reports room.Book
 }
 
 // simulation is one run.
@@ -50,10 +62,12 @@
 	queues     map[string]*queue
 	queueNames []string
 	shards     map[string][]batch.Shard
-	requests   map[string]*request
-	attempts   int
-	handles    int
-	result     *Result
+	// upstreams are the workers of each pool.
+	upstreams map[string][]route.Upstream
+	requests  map[string]*request
+	attempts  int
+	handles   int
+	result    *Result
 }
 
 func requestID(n int) string {
@@ -63,16 +77,17 @@
 // Run simulates the deployment.
 func Run(settings *Settings, o Options) *Result {
 	s := &simulation{
-		settings: settings,
-		options:  o,
-		arrivals: rand.New(rand.NewPCG(o.Seed, 1)),
-		rng:      rand.New(rand.NewPCG(o.Seed, 2)),
-		routes:   map[string]plan.Route{},
-		workers:  map[string]*worker{},
-		queues:   map[string]*queue{},
-		shards:   map[string][]batch.Shard{},
-		requests: map[string]*request{},
-		result:   newResult(settings, o),
+		settings:  settings,
+		options:   o,
+		arrivals:  rand.New(rand.NewPCG(o.Seed, 1)),
+		rng:       rand.New(rand.NewPCG(o.Seed, 2)),
+		routes:    map[string]plan.Route{},
+		workers:   map[string]*worker{},
+		queues:    map[string]*queue{},
+		shards:    map[string][]batch.Shard{},
+		requests:  map[string]*request{},
+		upstreams: map[string][]route.Upstream{},
+		result:    newResult(settings, o),
 	}
 	s.now = epoch
 	s.plan, s.routes = planOf(settings)
@@ -84,6 +99,7 @@
 	for i := range settings.Pools {
 		s.addPool(&settings.Pools[i])
 	}
+	s.connectQueues()
 	for i := range settings.Kinds {
 		s.planArrivals(&settings.Kinds[i])
 	}
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -300,6 +300,7 @@
 		if ev.count == 1 {
 			x.Table.RecordAnswering(x.Now(), x.upstream.Name)
 			x.Table.RecordFirstEvent(x.upstream, x.Now().Sub(sentAt))
+			x.stageTimes.ObserveEngine(x.Now(), x.route.Name, x.Now().Sub(sentAt))
 		}
 		x.sendHead(resp)
 		x.freeAllResults()
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -204,9 +204,9 @@
 	}
 	if len(s.DependsOn) == 0 {
 		w.Key = g.requestHead.PieceKey
-		if g.stageRuns == 1 && g.sends == 0 {
-			w.AdmitWithin = g.graph().AdmitWithin(now, &g.stageTimes, i)
-		}
+	}
+	if g.stageRuns == 1 && g.sends == 0 && g.graph().CanWait() {
+		g.askForRoom(now, &w)
 	}
 	if left, ok := g.retentionLeft(s.DependsOn); ok {
 		w.HardTimeout = min(w.HardTimeout, left)
@@ -229,6 +229,33 @@
 	return w
 }
 
+// askForRoom adds to the first work of the request what all of its stages need, and to other work that this was reserved. AdmitWithin is for hosts of the build before, which don't know the chain.
+func (g *stageGraph) askForRoom(now time.Time, w *batch.Work) {
+	if w.Stage == g.graph().LeadStage() {
+		w.AdmitWithin = g.graph().AdmitWithin(now, &g.stageTimes, w.Stage)
+		w.Chain = g.graph().Needs(now, &g.stageTimes)
+		w.Chain.Rank = w.Rank
+		return
+	}
+	w.Reserved = true
+	s := g.route.Stages[w.Stage]
+	size := s.ResultBytes * int64(g.requestHead.pieceCount(w.Stage))
+	if domain := g.leadDomain(); len(s.DependsOn) > 0 && domain != "" && size < localityBytes {
+		w.Domain = domain
+	}
+}
+
+// leadDomain returns the failure domain in which the first work of the request ran, as its later stages are reserved there, or "" if it is not done.
+func (g *stageGraph) leadDomain() string {
+	lead := g.graph().LeadStage()
+	if lead < 0 {
+		return ""
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.results[lead].Domain
+}
+
 // keepsPrefixDomain reports whether stage i is a final stage whose results, of size bytes, are large, but cheaper to transfer than processing the shared prompt parts again. The request then goes to the failure domain that has cached these parts, wherever the results are.
 func (g *stageGraph) keepsPrefixDomain(i int, size int64) bool {
 	if size < localityBytes || size > g.requestHead.sharedTokens()*promptTokenBytes {
--- a/internal/root/relay/hosts/forward.go
+++ b/internal/root/relay/hosts/forward.go
@@ -25,6 +25,7 @@
 	for _, s := range p.candidates(start, w) {
 		inQueue := w.WithElapsed(p.Now().Sub(start))
 		inQueue.Queue = s.Queue
+		inQueue = p.local.WithReports(inQueue, s)
 		var free func()
 		o, free = p.doInQueue(ctx, s, inQueue)
 		switch completed := o.(type) {
@@ -98,6 +99,7 @@
 	if owner.Name == p.Host {
 		o = p.local.Do(ctx, w)
 		if _, ok := o.(batch.OwnerChanged); !ok {
+			p.recordOwnReport(w.Queue)
 			return o, nil
 		}
 		return nil, p.currentOwner(w.Queue)
@@ -105,6 +107,9 @@
 	a, err := p.runOnHost(ctx, owner, down, w)
 	switch {
 	case err == nil && a.Owner == nil:
+		if a.Report != nil {
+			p.local.RecordReport(*a.Report)
+		}
 		return a.outcome(), nil
 	case errors.Is(err, errUnknownPath) && w.Regions.Bound():
 		return nil, &p.roster.self
@@ -118,6 +123,13 @@
 	return nil, p.currentOwner(w.Queue)
 }
 
+// recordOwnReport records what this host knows of a queue that it owns.
+func (p *Peers) recordOwnReport(queue string) {
+	if r, ok := p.local.Report(queue); ok {
+		p.local.RecordReport(r)
+	}
+}
+
 func (p *Peers) currentOwner(queue string) *Host {
 	owner, _ := p.roster.Owner(queue)
 	return &owner
