--- a/internal/root/relay/batch/reserve.go
+++ b/internal/root/relay/batch/reserve.go
@@ -115,7 +115,7 @@
 func countWorkers(ups []route.Upstream) int {
 	n := 0
 	for _, u := range ups {
-		if !u.Leaving {
+		if !u.Closed() {
 			n++
 		}
 	}
--- a/internal/root/relay/room/need.go
+++ b/internal/root/relay/room/need.go
@@ -1,8 +1,12 @@
 package room
 
 import (
+	"encoding/json"
+	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 )
 
@@ -19,6 +23,23 @@
 	Bytes int64 `json:"bytes,omitempty"`
 }
 
+// ErrInvalidNeed is returned for a need without a pool or with a negative figure.
+var ErrInvalidNeed = errors.New("need is not valid")
+
+// UnmarshalJSON decodes a need and checks its figures.
+func (n *Need) UnmarshalJSON(b []byte) error {
+	type plain Need
+	var p plain
+	if err := json.Unmarshal(b, &p); err != nil {
+		return fmt.Errorf("decode need: %w", err)
+	}
+	if p.Pool == "" || p.Stage < 0 || p.Pieces < 0 || p.Bytes < 0 {
+		return fmt.Errorf("check need: %w", ErrInvalidNeed)
+	}
+	*n = Need(p)
+	return nil
+}
+
 // Request is what a request needs of all pools.
 type Request struct {
 	Needs []Need `json:"needs"`
