--- a/internal/root/relay/batch/reserve.go
+++ b/internal/root/relay/batch/reserve.go
@@ -32,6 +32,10 @@
 	for _, r := range j.Chain.Reports {
 		q.reports.Record(now, r)
 	}
+	if !q.busy() {
+		// The workers have been faster than their specification, or the requests did not go on.
+		q.ledger.Clear(q.pool)
+	}
 	claims := q.claims(j.Work)
 	slack := max(j.Chain.Slack-time.Duration(marginShare*float64(q.spec.Call)), j.Chain.Slack/2)
 	refused := q.ledger.Reserve(now, j.Chain.Rank, claims, slack, func(pool string) float64 { return q.capacity(now, pool) })
--- a/internal/root/relay/batch/reserve_test.go
+++ b/internal/root/relay/batch/reserve_test.go
@@ -166,3 +166,21 @@
 		t.Errorf("work of an older build is %+v, error %v", w, err)
 	}
 }
+
+// Guards against refusals at idle workers that are faster than their specification, in calm (one caller, one request after the other).
+func TestIdleQueueReservesAnew(t *testing.T) {
+	Convey("Requests that end sooner than their workers' specification says leave nothing reserved at an idle queue", t, func() {
+		q := chainQueue()
+		w := workOf("a", 1)
+		w.Chain = &room.Request{
+			Slack: 300 * time.Millisecond,
+			Needs: []room.Need{{Pool: "p", Pieces: 5, Bytes: 8000}},
+		}
+		for i := range 50 {
+			w.Request = fmt.Sprint("r", i)
+			j, refused := q.Add(start.Add(time.Duration(i)*5*time.Millisecond), w)
+			So(refused, ShouldBeNil)
+			q.endJob(j, Completed{})
+		}
+	})
+}
--- a/internal/root/relay/room/ledger.go
+++ b/internal/root/relay/room/ledger.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// Clear ends all reserved work of a pool, which has been done.
+func (l *Ledger) Clear(pool string) {
+	for _, r := range l.account(pool).ranks {
+		r.entries = nil
+	}
+}
+
 func (l *Ledger) account(pool string) *account {
 	if l.pools == nil {
 		l.pools = map[string]*account{}
