--- a/internal/root/relay/fanout/chooser.go
+++ b/internal/root/relay/fanout/chooser.go
@@ -44,7 +44,12 @@
 }
 
 // GiveUp does not read the table for now: the hosts that follow it say that the store fails, and this host has tried it itself not long ago.
-type GiveUp struct{}
+type GiveUp struct {
+	// Until is when this host may try the store again, since boot.
+	Until time.Duration
+	// Unasked is the number of candidates that have not failed just now.
+	Unasked int
+}
 
 func (AskHost) action()  {}
 func (AskStore) action() {}
@@ -169,7 +174,10 @@
 func (c *Chooser) fallBack(now time.Duration, v View) Action {
 	probe := c.storeFails(now, v)
 	if probe && now < c.nextProbe {
-		return GiveUp{}
+		return GiveUp{
+			Until:   c.nextProbe,
+			Unasked: c.unasked(now, v),
+		}
 	}
 	c.fallbacks++
 	c.turning = true
@@ -187,6 +195,17 @@
 	})
 }
 
+// unasked returns the number of candidates that have not failed just now.
+func (c *Chooser) unasked(now time.Duration, v View) int {
+	n := 0
+	for _, name := range v.Candidates {
+		if !c.avoids(now, name) {
+			n++
+		}
+	}
+	return n
+}
+
 // perHost returns the time between two calls of a host if all hosts together make so many per second.
 func perHost(hosts int, rate time.Duration) time.Duration {
 	return time.Duration(hosts) * time.Second / rate
--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -39,11 +39,15 @@
 	// Follows reports that this host reads the table from the store, and AgeMS is how old its knowledge is in milliseconds, or negative if there is none.
 	Follows bool  `json:"follows"`
 	AgeMS   int64 `json:"age_ms"`
-	// StoreCalls and HostCalls count the answers of the store and of other hosts, Told the answers to other hosts, and Fallbacks how often this host turned to the store because no other host could tell.
+	// OldestMS is the highest age that knowledge had when it was renewed, in milliseconds, and Overdue counts how often that was more than the knowledge of another host may be old.
+	OldestMS int64 `json:"oldest_ms"`
+	Overdue  int   `json:"overdue"`
+	// StoreCalls and HostCalls count the answers of the store and of other hosts, Told the answers to other hosts, Fallbacks how often this host turned to the store because no other host could tell, and GaveUp how often it could not do that either.
 	StoreCalls int `json:"store_calls"`
 	HostCalls  int `json:"host_calls"`
 	Told       int `json:"told"`
 	Fallbacks  int `json:"fallbacks"`
+	GaveUp     int `json:"gave_up"`
 }
 
 // Table is a table of the platform's store that is read from the store or from another host. Only one goroutine may read it; others may be told about it at the same time.
@@ -64,6 +68,8 @@
 	// updated is closed and replaced at each change of what other hosts are told.
 	updated chan struct{}
 	counts  TableStats
+	// gaveUpUntil is until when this host does not try the store according to the last log line on that, since boot.
+	gaveUpUntil time.Duration
 }
 
 // Add adds a table that is read from the store by calls that wait up to wait for changes. It must be called before Run of the peers.
@@ -181,16 +187,31 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := t.chooser.Next(now, v)
-	if s, ok := a.(fanout.AskStore); ok {
-		if !v.Follower && s.After > 0 {
-			t.Log.WithField("table", t.name).WithField("candidates", len(v.Candidates)).WithField("pause_ms", s.After.Milliseconds()).WithField("probe", s.Probe).Info("No other host tells the rows of the table. Reading the store.")
+	switch a := a.(type) {
+	case fanout.AskStore:
+		if !v.Follower && a.After > 0 {
+			t.Log.WithField("table", t.name).WithField("candidates", len(v.Candidates)).WithField("pause_ms", a.After.Milliseconds()).WithField("probe", a.Probe).Info("No other host tells the rows of the table. Reading the store.")
 		}
 		return a
+	case fanout.GiveUp:
+		t.noteGiveUp(now, v, a)
 	}
 	t.setFollows(false)
 	return a
 }
 
+// noteGiveUp counts that this host can't read the table for now, and logs it once for each time until which it does not try the store. The caller holds the lock.
+func (t *Table) noteGiveUp(now time.Duration, v fanout.View, g fanout.GiveUp) {
+	t.counts.GaveUp++
+	if g.Until == t.gaveUpUntil {
+		return
+	}
+	t.gaveUpUntil = g.Until
+	confirmedAt, _ := t.record.ConfirmedAt()
+	t.Log.WithField("table", t.name).WithField("age_ms", (now-confirmedAt).Milliseconds()).WithField("candidates", len(v.Candidates)).WithField("unasked", g.Unasked).
+		WithField("store_after_ms", (g.Until-now).Milliseconds()).Info("Neither another host nor the store tells the rows of the table.")
+}
+
 // setFollows records whether this host reads the table from the store. The caller holds the lock.
 func (t *Table) setFollows(follows bool) {
 	if t.follows == follows {
@@ -233,10 +254,26 @@
 	t.chooser.StoreAnswered(t.tables.sinceBoot())
 	t.failing = false
 	t.setFollows(true)
+	t.noteAge("store", position)
 	t.add(r, rows, position, askedAt)
 	return rows, position, nil
 }
 
+// noteAge records how old the knowledge of the table is that a source is about to renew. The caller holds the lock.
+func (t *Table) noteAge(source string, position follow.Position) {
+	confirmedAt, ok := t.record.ConfirmedAt()
+	if !ok {
+		return
+	}
+	age := t.tables.sinceBoot() - confirmedAt
+	t.counts.OldestMS = max(t.counts.OldestMS, age.Milliseconds())
+	if age <= t.maxAge {
+		return
+	}
+	t.counts.Overdue++
+	t.Log.WithField("table", t.name).WithField("age_ms", age.Milliseconds()).WithField("from", source).WithField("version", position.Version).Info("What this host knows of the table was overdue.")
+}
+
 // add adds rows that were read to the record, confirmed at a time since boot. The caller holds the lock.
 func (t *Table) add(r reading, rows []follow.Row, position follow.Position, confirmedAt time.Duration) {
 	if r.whole {
@@ -345,6 +382,7 @@
 		t.chooser.Failed(answeredAt, h.Name, fanout.NotFollowing)
 		return nil, follow.Position{}, errHostFailed
 	}
+	t.noteAge(h.Name, a.position())
 	t.add(r, a.rows(), a.position(), confirmedAt)
 	return a.rows(), a.position(), nil
 }
