--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -209,7 +209,7 @@
 	t.gaveUpUntil = g.Until
 	confirmedAt, _ := t.record.ConfirmedAt()
 	t.Log.WithField("table", t.name).WithField("age_ms", (now-confirmedAt).Milliseconds()).WithField("candidates", len(v.Candidates)).WithField("unasked", g.Unasked).
-		WithField("store_after_ms", (g.Until-now).Milliseconds()).Info("Neither another host nor the store tells the rows of the table.")
+		WithField("store_after_ms", (g.Until - now).Milliseconds()).Info("Neither another host nor the store tells the rows of the table.")
 }
 
 // setFollows records whether this host reads the table from the store. The caller holds the lock.
