--- a/internal/root/relay/fanout/chooser.go
+++ b/internal/root/relay/fanout/chooser.go
@@ -12,14 +12,14 @@
 	passedOverPause   = 5 * time.Second
 	notFollowingPause = 200 * time.Millisecond
 	otherBuildPause   = 30 * time.Second
-	// minStalePause is the shortest time in which a host is not asked again after it could not tell news, and staleRate the rate at which it is asked by all hosts together while that lasts, in questions per second.
+	// minStalePause is the shortest time in which a host is not asked again after it could not tell news, and staleRate the rate at which all hosts together ask it while that lasts, in questions per second.
 	minStalePause = time.Second
 	staleRate     = 100
 	// maxSilences is how many questions in a row a host may leave unanswered before the next one in rank takes its place.
 	maxSilences = 2
 	// maxFailures is how many hosts may fail in a row before the store is read.
 	maxFailures = 2
-	// maxHeard is how many hosts that do not read the store are asked what they have heard of it, between two pauses, and maxDraws how often one of them is drawn until it is one that has not failed just now.
+	// maxHeard is how many random hosts are asked what they have heard, between two pauses, and maxDraws how often one is drawn until it is one that has not failed just now.
 	maxHeard = 4
 	maxDraws = 8
 	// fallbackRate is the rate at which all hosts together turn to the store, in calls per second, and maxFallbackPause the longest pause before that, so that a lease does not expire meanwhile.
@@ -225,11 +225,10 @@
 
 // other returns a random host that has not failed just now.
 func (c *Chooser) other(now time.Duration, v View) (string, bool) {
-	for i := range v.Others {
-		// A few attempts do: most hosts have not failed just now.
-		if i == maxDraws {
-			break
-		}
+	if len(v.Others) == 0 {
+		return "", false
+	}
+	for range maxDraws {
 		name := v.Others[c.random.IntN(len(v.Others))]
 		if !c.avoids(now, name) {
 			return name, true
