--- a/internal/root/relay/fanout/limits.go
+++ b/internal/root/relay/fanout/limits.go
@@ -9,8 +9,9 @@
 	ageSlack = 500 * time.Millisecond
 	// retriesWithin is how often a source that failed is tried again within the time for a change.
 	retriesWithin = 3
-	// minWait is the shortest wait of a call to the store for changes.
-	minWait = 100 * time.Millisecond
+	// minWait is the shortest wait of a call to the store for changes, and minRetry the shortest pause before a source that failed is tried again.
+	minWait  = 100 * time.Millisecond
+	minRetry = 200 * time.Millisecond
 )
 
 // Limits bound how a table is read by the time within which every host must know a change of it.
@@ -31,5 +32,5 @@
 
 // retryWithin returns the longest pause before a source that failed is tried again.
 func (l Limits) retryWithin() time.Duration {
-	return l.Within / retriesWithin
+	return max(minRetry, l.Within/retriesWithin)
 }
