--- a/internal/root/relay/follow/plansink.go
+++ b/internal/root/relay/follow/plansink.go
@@ -71,6 +71,7 @@
 }
 
 func (s *PlanSink) activate(value []byte) {
+	began := s.Now()
 	p, err := s.decode(value)
 	if err != nil {
 		s.Log.WithError(err).Error("Failed to decode the configuration. The previous one stays active, but its keys expire.")
@@ -81,7 +82,8 @@
 		s.Log.WithField("version", p.Version).Info("Ignored a configuration that is not newer than the active one.")
 		return
 	}
-	s.Log.WithField("version", p.Version).WithField("routes", p.RouteCount()).WithField("pools", len(p.Pools)).Info("Configuration activated.")
+	s.Log.WithField("version", p.Version).WithField("routes", p.RouteCount()).WithField("pools", len(p.Pools)).
+		WithField("bytes", len(value)).WithField("decode_ms", s.Now().Sub(began).Milliseconds()).Info("Configuration activated.")
 	for _, problem := range p.Problems {
 		s.Log.WithError(problem).WithField("version", p.Version).Error("A part of the configuration can't be used.")
 	}
--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -46,8 +46,11 @@
 	StoreCalls int `json:"store_calls"`
 	HostCalls  int `json:"host_calls"`
 	Told       int `json:"told"`
-	Fallbacks  int `json:"fallbacks"`
-	GaveUp     int `json:"gave_up"`
+	// ToldBytes counts the bytes of values in answers to other hosts, and LargestBytes is the most of one answer.
+	ToldBytes    int `json:"told_bytes"`
+	LargestBytes int `json:"largest_bytes"`
+	Fallbacks    int `json:"fallbacks"`
+	GaveUp       int `json:"gave_up"`
 }
 
 // Table is a table of the platform's store that is read from the store or from another host. Only one goroutine may read it; others may be told about it at the same time.
--- a/internal/root/relay/hosts/tell.go
+++ b/internal/root/relay/hosts/tell.go
@@ -102,6 +102,7 @@
 func (l listener) told(state tableState, confirmedAt time.Duration) tableAnswer {
 	now := l.tables.sinceBoot()
 	rows, known := l.rows()
+	l.countBytes(rows)
 	return tableAnswer{
 		State:     state,
 		Era:       eraNumber(l.record.Position().Era),
@@ -113,6 +114,16 @@
 	}
 }
 
+// countBytes counts the values of an answer. The caller holds the lock.
+func (t *Table) countBytes(rows []follow.Row) {
+	bytes := 0
+	for _, r := range rows {
+		bytes += len(r.Value)
+	}
+	t.counts.ToldBytes += bytes
+	t.counts.LargestBytes = max(t.counts.LargestBytes, bytes)
+}
+
 // isNews reports whether the store has confirmed the rows since it did so for the other host.
 func (l listener) isNews(confirmedAt time.Duration) bool {
 	if l.question.AgeMS == nil {
