--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -123,6 +123,7 @@
 	local  LocalQueues
 	addr   string
 	http   *http.Transport
+	server *http.Server
 	// calls sends the messages whose bodies are JSON, and loadShare adds load reports to some of them, if it is not nil.
 	calls     http.RoundTripper
 	loadShare *loadShare
@@ -147,6 +148,13 @@
 		roster: roster,
 		local:  local,
 		addr:   addr,
+		server: &http.Server{
+			Protocols: unencryptedHTTP2(),
+			HTTP2: &http.HTTP2Config{
+				SendPingTimeout: 2 * pingInterval,
+				PingTimeout:     pingTimeout,
+			},
+		},
 		http: &http.Transport{
 			MaxResponseHeaderBytes: jhttp.MaxResponseHead,
 			DialContext:            send.Dialer(dialTimeout).DialContext,
@@ -189,16 +197,8 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	srv := &http.Server{
-		Handler:   p.handler(),
-		Protocols: unencryptedHTTP2(),
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: 2 * pingInterval,
-			PingTimeout:     pingTimeout,
-		},
-	}
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(ln) }()
+	go func() { failed <- p.serve(ln) }()
 	up()
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
@@ -207,7 +207,7 @@
 		case err := <-failed:
 			return fmt.Errorf("serve peers: %w", err)
 		case <-ctx.Done():
-			return srv.Close()
+			return p.server.Close()
 		case <-ticker.C:
 			p.roster.forgetUnwritten()
 			p.probeDown(ctx)
@@ -215,6 +215,20 @@
 	}
 }
 
+// serve accepts the messages of other hosts until the server is closed.
+func (p *Peers) serve(ln net.Listener) error {
+	p.server.Handler = p.handler()
+	if err := p.server.Serve(ln); err != nil {
+		return fmt.Errorf("accept connections: %w", err)
+	}
+	return nil
+}
+
+// useDialer sets what opens connections to other hosts. It must be called before Run.
+func (p *Peers) useDialer(dial func(ctx context.Context, network, addr string) (net.Conn, error)) {
+	p.http.DialContext = dial
+}
+
 func (p *Peers) probeDown(ctx context.Context) {
 	for _, h := range p.roster.DueProbes() {
 		go func() {
--- /dev/null
+++ b/internal/root/relay/hosts/thin_test.go
@@ -0,0 +1,219 @@
+package hosts
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
+)
+
+const (
+	// manyRoutes is the number of routes of a large configuration.
+	manyRoutes = 1409
+	// largeRow is the row of the configuration.
+	largeRow = "configuration"
+)
+
+// testRoute is a route of a large configuration, as operators write it.
+type testRoute struct {
+	Name     string `json:"name"`
+	Host     string `json:"host"`
+	Prefix   string `json:"prefix"`
+	Kind     string `json:"route_type"`
+	Timeout  int    `json:"timeout_ms"`
+	Goal     int    `json:"slo_ms"`
+	Priority int    `json:"priority"`
+	Service  string `json:"service"`
+	Attempts int    `json:"max_attempts"`
+	Public   bool   `json:"public"`
+	Sticky   bool   `json:"sticky"`
+	Resume   bool   `json:"resumable"`
+	Gap      int    `json:"gap_slo_ms"`
+}
+
+// largeConfiguration returns the encoded form of a configuration with so many routes.
+func largeConfiguration(random *rand.Rand, version, routes int) []byte {
+	word := func() string { return fmt.Sprintf("%08x", random.Uint32()) }
+	var list []testRoute
+	for range routes {
+		list = append(list, testRoute{
+			Name:     "r-" + word(),
+			Host:     "gozi1.example",
+			Prefix:   "/" + word() + "/",
+			Kind:     "streaming",
+			Timeout:  6000,
+			Goal:     4000,
+			Priority: random.IntN(3),
+			Service:  "s-" + fmt.Sprint(random.IntN(9)),
+			Attempts: 2,
+			Gap:      600,
+		})
+	}
+	// Encoding of plain values does not fail.
+	value, _ := json.Marshal(map[string]any{
+		"version": version,
+		"routes":  list,
+	})
+	return value
+}
+
+// putLarge writes the configuration.
+func (s *tableStore) putLarge(value []byte) {
+	s.mu.Lock()
+	s.values[largeRow] = value
+	s.mu.Unlock()
+	s.put(largeRow)
+}
+
+// transferTime returns how long the rows take over the link of the host.
+func (c *tableCluster) transferTime(h Host, rows []follow.Row) time.Duration {
+	if c.thin == nil {
+		return 0
+	}
+	n := 0
+	for _, r := range rows {
+		n += len(r.Value)
+	}
+	return time.Until(c.thin.linksOf(h.Addr).down.carry(time.Now(), n))
+}
+
+// useThinLinks lets the hosts exchange their messages over thin links instead of calls.
+func (c *tableCluster) useThinLinks() {
+	c.thin = newThinNetwork()
+	for _, h := range c.hosts {
+		h.tables.post = h.peers.post
+		h.peers.useDialer(c.thin.dialerOf(h.host.Addr))
+		ln := c.thin.listen(h.host.Addr)
+		go func() { _ = h.peers.serve(ln) }()
+	}
+}
+
+// runOverThinLinks runs the feeds of all hosts, and real probes of those that are down, until the returned function is called.
+func (c *tableCluster) runOverThinLinks() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, h := range c.hosts {
+		feed := follow.NewFeed(h.tables.Deps, h.tables.eras, testTable, h.table, h, testTableWait)
+		go func() { _ = feed.Run(ctx, func() {}) }()
+		go func() {
+			for common.Sleep(ctx, probeInterval) {
+				h.peers.probeDown(ctx)
+			}
+		}()
+	}
+	return func() {
+		cancel()
+		c.thin.close()
+		time.Sleep(time.Minute)
+	}
+}
+
+// value returns the configuration that the host knows.
+func (h *tableHost) value() []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.large
+}
+
+// thinCourse is how a change of a large configuration went.
+type thinCourse struct {
+	// last is when the last host knew each change, after it was made, or the time for that if one never did.
+	last []time.Duration
+	// takenForDown counts the moments, 10 ms apart, at which a host took another one for down, and fallbacks how often hosts turned to the store.
+	takenForDown, fallbacks int
+}
+
+// thinCase is a configuration and the links that carry it.
+type thinCase struct {
+	name   string
+	routes int
+	// busy is the share of each link that other bytes fill, and slow by how much longer each call to the store takes.
+	busy float64
+	slow time.Duration
+}
+
+// playThinLinks changes a large configuration twice in hosts of two failure domains, and waits for each change up to the bound.
+func playThinLinks(sc thinCase, hosts int, bound time.Duration) thinCourse {
+	random := rand.New(rand.NewPCG(49, 1))
+	c := newTableCluster(hosts, rand.New(rand.NewPCG(49, 2)))
+	c.store.slow = sc.slow
+	c.useThinLinks()
+	defer c.runOverThinLinks()()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, h := range c.hosts {
+		if sc.busy > 0 {
+			go c.thin.occupy(ctx, h.host.Addr, sc.busy)
+		}
+	}
+	time.Sleep(3 * time.Second)
+	var course thinCourse
+	for version := 1; version <= 2; version++ {
+		value := largeConfiguration(random, version, sc.routes)
+		c.store.putLarge(value)
+		course.last = append(course.last, c.awaitAll(value, bound, &course))
+	}
+	for _, h := range c.hosts {
+		course.fallbacks += h.table.stats().Fallbacks
+	}
+	return course
+}
+
+// awaitAll waits until all hosts know the configuration, up to the bound, and returns how long that took.
+func (c *tableCluster) awaitAll(value []byte, bound time.Duration, course *thinCourse) time.Duration {
+	const tick = 10 * time.Millisecond
+	start := time.Now()
+	for time.Since(start) < bound {
+		time.Sleep(tick)
+		missing := 0
+		for _, h := range c.hosts {
+			if h.roster.anyDown() {
+				course.takenForDown++
+			}
+			if !bytes.Equal(h.value(), value) {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return time.Since(start)
+		}
+	}
+	return bound
+}
+
+// Guards against hosts that learn too late of a large configuration, since one host sends it whole to all its hearers, and against sound hosts that are taken for down because their answers to pings wait behind those bytes (CONFIG, issue 49).
+func TestLargeConfigurationReachesHostsOverThinLinks(t *testing.T) {
+	cases := []thinCase{
+		{name: "idle links", routes: manyRoutes},
+		{name: "links that are half full", routes: manyRoutes, busy: 0.5},
+		{name: "links that are mostly full", routes: manyRoutes, busy: 0.7},
+		{name: "a slow store", routes: manyRoutes, slow: 600 * time.Millisecond},
+		{name: "three times the routes", routes: 3 * manyRoutes},
+		{name: "three times the routes over links that are half full", routes: 3 * manyRoutes, busy: 0.5},
+	}
+	const hosts = 40
+	for _, sc := range cases {
+		t.Run(sc.name, func(t *testing.T) {
+			var course thinCourse
+			synctest.Test(t, func(*testing.T) { course = playThinLinks(sc, hosts, 4*changeBound) })
+			t.Logf("%+v", course)
+			for i, last := range course.last {
+				if last > changeBound {
+					t.Errorf("change %d reached the last host after %v, more than %v", i+1, last, changeBound)
+				}
+			}
+			if course.takenForDown > 0 {
+				t.Errorf("sound hosts were taken for down, at %d moments", course.takenForDown)
+			}
+			if course.fallbacks > 0 {
+				t.Errorf("hosts turned to the store %d times", course.fallbacks)
+			}
+		})
+	}
+}
