--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -12,6 +12,7 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/jhttp"
 	"github.com/cornelwing/cornelwing/internal/root/place"
+	"github.com/cornelwing/cornelwing/internal/root/relay/alive"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/room"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
@@ -20,9 +21,10 @@
 const (
 	// dialTimeout is the timeout for connecting to a peer.
 	dialTimeout = 300 * time.Millisecond
-	// pingInterval is how long a connection to a peer is idle before it is pinged, and pingTimeout how long the reply may take.
-	pingInterval = 400 * time.Millisecond
-	pingTimeout  = 500 * time.Millisecond
+	// pingInterval is how long a connection to a peer is idle before it is pinged. The peer is lost if nothing has arrived from it for callerSilence on a connection that this host opened, or for serverSilence on one that the peer opened.
+	pingInterval  = 400 * time.Millisecond
+	callerSilence = 900 * time.Millisecond
+	serverSilence = 1300 * time.Millisecond
 	// probeTimeout is the timeout of the probe of a host that is down.
 	probeTimeout = 400 * time.Millisecond
 	// maxOwnerAttempts is how many hosts are tried for the same work, because hosts may disagree for a moment about the owner of a queue. The first quickOwnerAttempts are each followed by the next attempt at once, and later ones after ownerRetryPause.
@@ -122,8 +124,10 @@
 	roster *Roster
 	local  LocalQueues
 	addr   string
-	http   *http.Transport
-	server *http.Server
+	// http carries messages, and streams the tunnels on connections of their own, so that no message waits behind their bytes.
+	http    *http.Transport
+	streams *http.Transport
+	server  *http.Server
 	// calls sends the messages whose bodies are JSON, and loadShare adds load reports to some of them, if it is not nil.
 	calls     http.RoundTripper
 	loadShare *loadShare
@@ -152,24 +156,28 @@
 			Protocols: unencryptedHTTP2(),
 			HTTP2: &http.HTTP2Config{
 				SendPingTimeout: 2 * pingInterval,
-				PingTimeout:     pingTimeout,
-			},
-		},
-		http: &http.Transport{
-			MaxResponseHeaderBytes: jhttp.MaxResponseHead,
-			DialContext:            send.Dialer(dialTimeout).DialContext,
-			Protocols:              unencryptedHTTP2(),
-			HTTP2: &http.HTTP2Config{
-				SendPingTimeout: pingInterval,
-				PingTimeout:     pingTimeout,
 			},
 		},
+		http:    newTransport(),
+		streams: newTransport(),
 	}
+	p.useDialer(send.Dialer(dialTimeout).DialContext)
 	p.calls = p.http
 	roster.OnChange(p.reassignUnowned)
 	return p
 }
 
+// newTransport returns a transport to other hosts without a dialer.
+func newTransport() *http.Transport {
+	return &http.Transport{
+		MaxResponseHeaderBytes: jhttp.MaxResponseHead,
+		Protocols:              unencryptedHTTP2(),
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingInterval,
+		},
+	}
+}
+
 // reassignUnowned ends local work that has not started in queues that other hosts own now.
 func (p *Peers) reassignUnowned() {
 	p.local.ReassignUnstarted(func(queue string) bool {
@@ -178,7 +186,7 @@
 	})
 }
 
-// unencryptedHTTP2 selects HTTP/2 without TLS, so that there is one connection to each peer, and pings on it detect that the peer no longer responds.
+// unencryptedHTTP2 selects HTTP/2 without TLS, so that there is one connection to each peer, on which pings make the peer send something while it is idle.
 func unencryptedHTTP2() *http.Protocols {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
@@ -218,15 +226,16 @@
 // serve accepts the messages of other hosts until the server is closed.
 func (p *Peers) serve(ln net.Listener) error {
 	p.server.Handler = p.handler()
-	if err := p.server.Serve(ln); err != nil {
+	if err := p.server.Serve(alive.Listen(ln, serverSilence)); err != nil {
 		return fmt.Errorf("accept connections: %w", err)
 	}
 	return nil
 }
 
 // useDialer sets what opens connections to other hosts. It must be called before Run.
-func (p *Peers) useDialer(dial func(ctx context.Context, network, addr string) (net.Conn, error)) {
-	p.http.DialContext = dial
+func (p *Peers) useDialer(dial alive.Dial) {
+	p.http.DialContext = alive.Dialer(dial, callerSilence)
+	p.streams.DialContext = p.http.DialContext
 }
 
 func (p *Peers) probeDown(ctx context.Context) {
--- a/internal/root/relay/hosts/tunnels.go
+++ b/internal/root/relay/hosts/tunnels.go
@@ -178,7 +178,7 @@
 		end()
 		return nil, fmt.Errorf("make request: %w", err)
 	}
-	resp, err := t.peers.http.RoundTrip(req)
+	resp, err := t.peers.streams.RoundTrip(req)
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = refusalOf(resp)
 	}
