--- a/internal/jhttp/call.go
+++ b/internal/jhttp/call.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 )
 
 // ContentType is the media type of request and response bodies.
@@ -30,6 +31,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Transfer is how long the body took to arrive after the head.
+	Transfer time.Duration
 }
 
 // Do sends the request once, without retries or redirects, and returns the response. If the response breaks off, it returns the part of it that has arrived beside the error.
@@ -54,15 +57,17 @@
 	}
 	defer resp.Body.Close()
 	watchdog.expect(c.Timeouts.Stall)
+	headAt := time.Now()
 	body, err := io.ReadAll(io.LimitReader(watchedReader{
 		Reader:   resp.Body,
 		watchdog: watchdog,
 		timeout:  c.Timeouts.Stall,
 	}, c.Limit))
 	answer := Response{
-		Status: resp.StatusCode,
-		Header: resp.Header,
-		Body:   body,
+		Status:   resp.StatusCode,
+		Header:   resp.Header,
+		Body:     body,
+		Transfer: time.Since(headAt),
 	}
 	if err != nil {
 		return answer, fmt.Errorf("read answer after %d bytes: %w", len(body), causeOf(ctx, err))
--- a/internal/root/relay/hosts/catchup.go
+++ b/internal/root/relay/hosts/catchup.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/jhttp"
+	"github.com/cornelwing/cornelwing/internal/root/relay/bulk"
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
@@ -21,7 +22,7 @@
 	pathCatchUp = "/catch-up"
 	// maxCatchUpHosts is how many hosts are asked at once, so that a large number of hosts does not ask each other all at the same time.
 	maxCatchUpHosts = 8
-	// catchUpTimeout is the timeout of one call.
+	// catchUpTimeout is how long no byte of the answer to a call may arrive.
 	catchUpTimeout = 500 * time.Millisecond
 )
 
@@ -46,13 +47,17 @@
 // catchUpRequest asks for what is newer than the sender's configuration.
 type catchUpRequest struct {
 	Version int64 `json:"version"`
+	// Parcels reports that the sender understands parcels. A host of an older build does not state it.
+	Parcels bool `json:"parcels,omitempty"`
 }
 
 // catchUpResponse holds the version of the responding host's configuration, the configuration if it is newer than the sender's, and the upstreams that are leaving or have left.
 type catchUpResponse struct {
-	Version       int64               `json:"version"`
-	Configuration []byte              `json:"configuration,omitempty"`
-	Leavers       []route.Incarnation `json:"leavers,omitempty"`
+	Version       int64  `json:"version"`
+	Configuration []byte `json:"configuration,omitempty"`
+	// parcel holds the configuration instead if the sender of the request understands that.
+	parcel
+	Leavers []route.Incarnation `json:"leavers,omitempty"`
 	// Evacuations are the orders to evacuate failure domains that the store lacks since it was restored.
 	Evacuations []follow.EvacuationNotice `json:"evacuations,omitempty"`
 	// Informed is set if the responding host knows more than what it has just read. A host of an older build does not state it.
@@ -69,7 +74,7 @@
 	if err := json.Unmarshal(b, &p); err != nil {
 		return fmt.Errorf("decode response: %w", err)
 	}
-	if len(p.Configuration) > 0 && p.Version <= 0 {
+	if (len(p.Configuration) > 0 || !p.parcel.empty()) && p.Version <= 0 {
 		return fmt.Errorf("check response: %w", errInvalidCatchUp)
 	}
 	*c = catchUpResponse(p)
@@ -125,13 +130,24 @@
 
 // learnFrom asks one host, and reports whether it knows more than what it has just read.
 func (p *Peers) learnFrom(ctx context.Context, h Host) (informed bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
 	version, _ := p.knowledge.Newest()
 	var resp catchUpResponse
-	if err := p.post(ctx, h, pathCatchUp, catchUpRequest{Version: version}, &resp); err != nil {
+	request := catchUpRequest{
+		Version: version,
+		Parcels: true,
+	}
+	timeouts := jhttp.Timeouts{
+		Head:  catchUpTimeout,
+		Stall: catchUpTimeout,
+	}
+	if _, err := p.call(ctx, h, pathCatchUp, timeouts, request, &resp); err != nil {
 		return false, fmt.Errorf("ask for newer knowledge: %w", err)
 	}
+	if !resp.parcel.empty() {
+		if resp.Configuration, err = p.blocks.open(ctx, resp.parcel, h); err != nil {
+			return false, fmt.Errorf("read newer configuration: %w", err)
+		}
+	}
 	if len(resp.Configuration) > 0 {
 		p.Log.WithField("host", h.Name).WithField("version", resp.Version).WithField("known", version).Info("Another host has a newer configuration.")
 		p.knowledge.Offer(resp.Configuration)
@@ -145,6 +161,19 @@
 	return resp.Informed, nil
 }
 
+// packConfiguration returns the configuration as it is, or in a parcel if that is understood.
+func (p *Peers) packConfiguration(configuration []byte, parcels bool) ([]byte, parcel) {
+	if !parcels || len(configuration) <= plainBytes {
+		return configuration, parcel{}
+	}
+	data, err := bulk.Compress(configuration)
+	if err != nil {
+		p.Log.WithError(err).Warn("The configuration could not be packed. It is sent as it is.")
+		return configuration, parcel{}
+	}
+	return nil, p.blocks.parcelOf(data)
+}
+
 // tellNewer answers another host that asks for newer knowledge.
 func (p *Peers) tellNewer(w http.ResponseWriter, r *http.Request) {
 	var req catchUpRequest
@@ -158,7 +187,7 @@
 	}
 	var configuration []byte
 	if resp.Version, configuration = p.knowledge.Newest(); resp.Version > req.Version {
-		resp.Configuration = configuration
+		resp.Configuration, resp.parcel = p.packConfiguration(configuration, req.Parcels)
 	}
 	w.Header().Set("Content-Type", jhttp.ContentType)
 	// A failed write needs no handling: the host that asked is gone or asks again.
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -136,6 +136,8 @@
 	knowledge Knowledge
 	// domains are the regions of failure domains; they are set before Run is called.
 	domains place.Domains
+	// blocks carries large contents of messages.
+	blocks *blocks
 	// services handle the other messages of hosts; all are added before Run is called.
 	services []peerService
 }
@@ -163,6 +165,8 @@
 	}
 	p.useDialer(send.Dialer(dialTimeout).DialContext)
 	p.calls = p.http
+	p.blocks = newBlocks(p)
+	p.services = append(p.services, p.blocks)
 	roster.OnChange(p.reassignUnowned)
 	return p
 }
--- a/internal/root/relay/hosts/tables.go
+++ b/internal/root/relay/hosts/tables.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/jhttp"
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 )
 
@@ -52,6 +53,9 @@
 	AgeMS *int64 `json:"age_ms,omitempty"`
 	// Heard asks for what the host knows from whomever, at once, if the store has confirmed it more recently than what the asking host knows.
 	Heard bool `json:"heard,omitempty"`
+	// Parcels reports that the host that asks understands parcels, and From is its name. A host of an older build states neither.
+	Parcels bool   `json:"parcels,omitempty"`
+	From    string `json:"from,omitempty"`
 }
 
 // UnmarshalJSON decodes a question and checks its figures.
@@ -97,6 +101,8 @@
 	// Truncated is set if the host cannot tell the changes, so that the whole table must be read.
 	Truncated bool       `json:"truncated,omitempty"`
 	Rows      []tableRow `json:"rows,omitempty"`
+	// parcel holds the rows instead if they are many, and the other host understands that.
+	parcel
 	// HeldMS is the time since the question arrived, and AgeMS the time since the call by which the store confirmed the rows.
 	HeldMS int64 `json:"held_ms"`
 	AgeMS  int64 `json:"age_ms"`
@@ -109,10 +115,8 @@
 	if err := json.Unmarshal(b, &p); err != nil {
 		return fmt.Errorf("decode answer: %w", err)
 	}
-	for _, r := range p.Rows {
-		if r.Key == "" {
-			return fmt.Errorf("check answer: row without a key: %w", errTableMessage)
-		}
+	if err := tableAnswer(p).checkRows(); err != nil {
+		return err
 	}
 	if p.State == "" || p.Version < 0 || p.HeldMS < 0 || p.AgeMS < 0 {
 		return fmt.Errorf("check answer: %w", errTableMessage)
@@ -121,6 +125,16 @@
 	return nil
 }
 
+// checkRows returns an error if a row has no key.
+func (a tableAnswer) checkRows() error {
+	for _, r := range a.Rows {
+		if r.Key == "" {
+			return fmt.Errorf("check answer: row without a key: %w", errTableMessage)
+		}
+	}
+	return nil
+}
+
 // position returns the position up to which the responding host knows all changes.
 func (a tableAnswer) position() follow.Position {
 	return follow.Position{
@@ -170,8 +184,8 @@
 	eras  *follow.Eras
 	// sinceBoot returns the time since boot, including suspension.
 	sinceBoot func() time.Duration
-	// post sends a message to another host.
-	post   func(ctx context.Context, h Host, path string, body, into any) error
+	// post sends a message to another host, and returns how long the body of the response took to arrive.
+	post   func(ctx context.Context, h Host, path string, timeouts jhttp.Timeouts, body, into any) (transfer time.Duration, err error)
 	byName map[string]*Table
 	// shared reports that hosts that are not among the few do not read the store.
 	shared bool
@@ -194,7 +208,7 @@
 		peers:     peers,
 		eras:      eras,
 		sinceBoot: sinceBoot,
-		post:      peers.post,
+		post:      peers.call,
 		byName:    map[string]*Table{},
 	}
 	for _, o := range opts {
@@ -215,7 +229,7 @@
 			http.NotFound(w, r)
 			return
 		}
-		writeJSON(w, table.tell(r.Context(), q))
+		writeJSON(w, table.pack(q, table.tell(r.Context(), q)))
 	})
 }
 
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -47,7 +47,9 @@
 	// Leavers counts the incarnations of upstreams that are remembered as leaving or gone.
 	Leavers int `json:"leavers"`
 	// Tables reports from where this host reads each table of the store.
-	Tables    map[string]hosts.TableStats `json:"tables"`
+	Tables map[string]hosts.TableStats `json:"tables"`
+	// Blocks reports which large contents of messages this host reads from other hosts and sends them.
+	Blocks    hosts.BlockStats            `json:"blocks"`
 	Hosts     int                         `json:"hosts"`
 	Upstreams int                         `json:"upstreams"`
 	Routes    map[string]meter.RouteStats `json:"routes"`
@@ -101,6 +103,7 @@
 	s.Relayed = r.dialer.Relayed()
 	s.Tunnels = r.tunnels.OpenCount()
 	s.Tables = r.tables.Stats()
+	s.Blocks = r.peers.BlockStats()
 	s.Streams = r.origins.Streams()
 	crashes := r.crashes.Stats()
 	s.Blocked = crashes.Blocked
