--- a/internal/jhttp/call.go
+++ b/internal/jhttp/call.go
@@ -22,8 +22,9 @@
 	Body any
 	// Limit is the maximum number of bytes that are read from the response body. A longer body is truncated.
 	Limit int64
-	// Timeouts bound the progress of the call.
-	Timeouts Timeouts
+	// Timeouts bound the progress of the call, and OnProgress, unless nil, is called for each part of the response body.
+	Timeouts   Timeouts
+	OnProgress func()
 }
 
 // Response is the response to a call.
@@ -59,9 +60,10 @@
 	watchdog.expect(c.Timeouts.Stall)
 	headAt := time.Now()
 	body, err := io.ReadAll(io.LimitReader(watchedReader{
-		Reader:   resp.Body,
-		watchdog: watchdog,
-		timeout:  c.Timeouts.Stall,
+		Reader:     resp.Body,
+		watchdog:   watchdog,
+		timeout:    c.Timeouts.Stall,
+		onProgress: c.OnProgress,
 	}, c.Limit))
 	answer := Response{
 		Status:   resp.StatusCode,
--- a/internal/jhttp/timeouts.go
+++ b/internal/jhttp/timeouts.go
@@ -46,8 +46,9 @@
 // watchedReader is a body that tells a watchdog of each part that was read.
 type watchedReader struct {
 	io.Reader
-	watchdog *watchdog
-	timeout  time.Duration
+	watchdog   *watchdog
+	timeout    time.Duration
+	onProgress func()
 }
 
 // Read reads from the body.
@@ -56,6 +57,9 @@
 	if n > 0 {
 		r.watchdog.expect(r.timeout)
 	}
+	if n > 0 && r.onProgress != nil {
+		r.onProgress()
+	}
 	// The error of a body is passed on as it is, since io.EOF has a meaning of its own.
 	return n, err
 }
--- a/internal/root/relay/fanout/chooser.go
+++ b/internal/root/relay/fanout/chooser.go
@@ -12,6 +12,8 @@
 	passedOverPause   = 5 * time.Second
 	notFollowingPause = 200 * time.Millisecond
 	otherBuildPause   = 30 * time.Second
+	// readingPause is how long a host is asked only after others that begins to read many rows from the store.
+	readingPause = time.Second
 	// minStalePause is the shortest time in which a host is not asked again after it could not tell news, and staleRate the rate at which all hosts together ask it while that lasts, in questions per second.
 	minStalePause = time.Second
 	staleRate     = 100
@@ -37,10 +39,11 @@
 	action()
 }
 
-// AskHost reads the table from another host: from what the store told that host or, if Heard is set, from whatever it knows.
+// AskHost reads the table from another host: from what the store told that host or, if Heard is set, from whatever it knows. If Brief is set it waits for changes for a short time only, as another host may know them sooner.
 type AskHost struct {
 	Name  string
 	Heard bool
+	Brief bool
 }
 
 // AskStore reads the table from the store after a pause. A probe does not wait for changes.
@@ -74,6 +77,8 @@
 	Stale
 	// OtherBuild hosts do not know the question.
 	OtherBuild
+	// Reading hosts do not fail: they are reading many rows from the store.
+	Reading
 )
 
 // String returns the name of the failure.
@@ -85,6 +90,8 @@
 		return "stale"
 	case OtherBuild:
 		return "other_build"
+	case Reading:
+		return "reading"
 	default:
 		return "not_following"
 	}
@@ -151,9 +158,15 @@
 		return AskStore{}
 	}
 	if !c.triedEnough(now, v) {
-		if name, ok := c.candidate(now, v); ok {
+		reading, reads := c.reading(now, v)
+		name, ok := c.candidate(now, v)
+		if !ok {
+			name = reading
+		}
+		if ok || reads {
 			return AskHost{
-				Name: name,
+				Name:  name,
+				Brief: reads,
 			}
 		}
 	}
@@ -190,6 +203,17 @@
 	return best, best != ""
 }
 
+// reading returns the candidate that has been reading many rows from the store for the longest time, or false if none does.
+func (c *Chooser) reading(now time.Duration, v View) (string, bool) {
+	best, oldest := "", now+readingPause
+	for _, name := range v.Candidates {
+		if f := c.failed[name]; f.failure == Reading && now < f.until && f.until < oldest+1 {
+			best, oldest = name, f.until
+		}
+	}
+	return best, best != ""
+}
+
 func (c *Chooser) avoids(now time.Duration, name string) bool {
 	f, ok := c.failed[name]
 	return ok && now < f.until
@@ -307,6 +331,15 @@
 	c.startRound()
 }
 
+// Reads records that a host answered, but is reading many rows from the store that it cannot tell yet. Others may have read them sooner, and are asked first.
+func (c *Chooser) Reads(now time.Duration, name string) {
+	c.succeed()
+	c.failed[name] = failed{
+		failure: Reading,
+		until:   now + readingPause,
+	}
+}
+
 // Failed records that a host could not tell news.
 func (c *Chooser) Failed(now time.Duration, name string, f Failure) {
 	next := failed{
--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -25,6 +25,8 @@
 	askSlack = 500 * time.Millisecond
 	// heardTimeout is how long an answer to a question for what a host has heard may take. It is short, as any other host can be asked as well.
 	heardTimeout = 250 * time.Millisecond
+	// briefWait is how long a question waits for changes while a host that was asked before reads many rows.
+	briefWait = 250 * time.Millisecond
 	// becomeFollowerWait is how long a question waits for a host to begin to follow the store.
 	becomeFollowerWait = 200 * time.Millisecond
 )
@@ -69,6 +71,8 @@
 	// follows reports that this host reads the table from the store and has succeeded, and failing that its last call there failed.
 	follows bool
 	failing bool
+	// transfer is the answer of the store that is arriving.
+	transfer transfer
 	// updated is closed and replaced at each change of what other hosts are told.
 	updated chan struct{}
 	counts  TableStats
@@ -146,6 +150,9 @@
 		switch a := t.next(view).(type) {
 		case fanout.AskHost:
 			r.heard = a.Heard
+			if a.Brief {
+				r.wait = min(r.wait, briefWait)
+			}
 			rows, position, err := t.readHost(ctx, hosts[a.Name], r)
 			if !errors.Is(err, errHostFailed) {
 				return rows, position, err
@@ -244,16 +251,18 @@
 // readStore reads from the store.
 func (t *Table) readStore(ctx context.Context, r reading) ([]follow.Row, follow.Position, error) {
 	askedAt := t.tables.sinceBoot()
+	watched := follow.WithProgress(ctx, t.noteTransfer)
 	var rows []follow.Row
 	var position follow.Position
 	var err error
 	if r.whole {
-		rows, position, err = t.store.ReadAll(ctx)
+		rows, position, err = t.store.ReadAll(watched)
 	} else {
-		rows, position, err = t.store.WaitForChanges(ctx, r.after, r.wait)
+		rows, position, err = t.store.WaitForChanges(watched, r.after, t.storeWait(r.wait))
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.transfer = t.transfer.next()
 	if err != nil && (ctx.Err() != nil || errors.Is(err, follow.ErrHistoryTruncated)) {
 		return nil, follow.Position{}, fmt.Errorf("read table %s from the store: %w", t.name, err)
 	}
@@ -395,7 +404,9 @@
 	if err != nil {
 		return 0, t.noteFailure(h, fanout.NotFollowing, err)
 	}
-	if answeredAt-confirmedAt > t.limits.MaxAge() {
+	// Rows that took long to arrive from the store are as old as that, and are news all the same.
+	brings := !r.whole && (a.Reading || a.hasRows())
+	if answeredAt-confirmedAt > t.limits.MaxAge() && !brings {
 		return 0, t.noteFailure(h, fanout.Stale, errStoreFails)
 	}
 	if err := t.tables.eras.ObserveHeard(a.position().Era); err != nil {
@@ -414,9 +425,12 @@
 func (t *Table) accept(h Host, r reading, a tableAnswer, confirmedAt time.Duration) ([]follow.Row, follow.Position, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.heard {
+	switch {
+	case r.heard:
 		t.chooser.Heard(h.Name)
-	} else {
+	case a.Reading && !a.hasRows():
+		t.chooser.Reads(t.tables.sinceBoot(), h.Name)
+	default:
 		t.chooser.Answered(h.Name)
 	}
 	t.counts.HostCalls++
--- a/internal/root/relay/hosts/tables.go
+++ b/internal/root/relay/hosts/tables.go
@@ -99,8 +99,10 @@
 	// Version is the version up to which the host knows all changes.
 	Version int64 `json:"version"`
 	// Truncated is set if the host cannot tell the changes, so that the whole table must be read.
-	Truncated bool       `json:"truncated,omitempty"`
-	Rows      []tableRow `json:"rows,omitempty"`
+	Truncated bool `json:"truncated,omitempty"`
+	// Reading is set while the host reads many rows from the store, which it cannot tell yet.
+	Reading bool       `json:"reading,omitempty"`
+	Rows    []tableRow `json:"rows,omitempty"`
 	// parcel holds the rows instead if they are many, and the other host understands that.
 	parcel
 	// HeldMS is the time since the question arrived, and AgeMS the time since the call by which the store confirmed the rows.
@@ -125,6 +127,11 @@
 	return nil
 }
 
+// hasRows reports whether the answer holds rows, or a parcel with rows.
+func (a tableAnswer) hasRows() bool {
+	return len(a.Rows) > 0 || !a.parcel.empty()
+}
+
 // checkRows returns an error if a row has no key.
 func (a tableAnswer) checkRows() error {
 	for _, r := range a.Rows {
--- a/internal/root/relay/hosts/tell.go
+++ b/internal/root/relay/hosts/tell.go
@@ -77,13 +77,19 @@
 		}, false, l.updated
 	}
 	a = l.told(tableFollowed, confirmedAt)
-	ready = l.question.Whole || a.Truncated || len(a.Rows) > 0 || l.isNews(confirmedAt)
+	a.Reading = l.transfer.active()
+	ready = l.question.Whole || a.Truncated || len(a.Rows) > 0 || l.isNews(confirmedAt) || l.readsSinceAsked()
 	if ready {
 		l.counts.Told++
 	}
 	return a, ready, l.updated
 }
 
+// readsSinceAsked reports whether this host has begun to read many rows since the question arrived, and the other host may want to ask others meanwhile.
+func (l listener) readsSinceAsked() bool {
+	return l.question.Parcels && l.transfer.long && l.transfer.longSince >= l.arrivedAt
+}
+
 // heard returns what this host knows, from whomever, if the store has confirmed it more recently than what the other host knows.
 func (l listener) heard() tableAnswer {
 	l.mu.Lock()
--- a/internal/root/relay/hosts/thin_test.go
+++ b/internal/root/relay/hosts/thin_test.go
@@ -87,6 +87,7 @@
 		part := min(n, thinWindow)
 		n -= part
 		common.Sleep(ctx, time.Until(c.thin.linksOf(h.Addr).down.carry(time.Now(), part)))
+		follow.ProgressOf(ctx)()
 	}
 }
 
@@ -277,6 +278,35 @@
 	}
 }
 
+// Guards against a configuration of ten times the routes that no try ever gets through. The bound is the time for a change, besides that which the row takes from the store over one link.
+func TestVeryLargeConfigurationReachesHostsOverThinLinks(t *testing.T) {
+	const hosts, routes = 40, 10 * manyRoutes
+	size := len(largeConfiguration(rand.New(rand.NewPCG(49, 1)), 1, routes))
+	for _, busy := range []float64{0, 0.5} {
+		transfer := time.Duration(float64(size) / (1 - busy) / thinRate * float64(time.Second))
+		bound := transfer + changeBound
+		var course thinCourse
+		synctest.Test(t, func(*testing.T) {
+			course = playThinLinks(thinCase{
+				routes: routes,
+				busy:   busy,
+			}, hosts, 2*bound)
+		})
+		t.Logf("%d bytes, links full by %.1f: %+v, at most %v", size, busy, course, bound)
+		for i, last := range course.last {
+			if last > bound {
+				t.Errorf("links full by %.1f: change %d reached the last host after %v, more than %v", busy, i+1, last, bound)
+			}
+		}
+		if course.takenForDown > 0 {
+			t.Errorf("links full by %.1f: sound hosts were taken for down, at %d moments", busy, course.takenForDown)
+		}
+		if course.fallbacks > 0 {
+			t.Errorf("links full by %.1f: hosts turned to the store %d times", busy, course.fallbacks)
+		}
+	}
+}
+
 // thinSeeds is how many random courses of lost hosts the test of large configurations plays.
 var thinSeeds = flag.Uint64("thin-seeds", 10, "number of random courses of large configurations beside lost hosts")
 
