--- a/internal/root/store/client.go
+++ b/internal/root/store/client.go
@@ -37,7 +37,7 @@
 // Option configures a Client in New.
 type Option func(*Client)
 
-// WithTimeout sets the timeout of each call. The default is 1 s.
+// WithTimeout sets how long a call may take to get its response, and for how long no byte of the response may arrive. The default is 1 s.
 func WithTimeout(d time.Duration) Option {
 	return func(c *Client) {
 		c.timeout = d
@@ -178,18 +178,22 @@
 	if !c.breaker.Allow(c.Now()) {
 		return 0, nil, ErrUnavailable
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	status, data, err := c.send(ctx, method, path, tag, body)
 	c.breaker.Done(c.Now(), err == nil && status < http.StatusInternalServerError)
 	return status, data, err
 }
 
 func (c *Client) send(ctx context.Context, method, path, tag string, body []byte) (int, []byte, error) {
+	watchdog, ctx, stop := jhttp.NewWatchdog(ctx)
+	defer stop()
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, fmt.Errorf("make request: %w", err)
 	}
+	watchdog.Expect(c.timeout)
+	if len(body) > 0 {
+		req.Body = io.NopCloser(watchdog.Watch(req.Body, c.timeout))
+	}
 	if tag != "" {
 		req.Header.Set("If-None-Match", tag)
 	}
@@ -203,7 +207,7 @@
 		return 0, nil, fmt.Errorf("call platform: %w", ErrUnknownOutcome)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	data, err := io.ReadAll(io.LimitReader(watchdog.Watch(resp.Body, c.timeout), maxBodyBytes))
 	if err != nil {
 		return 0, nil, fmt.Errorf("read answer: %w", ErrUnknownOutcome)
 	}
