--- a/internal/root/relay/bulk/codec.go
+++ b/internal/root/relay/bulk/codec.go
@@ -9,6 +9,9 @@
 	"github.com/pkg/errors"
 )
 
+// compressionLevel is low, since small hosts compress as well.
+const compressionLevel = 3
+
 // maxContent is the largest size of the content of a block, in bytes.
 const maxContent = 64 << 20
 
@@ -18,7 +21,7 @@
 // Compress returns the content in the form in which it is sent.
 func Compress(content []byte) ([]byte, error) {
 	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.DefaultCompression)
+	w, err := flate.NewWriter(&out, compressionLevel)
 	if err != nil {
 		return nil, fmt.Errorf("open compressor: %w", err)
 	}
