--- a/internal/root/relay/bulk/shelf.go
+++ b/internal/root/relay/bulk/shelf.go
@@ -12,7 +12,7 @@
 const (
 	// maxBlocks and maxBytes bound the blocks that a shelf keeps. The one that was used longest ago goes first.
 	maxBlocks = 8
-	maxBytes  = 2 * MaxSize
+	maxBytes  = MaxSize
 )
 
 // Errors of a shelf.
--- a/internal/root/relay/hosts/blockreader.go
+++ b/internal/root/relay/hosts/blockreader.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
@@ -11,12 +13,16 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/bulk"
 )
 
+// moreSources is how many random hosts are asked after those that are named, since every host passes on what it has read.
+const moreSources = 3
+
 // blockReader reads one block part by part, from one host as long as that is quick.
 type blockReader struct {
 	*blocks
-	block   *bulk.Block
-	ref     bulk.Ref
-	sources []Host
+	block *bulk.Block
+	ref   bulk.Ref
+	// named are the hosts that have the block or read it, and sources these and some others, drawn again for each round.
+	named, sources []Host
 	// next is the number of the host to ask, failures counts the answers in a row that brought nothing, and asked the hosts that have not answered yet.
 	next, failures, asked int
 	progressAt            time.Time
@@ -38,6 +44,7 @@
 	defer cancel()
 	hedge := time.NewTimer(slowPart)
 	defer hedge.Stop()
+	r.drawSources()
 	for r.Now().Sub(r.progressAt) < blockStall && len(r.sources) > 0 {
 		if r.asked == 0 {
 			r.start(ctx)
@@ -51,6 +58,7 @@
 			}
 			if r.failures > 0 && r.failures%len(r.sources) == 0 {
 				common.Sleep(ctx, roundPause)
+				r.drawSources()
 			}
 		case <-hedge.C:
 			if r.asked < maxAsked {
@@ -65,12 +73,22 @@
 	return nil, fmt.Errorf("read block: %w", errBlockStalled)
 }
 
+// drawSources sets the hosts to ask.
+func (r *blockReader) drawSources() {
+	others := r.peers.roster.LiveOthers()
+	r.sources = slices.Clone(r.named)
+	for _, i := range rand.Perm(len(others))[:min(moreSources, len(others))] {
+		r.sources = append(r.sources, others[i])
+	}
+}
+
 // start asks the next host for the bytes that follow the known ones.
 func (r *blockReader) start(ctx context.Context) {
 	r.asked++
 	source, offset, began := r.next, r.block.Known(), r.Now()
+	host := r.sources[source%len(r.sources)]
 	go func() {
-		part := r.ask(ctx, r.sources[source%len(r.sources)], offset)
+		part := r.ask(ctx, host, offset)
 		r.answers <- partAnswer{
 			source: source,
 			offset: offset,
--- a/internal/root/relay/hosts/blocks.go
+++ b/internal/root/relay/hosts/blocks.go
@@ -119,8 +119,8 @@
 	_, _ = w.Write(part)
 }
 
-// read returns the block, which it reads from the hosts, in the order in which they are to be tried, unless it has it already.
-func (b *blocks) read(ctx context.Context, ref bulk.Ref, sources []Host) ([]byte, error) {
+// read returns the block, which it reads from the named hosts, in the order in which they are to be tried, or from others, unless it has it already.
+func (b *blocks) read(ctx context.Context, ref bulk.Ref, named []Host) ([]byte, error) {
 	block := b.shelf.Open(ref)
 	whole, err := block.Claim(ctx)
 	if err != nil || whole != nil {
@@ -131,7 +131,7 @@
 		blocks:     b,
 		block:      block,
 		ref:        ref,
-		sources:    sources,
+		named:      named,
 		progressAt: b.Now(),
 		answers:    make(chan partAnswer, maxAsked),
 	}
--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -321,11 +321,14 @@
 		return nil, follow.Position{}, err
 	}
 	a, err = t.unpack(ctx, h, a)
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		return nil, follow.Position{}, fmt.Errorf("read rows of table %s: %w", t.name, ctx.Err())
-	}
-	if err != nil {
-		return nil, follow.Position{}, t.noteFailure(h, failureOf(err), err)
+	case errors.Is(err, errBlockStalled):
+		return nil, follow.Position{}, t.noteFailure(h, fanout.Silent, err)
+	case err != nil:
+		// Damaged rows don't show that the host is down.
+		return nil, follow.Position{}, t.noteFailure(h, fanout.NotFollowing, err)
 	}
 	return t.accept(h, r, a, confirmedAt)
 }
