--- a/internal/root/relay/hosts/followers.go
+++ b/internal/root/relay/hosts/followers.go
@@ -61,3 +61,16 @@
 	}
 	return out
 }
+
+// named returns the hosts with the names that are known and up, but for this host.
+func (r *Roster) named(names []string) []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Host
+	for _, name := range names {
+		if s, ok := r.states[name]; ok && s.down != nil && name != r.self.Name {
+			out = append(out, s.host)
+		}
+	}
+	return out
+}
--- a/internal/root/relay/hosts/roster.go
+++ b/internal/root/relay/hosts/roster.go
@@ -389,19 +389,6 @@
 	return r.withoutSelf(r.rankedLive("", math.MaxInt))
 }
 
-// named returns the hosts with the names that are known and up, but for this host.
-func (r *Roster) named(names []string) []Host {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []Host
-	for _, name := range names {
-		if s, ok := r.states[name]; ok && s.down != nil && name != r.self.Name {
-			out = append(out, s.host)
-		}
-	}
-	return out
-}
-
 // RankedOthers returns the first n hosts in the ranking for the key, without this host if it is among them. The ranking is the same on every host that knows the same hosts.
 func (r *Roster) RankedOthers(key string, n int) []Host {
 	return r.withoutSelf(r.rankedLive(key, n))
