--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -209,6 +209,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	p.server.Handler = p.handler()
 	failed := make(chan error, 1)
 	go func() { failed <- p.serve(ln) }()
 	up()
@@ -229,7 +230,6 @@
 
 // serve accepts the messages of other hosts until the server is closed.
 func (p *Peers) serve(ln net.Listener) error {
-	p.server.Handler = p.handler()
 	if err := p.server.Serve(alive.Listen(ln, serverSilence)); err != nil {
 		return fmt.Errorf("accept connections: %w", err)
 	}
--- a/internal/root/relay/hosts/thin_test.go
+++ b/internal/root/relay/hosts/thin_test.go
@@ -103,6 +103,7 @@
 	for _, h := range c.hosts {
 		h.tables.post = h.peers.call
 		h.peers.useDialer(c.thin.dialerOf(h.host.Addr))
+		h.peers.server.Handler = h.peers.handler()
 		ln := c.thin.listen(h.host.Addr)
 		go func() { _ = h.peers.serve(ln) }()
 	}
