--- a/internal/root/relay/hosts/packed.go
+++ b/internal/root/relay/hosts/packed.go
@@ -61,6 +61,8 @@
 func (p *packer) pack(b *blocks, key packedKey, rows []tableRow, receiver string) (parcel, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// The shelf may have forgotten the block of an answer, which then is packed anew.
+	p.answers = slices.DeleteFunc(p.answers, func(known packedAnswer) bool { return !b.holds(known.parcel) })
 	i := slices.IndexFunc(p.answers, func(known packedAnswer) bool { return known.key == key })
 	if i < 0 {
 		data, err := packRows(rows)
--- a/internal/root/relay/hosts/parcel.go
+++ b/internal/root/relay/hosts/parcel.go
@@ -39,6 +39,15 @@
 	}
 }
 
+// holds reports whether other hosts can still read the content of a parcel of this host.
+func (b *blocks) holds(p parcel) bool {
+	if p.Block == nil {
+		return true
+	}
+	_, err := b.shelf.Find(p.Block.ID)
+	return err == nil
+}
+
 // open returns the content of a parcel that the sender has sent.
 func (b *blocks) open(ctx context.Context, p parcel, sender Host) ([]byte, error) {
 	data := p.Packed
