--- a/internal/stand/serv/behavior.go
+++ b/internal/stand/serv/behavior.go
@@ -30,6 +30,9 @@
 	Crash
 	// CrashAfterHead starts to run the request, sends the head of the response, and then closes the server with all its connections.
 	CrashAfterHead
+	// Exit runs the request and ends like a killed process in the middle of the response, in a stream between two events: the kernel closes the listener and all connections in order. ExitAfterResponse does so after the whole response.
+	Exit
+	ExitAfterResponse
 	// EndlessHead sends header lines, EndlessLine one header line, EndlessBody a chunked body and EndlessEvent one event of a stream, each without an end until the client closes the connection.
 	EndlessHead
 	EndlessLine
--- a/internal/stand/serv/respond.go
+++ b/internal/stand/serv/respond.go
@@ -79,12 +79,12 @@
 	if b == Truncate {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	if b == Truncate || b == Reset {
+	if b == Truncate || b == Reset || b == Exit {
 		body = body[:len(body)-1]
 	}
 	// A write error means that the client has disconnected and needs no response.
 	_, _ = io.WriteString(w, body)
-	if b == Truncate || b == Reset {
+	if b == Truncate || b == Reset || b == Exit || b == ExitAfterResponse {
 		// Without a flush, a short body and the head before it would not be sent at all.
 		_ = http.NewResponseController(w).Flush()
 	}
@@ -94,9 +94,17 @@
 	case Reset:
 		// If the client has disconnected, there is no connection left to reset.
 		_ = serve.ResetConn(w)
+	case Exit, ExitAfterResponse:
+		s.exit()
 	}
 }
 
+// exit ends the server as if its process was killed. It does not return.
+func (s *Server) exit() {
+	_ = s.http.Close()
+	panic(http.ErrAbortHandler)
+}
+
 // rawHead returns the status line and the headers of a successful response, without the empty line that ends them.
 func rawHead(h http.Header) string {
 	var b strings.Builder
@@ -140,11 +148,16 @@
 			// If the client has disconnected, there is no connection left to reset.
 			_ = serve.ResetConn(w)
 			return
+		case b == Exit && middle:
+			s.exit()
 		}
 		// A write error means that the client has disconnected and needs no response.
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
 		_ = rc.Flush()
 	}
+	if b == ExitAfterResponse {
+		s.exit()
+	}
 }
 
 // endlessInterval is the pause between two writes of a response without an end, and endlessBytes the size of each.
