Reset connections of responses that end with them until these are whole

Cause: the kernel ends the connections of a process that is killed or exits in order, and an HTTP/1.0 client takes that for the end of a response without a length. So do net/http's close after a handler that panicked, the close of an evicted connection and that after a missed write deadline.

Change, in package serve for both daemons: the connection looks at the head that net/http writes. If the body has neither a length nor chunks, it is set to be reset on close (SO_LINGER of 0) before the end of the head is written. The ordinary close is set back when net/http closes it after the handler has returned, unless a write failed or the connection was interrupted. Responses with a length or chunks, to HEAD, and 204 and 304 are left alone, so nothing changes for HTTP/1.1 callers: net/http gives them chunks or a length.

Not covered: a host that is killed between its last write and the close resets a whole response, whose end the caller may then miss.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -54,6 +54,7 @@
 	evicted   bool
 	// ownDeadline reports that the handler has set a deadline for writing.
 	ownDeadline bool
+	ending      ending
 }
 
 func newConn(c net.Conn, g *gate) *conn {
@@ -79,6 +80,7 @@
 func (c *conn) interrupt() {
 	c.mu.Lock()
 	c.evicted = true
+	c.ending.breakOff()
 	writing := c.writing
 	c.mu.Unlock()
 	if writing {
@@ -168,14 +170,14 @@
 
 // Write writes to the client in pieces. Each must be taken within writeTimeout, unless the handler has set a deadline.
 func (c *conn) Write(b []byte) (int, error) {
-	c.startWriting()
-	defer c.endWriting()
+	c.startWriting(b)
 	written := 0
 	for {
 		piece := b[written:min(len(b), written+writePiece)]
 		n, err := c.writePiece(piece)
 		written += n
 		if err != nil || written == len(b) {
+			c.endWriting(err)
 			return written, err
 		}
 	}
@@ -193,17 +195,27 @@
 	return c.Conn.Write(b)
 }
 
-func (c *conn) startWriting() {
+// startWriting records that b is about to be written. If b begins the body of a response that ends with the connection, the kernel will reset the connection when it is closed, also at the end of a process that is killed.
+func (c *conn) startWriting(b []byte) {
 	c.mu.Lock()
 	c.writing = true
 	claim := c.claim
+	endsWithConn := c.ending.write(b)
 	c.mu.Unlock()
+	if endsWithConn {
+		// An error means that the connection is closed already.
+		_ = c.SetLinger(0)
+	}
 	claim.Waiting(true)
 }
 
-func (c *conn) endWriting() {
+// endWriting records that a write has ended with err.
+func (c *conn) endWriting(err error) {
 	c.mu.Lock()
 	c.writing = false
+	if err != nil {
+		c.ending.breakOff()
+	}
 	claim := c.claim
 	busy := c.phase == working
 	c.progress = time.Now()
@@ -238,13 +250,18 @@
 	return nil
 }
 
-// Close closes the connection and releases what is held for it.
+// Close closes the connection and releases what is held for it. The connection of a response that ends with it is reset unless the response is whole.
 func (c *conn) Close() error {
 	c.gate.conns.Remove(c)
 	c.mu.Lock()
 	claim := c.claim
+	whole := c.ending.whole() && !c.writing
 	c.mu.Unlock()
 	claim.Release()
+	if whole {
+		// A reset would discard the bytes that the client has not received yet. An error means that the connection is closed already.
+		_ = c.SetLinger(-1)
+	}
 	return c.Conn.Close()
 }
 
@@ -257,6 +274,20 @@
 	c.arrived()
 }
 
+// beginResponse records that the handler of a request with the method begins.
+func (c *conn) beginResponse(method string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = newEnding(method)
+}
+
+// endResponse records that the handler has returned. What it wrote may still be in buffers of net/http.
+func (c *conn) endResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending.returned = true
+}
+
 // arrived records that the request has arrived whole.
 func (c *conn) arrived() {
 	c.setPhase(working)
@@ -273,6 +304,7 @@
 	c.headBytes = 0
 	c.claimed = 0
 	c.ownDeadline = false
+	c.ending = ending{}
 	c.progress = time.Now()
 	c.headSince = c.progress
 	c.mu.Unlock()
--- a/internal/serve/end_test.go
+++ b/internal/serve/end_test.go
@@ -58,7 +58,7 @@
 
 // Guards against responses to HTTP/1.0 clients that look whole although the server broke them off.
 func TestHTTP10ResponseThatIsBrokenOffEndsWithReset(t *testing.T) {
-	for _, path := range []string{"/abort", "/reset", "/evict"} {
+	for _, path := range []string{"/abort", "/reset", "/evict", "/interrupt", "/unsent-rest"} {
 		Convey("Given a server that ends a part of a response by "+path, t, func() {
 			p := startProcess(t, drainTimeout)
 			conn := p.request(t, "GET "+path+" HTTP/1.0")
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// trackRequests lets the connections know which part of a request they carry.
+// trackRequests lets the connections know which part of a request or response they carry.
 func trackRequests(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
@@ -43,25 +43,33 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		hasBody := r.ContentLength != 0
-		c.beginRequest(hasBody)
-		if !hasBody {
-			h.ServeHTTP(w, r)
-			return
-		}
-		body := &trackedBody{
-			ReadCloser: r.Body,
-			conn:       c,
-		}
-		r.Body = body
-		h.ServeHTTP(w, r)
-		if !body.whole {
-			// net/http waits for the rest of the body before it sends the response. An error means that the connection is closed.
-			_ = c.SetReadDeadline(time.Now().Add(restTimeout))
-		}
+		c.beginResponse(r.Method)
+		c.serve(h, w, r)
+		// A handler that panics breaks its response off.
+		c.endResponse()
 	})
 }
 
+// serve runs the handler and tracks the body of the request.
+func (c *conn) serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	hasBody := r.ContentLength != 0
+	c.beginRequest(hasBody)
+	if !hasBody {
+		h.ServeHTTP(w, r)
+		return
+	}
+	body := &trackedBody{
+		ReadCloser: r.Body,
+		conn:       c,
+	}
+	r.Body = body
+	h.ServeHTTP(w, r)
+	if !body.whole {
+		// net/http waits for the rest of the body before it sends the response. An error means that the connection is closed.
+		_ = c.SetReadDeadline(time.Now().Add(restTimeout))
+	}
+}
+
 // trackedBody notices the end of a body.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/serve/handler_test.go
+++ b/internal/serve/handler_test.go
@@ -38,6 +38,17 @@
 		writeFlushed(w, part)
 		connOf(r).Evict()
 	})
+	mux.HandleFunc("/interrupt", func(w http.ResponseWriter, r *http.Request) {
+		writeFlushed(w, part)
+		connOf(r).interrupt()
+		<-r.Context().Done()
+	})
+	mux.HandleFunc("/unsent-rest", func(w http.ResponseWriter, _ *http.Request) {
+		writeFlushed(w, part)
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
+		// These bytes stay in a buffer until the handler has returned.
+		_, _ = w.Write([]byte(part))
+	})
 	mux.HandleFunc("/write-deadline", writePastDeadline)
 	mux.HandleFunc("/whole", func(w http.ResponseWriter, _ *http.Request) {
 		writeFlushed(w, strings.Repeat("x", wholeBytes))
