--- a/internal/stand/serv/respond.go
+++ b/internal/stand/serv/respond.go
@@ -128,13 +128,31 @@
 	_ = buf.Flush()
 }
 
+// lastEvent returns the number of the event after which a stream begins.
+func (s *Server) lastEvent(r *http.Request) int {
+	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil || s.IgnoresLastEvent {
+		return 0
+	}
+	return last
+}
+
+// eventText returns the text of the event with the number in a stream.
+func (s *Server) eventText(event int) string {
+	text := fmt.Sprintf("data: piece %d\n\n", event)
+	if s.HasID == nil || s.HasID(event) {
+		text = fmt.Sprintf("id: %d\n%s", event, text)
+	}
+	if event == s.RepeatedEvent {
+		text += text
+	}
+	return text
+}
+
 // writeStream sends the events after the one named by the Last-Event-Id header. With the behaviors Truncate and Reset, it ends the connection after half of them.
 func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, b Behavior) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if err != nil {
-		last = 0
-	}
+	last := s.lastEvent(r)
 	rc := http.NewResponseController(w)
 	for i := last + 1; i <= s.Events; i++ {
 		middle := i == (last+s.Events+1)/2
@@ -152,7 +170,7 @@
 			s.exit()
 		}
 		// A write error means that the client has disconnected and needs no response.
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_, _ = io.WriteString(w, s.eventText(i))
 		_ = rc.Flush()
 	}
 	if b == ExitAfterResponse {
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -59,6 +59,12 @@
 	BodyBytes int
 	// EventDelay is the pause before each event of a streamed response.
 	EventDelay time.Duration
+	// IgnoresLastEvent begins each stream with its first event, whatever Last-Event-Id says.
+	IgnoresLastEvent bool
+	// RepeatedEvent is the number of the event that a stream has twice in succession, or 0 for none.
+	RepeatedEvent int
+	// HasID, if set, reports whether the event with the number has an id.
+	HasID func(event int) bool
 	// ColdMS is how long the server states in its row that it stays cold, in milliseconds.
 	ColdMS int
 	// Unframed sends responses with neither a length nor chunks, so that only the end of the connection marks their end.
