Add failing tests of callers' streams that lack a token

The client for callers passes tokens on by their index, but takes a stream that skips one for complete: it drops all later tokens and returns the answer without an error, although OnToken promises every token.

--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -86,3 +86,56 @@
 		})
 	}
 }
+
+// streamHosts returns the base URLs of hosts, of which each sends the stream of token events with its indexes and then the done event.
+func streamHosts(t *testing.T, streams ...[]int) []string {
+	t.Helper()
+	var urls []string
+	for _, indexes := range streams {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", wire.TypeStream)
+			for _, i := range indexes {
+				_, _ = fmt.Fprintf(w, "event: token\ndata: {\"index\":%d,\"text\":\"%d\"}\n\n", i, i)
+			}
+			_, _ = io.WriteString(w, "event: done\ndata: {\"request_id\":\"r\",\"outcome\":\"answered\",\"output\":\"0123\",\"stages\":[]}\n\n")
+		}))
+		t.Cleanup(s.Close)
+		urls = append(urls, s.URL)
+	}
+	return urls
+}
+
+// Guards against answers that count as complete although a token of their stream is missing.
+func TestStreamWithMissingTokenIsNotComplete(t *testing.T) {
+	scenarios := []struct {
+		name string
+		// streams are the indexes of the tokens that the hosts send.
+		streams  [][]int
+		tokens   string
+		complete bool
+	}{
+		{name: "all tokens", streams: [][]int{{0, 1, 2, 3}}, tokens: "0123", complete: true},
+		{name: "a token twice", streams: [][]int{{0, 1, 1, 2, 3}}, tokens: "0123", complete: true},
+		{name: "tokens that go back", streams: [][]int{{0, 1, 0, 1, 2, 3}}, tokens: "0123", complete: true},
+		{name: "no token, as the answer was recorded", streams: [][]int{{}}, complete: true},
+		{name: "a missing token", streams: [][]int{{0, 1, 3}}, tokens: "01"},
+		{name: "a missing first token", streams: [][]int{{1, 2, 3}}},
+		{name: "a missing token, and all from the next host", streams: [][]int{{0, 1, 3}, {0, 1, 2, 3}}, tokens: "0123", complete: true},
+		{name: "a missing token, and the recorded answer from the next host", streams: [][]int{{0, 1, 3}, {}}, tokens: "01", complete: true},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			tokens := ""
+			_, err := New(streamHosts(t, sc.streams...), "token", WithMaxSends(2)).Do(t.Context(), Call{
+				Pipeline: "p",
+				OnToken:  func(tok wire.Token) { tokens += tok.Text },
+			})
+			if tokens != sc.tokens {
+				t.Errorf("got tokens %q, want %q", tokens, sc.tokens)
+			}
+			if (err == nil) != sc.complete || (err != nil && !errors.Is(err, ErrIncompleteResponse)) {
+				t.Errorf("got error %v, want a complete answer: %t", err, sc.complete)
+			}
+		})
+	}
+}
