Count a stream that lacks a token as incomplete in the callers' client

Do returned an answer without an error although the stream had skipped a token, and OnToken got none of the later ones. Cause: skipDelivered drops every token whose index is not the one that is due, so it hides gaps as well as repeats. readStream now returns ErrIncompleteResponse at a gap, so that Do sends the call again under its key.

Hosts of cornelwingd send no such streams, as reach returns ErrGap; this is a check of what the client promises. The answer that a host has recorded comes without tokens, which the comment of OnToken now says.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -32,7 +32,7 @@
 var ErrUnreachable = errors.New("no entry host is reachable")
 
 // ErrIncompleteResponse reports that the connection was lost before a complete response was read, or that the response
-// could not be decoded. The request may have run.
+// could not be decoded or lacks a token of its stream. The request may have run.
 var ErrIncompleteResponse = errors.New("no complete response from the entry host")
 
 // Call is one request to a pipeline.
@@ -47,7 +47,7 @@
 	// the pipeline's deadline.
 	Timeout time.Duration
 	// OnToken, if set, requests a stream and is called with each token. Do passes every token once and in order, even
-	// if it sends the call several times.
+	// if it sends the call several times. The answer of an earlier send that a host has recorded comes without tokens.
 	OnToken func(wire.Token)
 }
 
@@ -287,7 +287,9 @@
 	return a, nil
 }
 
+// readStream passes the tokens of a stream to onToken and returns its answer. A stream that lacks a token is incomplete.
 func readStream(body io.Reader, onToken func(wire.Token)) (wire.Answer, error) {
+	next := 0
 	for ev, err := range sse.Read(body, &sse.ReadConfig{
 		MaxEventSize: maxEventBytes,
 	}) {
@@ -300,6 +302,10 @@
 			if err := json.Unmarshal([]byte(ev.Data), &t); err != nil {
 				return wire.Answer{}, fmt.Errorf("decode token: %v: %w", err, ErrIncompleteResponse)
 			}
+			if t.Index > next {
+				return wire.Answer{}, fmt.Errorf("got token %d instead of %d: %w", t.Index, next, ErrIncompleteResponse)
+			}
+			next = max(next, t.Index+1)
 			onToken(t)
 		case wire.EventProblem:
 			var p wire.Problem
