Play engines as processes of their own, and callers that take streams up, in the soak

The soak's engines ran in the test process, sent chunks and 5 ms between events, so it could not see that.

Change: engines are the test binary started again (EngineEnv, TestMain); they report arrivals and runs through a pipe, whose lines outlive the kill. Every second one sends unframed responses; 40 ms lie between events. Crashes are SIGKILL, a part of a prompt that crashes engines kills their process, and engines are stopped with SIGSTOP. Arrivals that a stopped server reads late do not count for pauses, limits and evacuations. An unframed engine that lives resets instead of ending its response after the head, as the protocol calls that complete. Clients take a broken stream of `resumed` up at another host, and what all attempts got must be the beginning of one stream, or all of it. -soak-binary plays a prebuilt host.

--- a/internal/stand/serv/respond.go
+++ b/internal/stand/serv/respond.go
@@ -29,14 +29,11 @@
 	case DropResponse:
 		panic(http.ErrAbortHandler)
 	case Crash:
-		// Close closes the listener and all connections, including the one of this request.
-		_ = s.http.Close()
-		panic(http.ErrAbortHandler)
+		s.exit()
 	case CrashAfterHead:
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(crashDelay)
-		_ = s.http.Close()
-		panic(http.ErrAbortHandler)
+		s.exit()
 	case EndlessHead, EndlessLine, EndlessBody, EndlessEvent:
 		s.writeEndlessly(w, b)
 		return
@@ -99,8 +96,11 @@
 	}
 }
 
-// exit ends the server as if its process was killed. It does not return.
+// exit ends the server with its listener and all connections, including the one of the request, as if its process was killed. It does not return.
 func (s *Server) exit() {
+	if s.End != nil {
+		s.End()
+	}
 	_ = s.http.Close()
 	panic(http.ErrAbortHandler)
 }
@@ -152,7 +152,7 @@
 			s.exit()
 		}
 		// A write error means that the client has disconnected and needs no response.
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d%s\n\n", i, i, s.EventSuffix)
 		_ = rc.Flush()
 	}
 	if b == ExitAfterResponse {
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -59,10 +59,17 @@
 	BodyBytes int
 	// EventDelay is the pause before each event of a streamed response.
 	EventDelay time.Duration
+	// EventSuffix is the text at the end of the data of each event.
+	EventSuffix string
 	// ColdMS is how long the server states in its row that it stays cold, in milliseconds.
 	ColdMS int
 	// Unframed sends responses with neither a length nor chunks, so that only the end of the connection marks their end.
 	Unframed bool
+	// OnArrival and OnRun, if set, are called for each request or call that arrives, and for each request that begins to run, before anything is sent back.
+	OnArrival func(Arrival)
+	OnRun     func(Run)
+	// End, if set, ends the whole process of the server. It is called where the server would otherwise close its listener and connections.
+	End func()
 
 	addr string
 	http *http.Server
@@ -234,12 +241,13 @@
 func (s *Server) withServerHeaders(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		s.arrivals = append(s.arrivals, Arrival{
+		a := Arrival{
 			At:         time.Now(),
 			ID:         r.Header.Get("Request-Id"),
 			Leaving:    s.leaving,
 			RetryAfter: s.pause,
-		})
+		}
+		s.arrivals = append(s.arrivals, a)
 		if s.limit != "" {
 			w.Header().Set("Server-Limit", s.limit)
 		}
@@ -250,6 +258,9 @@
 			w.Header().Set("Server-Brittle", strconv.Itoa(s.brittle))
 		}
 		s.mu.Unlock()
+		if s.OnArrival != nil {
+			s.OnArrival(a)
+		}
 		h.ServeHTTP(w, r)
 	})
 }
@@ -395,15 +406,19 @@
 	if !s.fetchesInputs(w, r) {
 		return
 	}
-	s.mu.Lock()
-	s.runs = append(s.runs, Run{
+	run := Run{
 		At:     time.Now(),
 		ID:     id,
 		Method: r.Method,
 		Target: r.RequestURI,
 		Header: r.Header.Clone(),
 		Body:   string(body),
-	})
+	}
+	s.mu.Lock()
+	s.runs = append(s.runs, run)
 	s.mu.Unlock()
+	if s.OnRun != nil {
+		s.OnRun(run)
+	}
 	s.respond(w, r, id, b)
 }
--- a/internal/stand/soak/check.go
+++ b/internal/stand/soak/check.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/stand/serv"
@@ -24,6 +25,8 @@
 	limitExtra  = 5
 	// recoveredShare is the least part of the requests that must be served after all faults.
 	recoveredShare = 0.98
+	// thawTime is how long after a server was stopped requests may be read that came while it was.
+	thawTime = 300 * time.Millisecond
 )
 
 // check adds the broken rules to the history. servers is what each server has seen, and revoked when each key was revoked. Requests sent after recovered must be served.
@@ -32,21 +35,38 @@
 	h.checkRuns(servers)
 	h.checkKeys(revoked)
 	h.checkLeaving(servers)
-	h.checkPauses(servers)
-	h.checkLimits(servers)
+	inTime := h.withoutHeldUp(servers)
+	h.checkPauses(inTime)
+	h.checkLimits(inTime)
 	h.checkCrashing(servers)
-	h.checkEvacuations(servers)
+	h.checkEvacuations(inTime)
 	h.checkRecovery(recovered)
 }
 
-// checkResponses checks that what looks like a whole response is the one of the request.
+// withoutHeldUp returns the logs without the arrivals at servers that had been stopped just before, as these may have been sent much earlier.
+func (h *history) withoutHeldUp(servers []serverLog) []serverLog {
+	out := slices.Clone(servers)
+	for i, s := range out {
+		out[i].Arrivals = slices.DeleteFunc(slices.Clone(s.Arrivals), func(a serv.Arrival) bool { return h.heldUp(s.ID, a.At) })
+	}
+	return out
+}
+
+// heldUp reports whether the server had been stopped just before the time.
+func (h *history) heldUp(server string, at time.Time) bool {
+	return slices.ContainsFunc(h.freezes, func(f freeze) bool {
+		return f.Server == server && at.After(f.From) && at.Before(f.To.Add(thawTime))
+	})
+}
+
+// checkResponses checks that what looks like a whole response is the one of the request, and that a broken stream holds nothing but the beginning of one.
 func (h *history) checkResponses() {
 	for _, q := range h.requests {
-		if !q.whole() {
-			continue
+		if q.whole() && (q.EchoedID != q.ID || q.joined() != q.wantBody()) {
+			h.addViolationf("ORDER", "request %s to %s got a whole response with ID %q and body %q after %q", q.ID, q.Route.Name, q.EchoedID, q.Body, q.Before)
 		}
-		if q.EchoedID != q.ID || q.Body != q.wantBody() {
-			h.addViolationf("ORDER", "request %s to %s got a whole response with ID %q and body %q", q.ID, q.Route.Name, q.EchoedID, q.Body)
+		if q.holdsEvents() && !strings.HasPrefix(q.wantBody(), q.joined()) {
+			h.addViolationf("ORDER", "request %s to %s got a stream that broke off with body %q after %q", q.ID, q.Route.Name, q.Body, q.Before)
 		}
 	}
 }
--- a/internal/stand/soak/check_test.go
+++ b/internal/stand/soak/check_test.go
@@ -32,6 +32,15 @@
 	return q
 }
 
+// takenUp returns a request that took a stream up after some events and got a whole response.
+func takenUp(before, body string) request {
+	return answered("b", resumedRoute, 1).with(func(q *request) {
+		q.First = "a"
+		q.Before = before
+		q.Body = body
+	})
+}
+
 // with returns the request after a change.
 func (r request) with(change func(*request)) request {
 	change(&r)
@@ -70,6 +79,7 @@
 		servers      []serverLog
 		disturbances []disturbance
 		limits       []limitation
+		freezes      []freeze
 		evacuations  []evacuation
 		want         string
 	}{
@@ -77,6 +87,14 @@
 		{name: "the response of another request", requests: []request{answered("a", safe, 1).with(func(q *request) { q.Body = "body of b" })}, want: "ORDER"},
 		{name: "a stream without its last event", requests: []request{answered("a", stream, 1).with(func(q *request) { q.Body = q.Body[:len(q.Body)-20] })}, want: "ORDER"},
 		{name: "a stream that was broken off", requests: []request{answered("a", stream, 1).with(func(q *request) { q.Body = ""; q.Err = "EOF" })}},
+		{name: "a stream that was broken off after an event that it had twice", requests: []request{answered("a", stream, 1).with(func(q *request) { q.Body = eventTexts(1, 2, "v1") + eventTexts(2, 2, "v1"); q.Err = "EOF" })}, want: "ORDER"},
+		{name: "a stream that was broken off in an event", requests: []request{answered("a", stream, 1).with(func(q *request) { q.Body = q.Body[:30]; q.Err = "EOF" })}},
+		{name: "a stream that is taken up an event too late", requests: []request{takenUp(eventTexts(1, 2, "v1"), eventTexts(4, streamEvents, "v1"))}, want: "ORDER"},
+		{name: "a stream that is taken up and ends too early", requests: []request{takenUp(eventTexts(1, 2, "v1"), eventTexts(3, 4, "v1"))}, want: "ORDER"},
+		{name: "a stream that is taken up after its last event", requests: []request{takenUp(eventTexts(1, streamEvents, "v1"), "")}},
+		{name: "a stream that is taken up", requests: []request{takenUp(eventTexts(1, 2, "v1"), eventTexts(3, streamEvents, "v1"))}},
+		{name: "a stream that is taken up at another version", requests: []request{takenUp(eventTexts(1, 2, "v1"), eventTexts(3, streamEvents, "v2"))}, want: "ORDER"},
+		{name: "a stream of the second version that is taken up", requests: []request{takenUp(eventTexts(1, 2, "v2"), eventTexts(3, streamEvents, "v2"))}},
 		{name: "a request that ran twice", requests: []request{answered("a", once, 1)}, servers: []serverLog{{Runs: []string{"a"}}, {Runs: []string{"a"}}}, want: "TWICE"},
 		{name: "an idempotent request that ran twice", requests: []request{answered("a", safe, 1)}, servers: []serverLog{{Runs: []string{"a", "a"}}}},
 		{name: "a refused request that ran", requests: []request{{ID: "a", Route: once, Status: 503}}, servers: []serverLog{{Runs: []string{"a"}}}, want: "REFUSED"},
@@ -89,6 +107,8 @@
 		{name: "a leaving server that is used after the store was away", requests: append([]request{told}, many...), servers: []serverLog{{Arrivals: append([]serv.Arrival{{At: after(1), ID: "told", Leaving: true}}, manyArrivals...)}}, disturbances: []disturbance{{From: after(1.5), To: after(2), CutOff: true}}, want: "DRAIN"},
 		{name: "requests in a pause", requests: append([]request{paused}, ten...), servers: []serverLog{{Arrivals: append([]serv.Arrival{{At: after(1), ID: "paused", RetryAfter: "2"}}, tenArrivals...)}}, want: "BUDGET"},
 		{name: "requests after a pause", requests: append([]request{paused}, ten...), servers: []serverLog{{Arrivals: append([]serv.Arrival{{At: after(1), ID: "paused", RetryAfter: "0.9"}}, tenArrivals...)}}},
+		{name: "requests in a pause that a server stopped long before reads", requests: append([]request{paused}, ten...), servers: []serverLog{{ID: "s", Arrivals: append([]serv.Arrival{{At: after(1), ID: "paused", RetryAfter: "2"}}, tenArrivals...)}}, freezes: []freeze{{Server: "s", From: after(1.1), To: after(1.5)}}, want: "BUDGET"},
+		{name: "requests in a pause that a server reads just after it was stopped", requests: append([]request{paused}, ten...), servers: []serverLog{{ID: "s", Arrivals: append([]serv.Arrival{{At: after(1), ID: "paused", RetryAfter: "2"}}, tenArrivals...)}}, freezes: []freeze{{Server: "s", From: after(1.1), To: after(2.8)}}},
 		{name: "more requests than a limit allows", requests: many, servers: []serverLog{{ID: "s", Arrivals: manyArrivals}}, limits: []limitation{{Server: "s", PerSecond: 2, From: after(0), To: after(20)}}, want: "LIMIT"},
 		{name: "as many as it allows", requests: many, servers: []serverLog{{ID: "s", Arrivals: manyArrivals}}, limits: []limitation{{Server: "s", PerSecond: 6, From: after(0), To: after(20)}}},
 		{name: "a part that goes on crashing engines", requests: append(crashes, late...), servers: []serverLog{{Arrivals: append(crashArrivals, lateArrivals...)}}, want: "BUDGET"},
@@ -105,6 +125,7 @@
 				requests:     append([]request{answered("last", safe, 40)}, sc.requests...),
 				disturbances: sc.disturbances,
 				limits:       sc.limits,
+				freezes:      sc.freezes,
 				evacuations:  sc.evacuations,
 			}
 			h.check(sc.servers, map[string]time.Time{"old": after(0)}, after(30))
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -62,6 +62,11 @@
 	Service string
 }
 
+// engineFreezes stops the process of an engine for a while.
+type engineFreezes struct {
+	For time.Duration
+}
+
 // serverPauses lets a server turn all requests away, with the text as Retry-After, for a while.
 type serverPauses struct {
 	Service    string
@@ -98,6 +103,7 @@
 func (changeKey) isFault()        {}
 func (serverLeaves) isFault()     {}
 func (serverCrashes) isFault()    {}
+func (engineFreezes) isFault()    {}
 func (serverPauses) isFault()     {}
 func (serverLimits) isFault()     {}
 func (serverMisbehaves) isFault() {}
@@ -147,7 +153,7 @@
 	h := rng.IntN(hosts)
 	service := []string{"plain", "engine", "worker"}[rng.IntN(3)]
 	d := 300*time.Millisecond + time.Duration(rng.Int64N(int64(2*time.Second)))
-	switch rng.IntN(15) {
+	switch rng.IntN(18) {
 	case 0:
 		return terminateHost{Host: h}
 	case 1:
@@ -177,6 +183,10 @@
 	case 13:
 		kinds := []serv.Behavior{serv.Full, serv.Fail, serv.DropResponse, serv.Truncate, serv.TruncateHead, serv.Reset, serv.OtherRequestID, serv.NoStamp, serv.RespondTwice, serv.EndlessHead}
 		return serverMisbehaves{Service: service, Behavior: kinds[rng.IntN(len(kinds))], For: d}
+	case 14:
+		return engineFreezes{For: d}
+	case 15, 16:
+		return serverCrashes{Service: "engine"}
 	default:
 		return crashingRequests{For: 6 * time.Second}
 	}
@@ -205,18 +215,20 @@
 		r.withServer(rng, f.Service, f, r.world.servers.leave)
 	case serverCrashes:
 		// The stand-in has no error of a close that matters here.
-		r.withServer(rng, f.Service, f, func(s *serv.Server) { _ = s.Close() })
+		r.withServer(rng, f.Service, f, func(s *server) { _ = s.Close() })
+	case engineFreezes:
+		r.withServer(rng, "engine", f, func(s *server) { r.freezeEngine(s, f.For) })
 	case serverPauses:
-		r.withServer(rng, f.Service, f, func(s *serv.Server) {
+		r.withServer(rng, f.Service, f, func(s *server) {
 			s.SetPause(f.RetryAfter)
 			time.Sleep(f.For)
 			s.SetPause("")
 		})
 	case serverLimits:
-		r.withServer(rng, f.Service, f, func(s *serv.Server) { r.limit(s, f) })
+		r.withServer(rng, f.Service, f, func(s *server) { r.limit(s, f) })
 	case serverMisbehaves:
-		r.withServer(rng, f.Service, f, func(s *serv.Server) {
-			s.SetDefaultBehavior(f.Behavior)
+		r.withServer(rng, f.Service, f, func(s *server) {
+			s.SetDefaultBehavior(s.possible(f.Behavior))
 			time.Sleep(f.For)
 			s.SetDefaultBehavior(serv.Good)
 		})
@@ -228,7 +240,7 @@
 }
 
 // withServer calls the function with a random server of the service, unless a fault of the same kind holds each of them.
-func (r *run) withServer(rng *rand.Rand, service string, kind fault, f func(s *serv.Server)) {
+func (r *run) withServer(rng *rand.Rand, service string, kind fault, f func(s *server)) {
 	name := fmt.Sprintf("%T", kind)
 	s := r.world.servers.hold(rng, service, name)
 	if s == nil {
@@ -238,8 +250,33 @@
 	f(s)
 }
 
+// possible returns the behavior, or another one if it would break no rule of the protocol that callers could notice: the end of an unframed response that the server itself ends early and in order counts as complete.
+func (s *server) possible(b serv.Behavior) serv.Behavior {
+	if s.Unframed && b == serv.TruncateHead {
+		return serv.Reset
+	}
+	return b
+}
+
+// freezeEngine stops the process of an engine for a while, and records that.
+func (r *run) freezeEngine(s *server, d time.Duration) {
+	e, ok := s.backend.(*engineProcess)
+	if !ok {
+		panic(fmt.Sprintf("server %s has no process", s.ID))
+	}
+	from := time.Now()
+	e.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	e.signal(syscall.SIGCONT)
+	r.history.addFreeze(freeze{
+		Server: s.ID,
+		From:   from,
+		To:     time.Now(),
+	})
+}
+
 // limit lets a server name a limit for a while, and records that.
-func (r *run) limit(s *serv.Server, f serverLimits) {
+func (r *run) limit(s *server, f serverLimits) {
 	s.SetLimit(strconv.FormatFloat(f.PerSecond, 'f', 2, 64))
 	r.history.addLimit(s.ID, f.PerSecond, f.For)
 	time.Sleep(f.For)
--- a/internal/stand/soak/fleet.go
+++ b/internal/stand/soak/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -17,11 +18,14 @@
 	// restartTime is the time after which a crashed server is replaced, and leaveTime that for which a leaving one goes on serving.
 	restartTime = time.Second
 	leaveTime   = 2500 * time.Millisecond
-	// streamEvents is the number of events in a stream, and eventDelay the pause before each.
+	// streamEvents is the number of events in a stream, and eventDelay the pause before each. The ends of processes must fall between two events.
 	streamEvents = 6
-	eventDelay   = 5 * time.Millisecond
+	eventDelay   = 40 * time.Millisecond
 )
 
+// enginesPerUnframed is among how many engines one sends unframed responses.
+const enginesPerUnframed = 2
+
 // sizes holds the number of servers of each service.
 var sizes = map[string]int{
 	"plain":  4,
@@ -29,30 +33,63 @@
 	"worker": 3,
 }
 
+// backend is what faults and checks need of a server, which runs in this process or in one of its own.
+type backend interface {
+	RegistrationJSON(state string) []byte
+	SetDefaultBehavior(b serv.Behavior)
+	SetPause(retryAfter string)
+	SetLimit(perSecond string)
+	SetLeaving(leaving bool)
+	ArrivalLog() []serv.Arrival
+	Runs() []serv.Run
+	Stopped() <-chan struct{}
+	Close() error
+}
+
+// server is one server of the fleet.
+type server struct {
+	backend
+	ID      string
+	Service string
+	Zone    string
+	// Unframed reports that responses have neither a length nor chunks.
+	Unframed bool
+}
+
 // holding is a fault of a kind that holds a server.
 type holding struct {
-	server *serv.Server
+	server *server
 	kind   string
 }
 
 // fleet runs the servers, and replaces those that end.
 type fleet struct {
 	store *rows.Store
+	// engineBinary is the program of an engine, and dir holds the logs of engines.
+	engineBinary string
+	dir          string
 
 	mu sync.Mutex
 	// all holds every server that was ever started, and states the state that each that is up has written.
-	all    []*serv.Server
-	states map[*serv.Server]string
+	all    []*server
+	states map[*server]string
 	// held holds the kinds of faults that hold each server.
 	held   map[holding]bool
 	closed bool
+	// version is the software version of engines that start.
+	version string
+	// engines counts the engines that were ever started.
+	engines int
 }
 
-func newFleet(store *rows.Store) *fleet {
+func newFleet(store *rows.Store, engineBinary, dir string) *fleet {
 	return &fleet{
-		store:  store,
-		states: map[*serv.Server]string{},
-		held:   map[holding]bool{},
+		store:        store,
+		engineBinary: engineBinary,
+		dir:          dir,
+		version:      "v1",
+		states:       map[*server]string{},
+		held:         map[holding]bool{},
 	}
 }
 
@@ -75,7 +112,7 @@
 	if f.closed {
 		return nil
 	}
-	s := &serv.Server{
+	s := &server{
 		ID:      fmt.Sprintf("%s-%d", service, len(f.all)),
 		Service: service,
 	}
@@ -83,11 +120,10 @@
 		s.Zone = evacuableZone
 	}
 	if service == "engine" {
-		s.Events = streamEvents
-		s.EventDelay = eventDelay
-		s.CrashOnPart(crashingPart)
+		f.engines++
+		s.Unframed = f.engines%enginesPerUnframed == 0
 	}
-	if err := s.Start(); err != nil {
+	if err := f.startBackend(s); err != nil {
 		return fmt.Errorf("start server %s: %w", s.ID, err)
 	}
 	f.all = append(f.all, s)
@@ -97,8 +133,35 @@
 	return nil
 }
 
+// startBackend starts the process of an engine, or another server in this process.
+func (f *fleet) startBackend(s *server) error {
+	if s.Service == "engine" {
+		e, err := startEngine(f.engineBinary, filepath.Join(f.dir, s.ID+".log"), engineConfig{
+			ID:       s.ID,
+			Zone:     s.Zone,
+			Version:  f.version,
+			Unframed: s.Unframed,
+		})
+		if err != nil {
+			return err
+		}
+		s.backend = e
+		return nil
+	}
+	local := &serv.Server{
+		ID:      s.ID,
+		Service: s.Service,
+		Zone:    s.Zone,
+	}
+	if err := local.Start(); err != nil {
+		return fmt.Errorf("start in this process: %w", err)
+	}
+	s.backend = local
+	return nil
+}
+
 // replace waits until the server ends, and starts another one in its place.
-func (f *fleet) replace(s *serv.Server) {
+func (f *fleet) replace(s *server) {
 	<-s.Stopped()
 	f.mu.Lock()
 	delete(f.states, s)
@@ -114,7 +177,7 @@
 }
 
 // leave makes a server state that it is leaving, in its row and in its responses, and ends it after leaveTime.
-func (f *fleet) leave(s *serv.Server) {
+func (f *fleet) leave(s *server) {
 	f.mu.Lock()
 	if f.states[s] != "ready" {
 		f.mu.Unlock()
@@ -139,10 +202,10 @@
 }
 
 // hold returns a random server of a service that is up, not leaving and not held by a fault of the kind, or nil. The end of one fault would otherwise end the other.
-func (f *fleet) hold(rng *rand.Rand, service, kind string) *serv.Server {
+func (f *fleet) hold(rng *rand.Rand, service, kind string) *server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []*serv.Server
+	var out []*server
 	for _, s := range f.all {
 		held := f.held[holding{server: s, kind: kind}]
 		if s.Service == service && f.states[s] == "ready" && !held {
@@ -158,7 +221,7 @@
 }
 
 // release ends the holding of a server by a fault of the kind.
-func (f *fleet) release(s *serv.Server, kind string) {
+func (f *fleet) release(s *server, kind string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.held, holding{server: s, kind: kind})
--- a/internal/stand/soak/history.go
+++ b/internal/stand/soak/history.go
@@ -10,10 +10,13 @@
 
 // request is one attempt of a client, and what it got.
 type request struct {
-	ID    string
-	Host  int
-	Route route
-	Key   string
+	ID string
+	// First is the ID of the stream's first attempt if this one takes the stream up, and Before holds the events that earlier attempts got.
+	First  string
+	Before string
+	Host   int
+	Route  route
+	Key    string
 	// Crashing reports that the request has the part of a prompt that crashes engines.
 	Crashing bool
 	Sent     time.Time
@@ -41,6 +44,12 @@
 	CutOff bool
 }
 
+// freeze is a time in which a fault had stopped the process of a server.
+type freeze struct {
+	Server   string
+	From, To time.Time
+}
+
 // limitation is a limit that a server named.
 type limitation struct {
 	Server    string
@@ -72,6 +81,7 @@
 	mu           sync.Mutex
 	requests     []request
 	disturbances []disturbance
+	freezes      []freeze
 	limits       []limitation
 	evacuations  []evacuation
 	violations   []Violation
@@ -89,6 +99,12 @@
 	h.disturbances = append(h.disturbances, d)
 }
 
+func (h *history) addFreeze(f freeze) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.freezes = append(h.freezes, f)
+}
+
 func (h *history) addLimit(server string, perSecond float64, d time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/stand/soak/load.go
+++ b/internal/stand/soak/load.go
@@ -17,6 +17,8 @@
 	crashingPause = 60 * time.Millisecond
 	// deadline is how long a client waits for a response.
 	deadline = 2500 * time.Millisecond
+	// maxTakeUps is how often a client takes one stream up.
+	maxTakeUps = 3
 )
 
 // client sends requests one after the other. It keeps its connection to a host until that breaks, and then turns to another one.
@@ -48,10 +50,27 @@
 func (c *client) sendUntil(ctx context.Context) {
 	for ctx.Err() == nil {
 		got := c.send(c.randomRequest())
+		for n := 0; n < maxTakeUps && got.broken(); n++ {
+			c.rest()
+			c.moveToOtherHost()
+			got = c.send(got.takeUp())
+		}
 		if got.Status == 0 {
-			c.host = c.rng.IntN(len(c.run.world.hosts))
+			c.moveToOtherHost()
 		}
-		time.Sleep(time.Duration(c.rng.Int64N(int64(2 * pause))))
+		c.rest()
+	}
+}
+
+// rest waits as a client does between two requests.
+func (c *client) rest() {
+	time.Sleep(time.Duration(c.rng.Int64N(int64(2 * pause))))
+}
+
+// moveToOtherHost makes the client send its next requests to another host.
+func (c *client) moveToOtherHost() {
+	if n := len(c.run.world.hosts); n > 1 {
+		c.host = (c.host + 1 + c.rng.IntN(n-1)) % n
 	}
 }
 
@@ -61,11 +80,19 @@
 		key = c.run.world.currentKey()
 	}
 	return request{
-		Route: routes[c.rng.IntN(len(routes))],
+		Route: c.randomRoute(),
 		Key:   key,
 	}
 }
 
+// randomRoute returns a route. Streams that may be taken up are sent more often than others.
+func (c *client) randomRoute() route {
+	if c.rng.IntN(4) == 0 {
+		return resumedRoute
+	}
+	return routes[c.rng.IntN(len(routes))]
+}
+
 // send sends the request to the client's host, records what comes back, and returns it.
 func (c *client) send(q request) request {
 	c.sent++
@@ -80,7 +107,7 @@
 
 // receive sends the request and fills in the response.
 func (c *client) receive(q *request) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+c.run.world.hosts[q.Host].callers+q.Route.Prefix+"x", strings.NewReader("body "+q.ID))
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.run.world.hosts[q.Host].callers+q.Route.Prefix+"x", strings.NewReader("body "+q.firstID()))
 	if err != nil {
 		q.Err = err.Error()
 		return
@@ -94,6 +121,10 @@
 		req.Header.Set("Pieces", "3,2")
 		req.Header.Set("Piece-Key", "k")
 	}
+	if q.First != "" {
+		req.Header.Set("Resumes", q.First)
+		req.Header.Set("Last-Event-Id", strconv.Itoa(countEvents(q.Before)))
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		q.Err = err.Error()
@@ -118,32 +149,19 @@
 		middle = crashingPart + ":200"
 	}
 	own := 0
-	for _, b := range []byte(r.ID) {
+	for _, b := range []byte(r.firstID()) {
 		own = own*31 + int(b)
 	}
 	return fmt.Sprintf("c0ffee:800,%s,%x:50", middle, uint32(own))
 }
 
-// wantBody returns the body of a whole response to the request.
-func (r *request) wantBody() string {
-	if !r.Route.streamed() {
-		return "body of " + r.ID
-	}
-	var b strings.Builder
-	for i := 1; i <= streamEvents; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
-	}
-	return b.String()
-}
-
 // sendCrashing sends requests that crash engines to all hosts for a while.
 func (r *run) sendCrashing(d time.Duration) {
 	c := r.newClient(900)
-	resumed := routes[3]
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		c.host = c.rng.IntN(len(r.world.hosts))
 		go c.fork().send(request{
-			Route:    resumed,
+			Route:    resumedRoute,
 			Key:      steadyKey,
 			Crashing: true,
 		})
--- a/internal/stand/soak/routes.go
+++ b/internal/stand/soak/routes.go
@@ -38,10 +38,13 @@
 	newRoute("safe", "idempotent", "plain"),
 	newRoute("once", "non_idempotent", "plain"),
 	newRoute("stream", "streaming", "engine"),
-	newResumableRoute("resumed"),
+	resumedRoute,
 	newStagedRoute("staged"),
 }
 
+// resumedRoute is the route whose streams clients take up.
+var resumedRoute = newResumableRoute("resumed")
+
 func newRoute(name, kind, service string) route {
 	return route{
 		Name:      name,
--- a/internal/stand/soak/run.go
+++ b/internal/stand/soak/run.go
@@ -21,8 +21,10 @@
 	// Binary is the program of an entry host, and Dir holds its settings and logs.
 	Binary string
 	Dir    string
-	Seed   uint64
-	Hosts  int
+	// EngineBinary is a program that calls ServeEngine if EngineEnv is set.
+	EngineBinary string
+	Seed         uint64
+	Hosts        int
 	// Faults is the time in which faults begin.
 	Faults time.Duration
 }
@@ -32,9 +34,10 @@
 	Violations []Violation
 	// Schedule describes the faults, one a line.
 	Schedule []string
-	// Requests is the number of requests, and Whole that of those that got a whole response.
+	// Requests is the number of requests, Whole that of those that got a whole response, and TakenUp that of those that took a stream up.
 	Requests int
 	Whole    int
+	TakenUp  int
 }
 
 // run is the state of one run.
@@ -67,7 +70,7 @@
 
 // Run starts hosts, plays the faults of a seed while clients send requests, and returns the broken rules. All processes have ended when it returns.
 func Run(ctx context.Context, o Options) (Report, error) {
-	w, err := newWorld(o.Dir, o.Binary, o.Hosts)
+	w, err := newWorld(o)
 	if err != nil {
 		return Report{}, fmt.Errorf("start soak: %w", err)
 	}
@@ -95,6 +98,8 @@
 	if ctx.Err() != nil {
 		return Report{}, fmt.Errorf("play soak: %w", ctx.Err())
 	}
+	// What servers have reported is complete once they have ended.
+	w.servers.close()
 	r.history.check(w.servers.logs(), w.revokedAt, calmFrom.Add(recoverTime))
 	return r.report(events), nil
 }
@@ -137,6 +142,9 @@
 		if q.whole() {
 			out.Whole++
 		}
+		if q.First != "" {
+			out.TakenUp++
+		}
 	}
 	return out
 }
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -18,9 +18,31 @@
 	firstSeed = flag.Uint64("soak-first", 0, "first seed to play")
 	hosts     = flag.Int("soak-hosts", 5, "number of entry hosts")
 	faultTime = flag.Duration("soak-faults", 15*time.Second, "time in which faults begin")
+	prebuilt  = flag.String("soak-binary", "", "prebuilt program of an entry host; empty means to build entryd")
 	keep      = flag.String("soak-keep", "", "directory that keeps settings, logs and schedules of failed seeds")
 )
 
+// TestMain runs an engine instead of the tests if a soak has started this program as one.
+func TestMain(m *testing.M) {
+	if config := os.Getenv(EngineEnv); config != "" {
+		if err := ServeEngine(config, os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// hostBinary returns the program of an entry host, which it builds with the race detector unless a flag names one.
+func hostBinary(t *testing.T) string {
+	t.Helper()
+	if *prebuilt != "" {
+		return *prebuilt
+	}
+	return buildHost(t)
+}
+
 // buildHost builds the program of an entry host with the race detector.
 func buildHost(t *testing.T) string {
 	t.Helper()
@@ -34,7 +56,11 @@
 
 // TestProcessesKeepPromisesUnderFaults guards against broken rules that appear only between real processes, and when several faults overlap.
 func TestProcessesKeepPromisesUnderFaults(t *testing.T) {
-	binary := buildHost(t)
+	binary := hostBinary(t)
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
 	// The processes are ended also if the test is interrupted.
 	ctx, stop := signal.NotifyContext(t.Context(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -42,16 +68,17 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			dir := t.TempDir()
 			report, err := Run(ctx, Options{
-				Binary: binary,
-				Dir:    dir,
-				Seed:   seed,
-				Hosts:  *hosts,
-				Faults: *faultTime,
+				Binary:       binary,
+				EngineBinary: self,
+				Dir:          dir,
+				Seed:         seed,
+				Hosts:        *hosts,
+				Faults:       *faultTime,
 			})
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("seed %d: %d faults, %d requests, %d whole", seed, len(report.Schedule), report.Requests, report.Whole)
+			t.Logf("seed %d: %d faults, %d requests, %d whole, %d took a stream up", seed, len(report.Schedule), report.Requests, report.Whole, report.TakenUp)
 			for _, v := range report.Violations {
 				t.Error(v)
 			}
--- a/internal/stand/soak/world.go
+++ b/internal/stand/soak/world.go
@@ -50,8 +50,8 @@
 	era       int
 }
 
-// newWorld starts everything in the directory, with the program at binary, and waits until all hosts are ready.
-func newWorld(dir, binary string, hosts int) (*world, error) {
+// newWorld starts everything that the options describe, and waits until all hosts are ready.
+func newWorld(o Options) (*world, error) {
 	w := &world{
 		store:     rows.New(),
 		key:       "key-0",
@@ -59,13 +59,14 @@
 		era:       1,
 	}
 	w.store.SetEra("1")
-	w.servers = newFleet(w.store)
+	w.servers = newFleet(w.store, o.EngineBinary, o.Dir)
 	if err := w.servers.start(); err != nil {
+		w.close()
 		return nil, fmt.Errorf("start servers: %w", err)
 	}
 	w.writeConfiguration()
-	for i := range hosts {
-		h, err := w.addHost(dir, binary, i)
+	for i := range o.Hosts {
+		h, err := w.addHost(o.Dir, o.Binary, i)
 		if err != nil {
 			w.close()
 			return nil, fmt.Errorf("start host %d: %w", i, err)
