Play releases of engines, and connections that break at clients, in the soak

Change: each run releases a new version of the engines once: new ones start one after the other while the old ones leave. Events carry the version of their engine, so a stream that holds two breaks rule ORDER. The connection of every fourth stream that may be taken up breaks at its client after some events, which then takes it up at another host.

--- a/internal/stand/soak/check.go
+++ b/internal/stand/soak/check.go
@@ -217,7 +217,8 @@
 	whole := 0
 	failed := map[int]int{}
 	for _, q := range h.requests {
-		if q.Sent.Before(from) || q.Key != steadyKey || q.Crashing {
+		brokenAtClient := q.BreaksAfter > 0 && q.holdsEvents()
+		if q.Sent.Before(from) || q.Key != steadyKey || q.Crashing || brokenAtClient {
 			continue
 		}
 		sent++
--- a/internal/stand/soak/check_test.go
+++ b/internal/stand/soak/check_test.go
@@ -117,6 +117,8 @@
 		{name: "an evacuated zone that is used by a host that was cut off", requests: many, servers: []serverLog{{Zone: evacuableZone, Arrivals: manyArrivals}}, evacuations: []evacuation{{From: after(3), To: after(20)}}, disturbances: []disturbance{{From: after(3.5), To: after(4), CutOff: true}}},
 		{name: "an evacuated zone that is used just after the order", requests: ten, servers: []serverLog{{Zone: evacuableZone, Arrivals: tenArrivals}}, evacuations: []evacuation{{From: after(1), To: after(20)}}},
 		{name: "a zone that was taken back", requests: many, servers: []serverLog{{Zone: evacuableZone, Arrivals: manyArrivals}}, evacuations: []evacuation{{From: after(0), To: after(4)}}},
+		{name: "a stream that breaks at the client after all faults", requests: []request{answered("a", resumedRoute, 31).with(func(q *request) { q.BreaksAfter = 1; q.Err = "broken" })}},
+		{name: "a stream that fails after all faults before it can break at the client", requests: []request{answered("a", resumedRoute, 31).with(func(q *request) { q.BreaksAfter = 1; q.Status = 504; q.Stamped = false })}, want: "RECOVER"},
 		{name: "a request that fails after all faults", requests: []request{answered("a", safe, 31).with(func(q *request) { q.Status = 504; q.Stamped = false })}, want: "RECOVER"},
 	}
 	for _, sc := range scenarios {
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -67,6 +69,11 @@
 	For time.Duration
 }
 
+// releaseEngines replaces the engines by those of a new software version, one after the other with the gap between them, while the old ones still serve.
+type releaseEngines struct {
+	Gap time.Duration
+}
+
 // serverPauses lets a server turn all requests away, with the text as Retry-After, for a while.
 type serverPauses struct {
 	Service    string
@@ -104,6 +111,7 @@
 func (serverLeaves) isFault()     {}
 func (serverCrashes) isFault()    {}
 func (engineFreezes) isFault()    {}
+func (releaseEngines) isFault()   {}
 func (serverPauses) isFault()     {}
 func (serverLimits) isFault()     {}
 func (serverMisbehaves) isFault() {}
@@ -123,16 +131,25 @@
 // meanGap is the mean time between the beginnings of two faults, which is shorter than most of them last.
 const meanGap = 400 * time.Millisecond
 
-// schedule returns the faults of a seed, which all begin within the duration.
+// maxReleaseGap bounds the time from one engine of a release to the next.
+const maxReleaseGap = 500 * time.Millisecond
+
+// schedule returns the faults of a seed, among them one release, which all begin within the duration.
 func schedule(seed uint64, hosts int, duration time.Duration) []event {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	out := []event{{
 		Fault: copyStore{},
 	}}
+	release := event{
+		At:    time.Duration(rng.Int64N(int64(duration/2) + 1)),
+		Fault: releaseEngines{Gap: time.Duration(rng.Int64N(int64(maxReleaseGap)))},
+	}
 	storms := 0
 	for at := time.Duration(0); ; {
 		at += time.Duration(rng.Int64N(int64(2 * meanGap)))
 		if at >= duration {
+			out = append(out, release)
+			slices.SortStableFunc(out, func(a, b event) int { return cmp.Compare(a.At, b.At) })
 			return out
 		}
 		f := randomFault(rng, hosts)
@@ -218,6 +235,8 @@
 		r.withServer(rng, f.Service, f, func(s *server) { _ = s.Close() })
 	case engineFreezes:
 		r.withServer(rng, "engine", f, func(s *server) { r.freezeEngine(s, f.For) })
+	case releaseEngines:
+		r.world.servers.release(f.Gap)
 	case serverPauses:
 		r.withServer(rng, f.Service, f, func(s *server) {
 			s.SetPause(f.RetryAfter)
@@ -246,7 +265,7 @@
 	if s == nil {
 		return
 	}
-	defer r.world.servers.release(s, name)
+	defer r.world.servers.letGo(s, name)
 	f(s)
 }
 
--- a/internal/stand/soak/fleet.go
+++ b/internal/stand/soak/fleet.go
@@ -76,8 +76,10 @@
 	// held holds the kinds of faults that hold each server.
 	held   map[holding]bool
 	closed bool
-	// version is the software version of engines that start.
-	version string
+	// releases counts the software versions that were released after the first one. Engines that start have the latest.
+	releases int
+	// superseded holds the engines for which a release has started another one.
+	superseded map[*server]bool
 	// engines counts the engines that were ever started.
 	engines int
 }
@@ -87,7 +89,7 @@
 		store:        store,
 		engineBinary: engineBinary,
 		dir:          dir,
-		version:      "v1",
+		superseded:   map[*server]bool{},
 		states:       map[*server]string{},
 		held:         map[holding]bool{},
 	}
@@ -139,7 +141,7 @@
 		e, err := startEngine(f.engineBinary, filepath.Join(f.dir, s.ID+".log"), engineConfig{
 			ID:       s.ID,
 			Zone:     s.Zone,
-			Version:  f.version,
+			Version:  f.version(),
 			Unframed: s.Unframed,
 		})
 		if err != nil {
@@ -166,12 +168,16 @@
 	f.mu.Lock()
 	delete(f.states, s)
 	closed := f.closed
+	superseded := f.superseded[s]
 	f.mu.Unlock()
 	if closed {
 		return
 	}
 	time.Sleep(restartTime)
 	f.store.Remove("servers", s.ID)
+	if superseded {
+		return
+	}
 	// Without a free port there is one server less, which the checks of the end notice.
 	_ = f.add(s.Service)
 }
@@ -220,8 +226,8 @@
 	return s
 }
 
-// release ends the holding of a server by a fault of the kind.
-func (f *fleet) release(s *server, kind string) {
+// letGo ends the holding of a server by a fault of the kind.
+func (f *fleet) letGo(s *server, kind string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.held, holding{server: s, kind: kind})
--- a/internal/stand/soak/history.go
+++ b/internal/stand/soak/history.go
@@ -14,9 +14,11 @@
 	// First is the ID of the stream's first attempt if this one takes the stream up, and Before holds the events that earlier attempts got.
 	First  string
 	Before string
-	Host   int
-	Route  route
-	Key    string
+	// BreaksAfter is the number of events after which the connection breaks at the client, or 0 if it does not.
+	BreaksAfter int
+	Host        int
+	Route       route
+	Key         string
 	// Crashing reports that the request has the part of a prompt that crashes engines.
 	Crashing bool
 	Sent     time.Time
--- a/internal/stand/soak/load.go
+++ b/internal/stand/soak/load.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,8 +21,13 @@
 	deadline = 2500 * time.Millisecond
 	// maxTakeUps is how often a client takes one stream up.
 	maxTakeUps = 3
+	// requestsPerBroken is among how many streams that may be taken up the client's connection breaks in one.
+	requestsPerBroken = 4
 )
 
+// errBroken is the error of a response whose connection breaks at the client.
+var errBroken = errors.New("connection breaks at the client")
+
 // client sends requests one after the other. It keeps its connection to a host until that breaks, and then turns to another one.
 type client struct {
 	run  *run
@@ -79,10 +86,14 @@
 	if c.rng.IntN(4) == 0 {
 		key = c.run.world.currentKey()
 	}
-	return request{
+	q := request{
 		Route: c.randomRoute(),
 		Key:   key,
 	}
+	if q.Route.Resumable && c.rng.IntN(requestsPerBroken) == 0 {
+		q.BreaksAfter = 1 + c.rng.IntN(streamEvents-1)
+	}
+	return q
 }
 
 // randomRoute returns a route. Streams that may be taken up are sent more often than others.
@@ -135,13 +146,31 @@
 	q.Stamped = resp.Header.Get("Server-Stamp") != ""
 	q.EchoedID = resp.Header.Get("Request-Id")
 	q.Leaving = resp.Header.Get("Server-Leaving") == "1"
-	body, err := io.ReadAll(resp.Body)
-	q.Body = string(body)
+	q.Body, err = q.read(resp.Body)
 	if err != nil {
 		q.Err = err.Error()
 	}
 }
 
+// read reads the body. A request with BreaksAfter reads only that many events.
+func (r *request) read(body io.Reader) (string, error) {
+	var out strings.Builder
+	in := bufio.NewReader(body)
+	for {
+		line, err := in.ReadString('\n')
+		out.WriteString(line)
+		if errors.Is(err, io.EOF) {
+			return out.String(), nil
+		}
+		if err != nil {
+			return out.String(), fmt.Errorf("read body: %w", err)
+		}
+		if r.BreaksAfter > 0 && countEvents(out.String()) >= r.BreaksAfter {
+			return out.String(), errBroken
+		}
+	}
+}
+
 // promptPrefix returns the parts of the request's prompt. All requests share the first part, and the last one is the request's own.
 func (r *request) promptPrefix() string {
 	middle := "5eed:200"
--- a/internal/stand/soak/run.go
+++ b/internal/stand/soak/run.go
@@ -38,6 +38,8 @@
 	Requests int
 	Whole    int
 	TakenUp  int
+	// Failed counts the requests that did not get a whole response by their status, of which 0 is none.
+	Failed map[int]int
 }
 
 // run is the state of one run.
@@ -134,6 +136,7 @@
 	out := Report{
 		Violations: r.history.violations,
 		Requests:   len(r.history.requests),
+		Failed:     map[int]int{},
 	}
 	for _, e := range events {
 		out.Schedule = append(out.Schedule, e.String())
@@ -141,6 +144,8 @@
 	for _, q := range r.history.requests {
 		if q.whole() {
 			out.Whole++
+		} else {
+			out.Failed[q.Status]++
 		}
 		if q.First != "" {
 			out.TakenUp++
