Play callers of HTTP/1.0 in the soak

Cause: the answer to a caller of HTTP/1.0 may end with its connection, and the kernel ends the connections of a killed host in order. The soak had no such callers.

Change: one client for each host sends HTTP/1.0 over a raw connection, each request on one of its own. An answer that ends in order counts as whole, and rule ORDER then asks for the whole body.

--- a/internal/stand/soak/history.go
+++ b/internal/stand/soak/history.go
@@ -17,8 +17,10 @@
 	// BreaksAfter is the number of events after which the connection breaks at the client, or 0 if it does not.
 	BreaksAfter int
 	Host        int
-	Route       route
-	Key         string
+	// HTTP10 reports that the client sent HTTP/1.0.
+	HTTP10 bool
+	Route  route
+	Key    string
 	// Crashing reports that the request has the part of a prompt that crashes engines.
 	Crashing bool
 	Sent     time.Time
--- a/internal/stand/soak/load.go
+++ b/internal/stand/soak/load.go
@@ -34,8 +34,10 @@
 	name string
 	rng  *rand.Rand
 	http *http.Client
-	host int
-	sent int
+	// http10 makes the client send HTTP/1.0, each request on a connection of its own.
+	http10 bool
+	host   int
+	sent   int
 }
 
 func (r *run) newClient(n int) *client {
@@ -109,6 +111,7 @@
 	c.sent++
 	q.Host = c.host
 	q.ID = fmt.Sprintf("h%d-%s-%d", c.host, c.name, c.sent)
+	q.HTTP10 = c.http10
 	q.Sent = time.Now()
 	c.receive(&q)
 	q.Ended = time.Now()
@@ -118,25 +121,12 @@
 
 // receive sends the request and fills in the response.
 func (c *client) receive(q *request) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+c.run.world.hosts[q.Host].callers+q.Route.Prefix+"x", strings.NewReader("body "+q.firstID()))
+	req, err := c.newRequest(q)
 	if err != nil {
 		q.Err = err.Error()
 		return
 	}
-	req.Host = q.Route.Host
-	req.Header.Set("Request-Id", q.ID)
-	req.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
-	req.Header.Set("Api-Key", q.Key)
-	req.Header.Set("Prompt-Prefix", q.promptPrefix())
-	if len(q.Route.Stages) > 0 {
-		req.Header.Set("Pieces", "3,2")
-		req.Header.Set("Piece-Key", "k")
-	}
-	if q.First != "" {
-		req.Header.Set("Resumes", q.First)
-		req.Header.Set("Last-Event-Id", strconv.Itoa(countEvents(q.Before)))
-	}
-	resp, err := c.http.Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		q.Err = err.Error()
 		return
@@ -152,6 +142,40 @@
 	}
 }
 
+// do sends the request in the client's version of HTTP and returns the response.
+func (c *client) do(req *http.Request) (*http.Response, error) {
+	if c.http10 {
+		return doHTTP10(req)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("send request: %w", err)
+	}
+	return resp, nil
+}
+
+// newRequest returns the request as it is sent to the client's host.
+func (c *client) newRequest(q *request) (*http.Request, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.run.world.hosts[q.Host].callers+q.Route.Prefix+"x", strings.NewReader("body "+q.firstID()))
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	req.Host = q.Route.Host
+	req.Header.Set("Request-Id", q.ID)
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	req.Header.Set("Api-Key", q.Key)
+	req.Header.Set("Prompt-Prefix", q.promptPrefix())
+	if len(q.Route.Stages) > 0 {
+		req.Header.Set("Pieces", "3,2")
+		req.Header.Set("Piece-Key", "k")
+	}
+	if q.First != "" {
+		req.Header.Set("Resumes", q.First)
+		req.Header.Set("Last-Event-Id", strconv.Itoa(countEvents(q.Before)))
+	}
+	return req, nil
+}
+
 // read reads the body. A request with BreaksAfter reads only that many events.
 func (r *request) read(body io.Reader) (string, error) {
 	var out strings.Builder
--- a/internal/stand/soak/run.go
+++ b/internal/stand/soak/run.go
@@ -11,6 +11,9 @@
 const (
 	// clientsPerHost is the number of clients for each host.
 	clientsPerHost = 3
+	// http10ClientsPerHost is the number of clients beside them that send HTTP/1.0, and http10Client the number of the first one.
+	http10ClientsPerHost = 1
+	http10Client         = 500
 	// calmTime is how long requests are sent after the last fault has ended, and recoverTime the part of it in which some may still fail.
 	calmTime    = 7 * time.Second
 	recoverTime = 5 * time.Second
@@ -38,6 +41,8 @@
 	Requests int
 	Whole    int
 	TakenUp  int
+	// WholeHTTP10 is the number of whole responses to requests in HTTP/1.0.
+	WholeHTTP10 int
 	// Failed counts the requests that did not get a whole response by their status, of which 0 is none.
 	Failed map[int]int
 }
@@ -89,6 +94,11 @@
 	for n := range clientsPerHost * o.Hosts {
 		clients.Go(func() { r.newClient(n).sendUntil(sending) })
 	}
+	for n := range http10ClientsPerHost * o.Hosts {
+		c := r.newClient(http10Client + n)
+		c.http10 = true
+		clients.Go(func() { c.sendUntil(sending) })
+	}
 	var orders sync.WaitGroup
 	orders.Go(func() { r.evacuate(ctx, o.Faults) })
 	r.playAll(ctx, events)
@@ -147,6 +157,9 @@
 		} else {
 			out.Failed[q.Status]++
 		}
+		if q.HTTP10 && q.whole() {
+			out.WholeHTTP10++
+		}
 		if q.First != "" {
 			out.TakenUp++
 		}
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -78,7 +78,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("seed %d: %d faults, %d requests, %d whole, %d took a stream up, others by status: %v", seed, len(report.Schedule), report.Requests, report.Whole, report.TakenUp, report.Failed)
+			t.Logf("seed %d: %d faults, %d requests, %d whole, %d whole in HTTP/1.0, %d took a stream up, others by status: %v", seed, len(report.Schedule), report.Requests, report.Whole, report.WholeHTTP10, report.TakenUp, report.Failed)
 			for _, v := range report.Violations {
 				t.Error(v)
 			}
