Play a host that reaches servers only through others in the soak

Cause: no host of the soak was cut off from servers, so streams through two hosts of which one is killed were not played.

Change: host 0 has a loopback link to each server. Once in each run all of them are cut for 4 s (refusing, refusing new connections or hanging), and two other hosts are killed meanwhile.

--- a/internal/stand/link/link.go
+++ b/internal/stand/link/link.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // Mode is how a link treats connections.
@@ -40,6 +41,9 @@
 	conns   map[net.Conn]bool
 	// opened counts the connections that were accepted.
 	opened int
+	// followsEnd makes the link refuse connections once its server does, and ended reports that the server did.
+	followsEnd bool
+	ended      bool
 }
 
 // New opens a link to the server with the address.
@@ -72,6 +76,13 @@
 	return l.opened
 }
 
+// FollowEnd makes the link refuse new connections for good once its server refuses one, as the network between a host and a server that has ended does. It must be called before the link is used.
+func (l *Link) FollowEnd() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.followsEnd = true
+}
+
 // SetMode sets how the link treats connections from now on.
 func (l *Link) SetMode(m Mode) error {
 	l.mu.Lock()
@@ -110,6 +121,9 @@
 
 // listen accepts connections. The caller holds the lock, or is the only user.
 func (l *Link) listen() error {
+	if l.ended {
+		return nil
+	}
 	ln, err := l.port.listen()
 	if err != nil {
 		return fmt.Errorf("listen for a server: %w", err)
@@ -159,6 +173,9 @@
 func (l *Link) serve(client net.Conn) {
 	server, err := net.Dial("tcp", l.target)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			l.noteEnd()
+		}
 		reset(client)
 		return
 	}
@@ -179,6 +196,20 @@
 	_ = server.Close()
 }
 
+// noteEnd stops listening if the link follows the end of its server, which has refused a connection.
+func (l *Link) noteEnd() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.followsEnd {
+		return
+	}
+	l.ended = true
+	if l.mode == Open {
+		// The listener is in use, and a listener that was closed already refuses as well.
+		_ = l.stopListening()
+	}
+}
+
 // pass copies from one end of a connection to the other. Each end sees how the other one ended: in order or with a reset.
 func (l *Link) pass(to, from net.Conn) {
 	buf := make([]byte, bufferBytes)
--- a/internal/stand/link/link_test.go
+++ b/internal/stand/link/link_test.go
@@ -101,3 +101,32 @@
 		})
 	}
 }
+
+// Guards against hosts that take a server which has ended for one that turns connections away.
+func TestLinkThatFollowsEndRefusesConnectionsAfterServerDoes(t *testing.T) {
+	Convey("Given a link whose server has ended", t, func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		l, err := New(ln.Addr().String())
+		So(err, ShouldBeNil)
+		Reset(func() { So(l.Close(), ShouldBeNil) })
+		So(ln.Close(), ShouldBeNil)
+		Convey("one that follows its end resets one connection and refuses further ones", func() {
+			l.FollowEnd()
+			c, err := net.DialTimeout("tcp", l.Addr(), answerTime)
+			So(err, ShouldBeNil)
+			defer c.Close()
+			So(isError(echo(c, answerTime), syscall.ECONNRESET), ShouldBeTrue)
+			_, err = net.DialTimeout("tcp", l.Addr(), answerTime)
+			So(isError(err, syscall.ECONNREFUSED), ShouldBeTrue)
+		})
+		Convey("another goes on accepting and resetting", func() {
+			for range 2 {
+				c, err := net.DialTimeout("tcp", l.Addr(), answerTime)
+				So(err, ShouldBeNil)
+				defer c.Close()
+				So(isError(echo(c, answerTime), syscall.ECONNRESET), ShouldBeTrue)
+			}
+		})
+	})
+}
--- a/internal/stand/soak/check_test.go
+++ b/internal/stand/soak/check_test.go
@@ -89,6 +89,8 @@
 		{name: "a stream that was broken off", requests: []request{answered("a", stream, 1).with(func(q *request) { q.Body = ""; q.Err = "EOF" })}},
 		{name: "a stream that was broken off after an event that it had twice", requests: []request{answered("a", stream, 1).with(func(q *request) { q.Body = eventTexts(1, 2, "v1") + eventTexts(2, 2, "v1"); q.Err = "EOF" })}, want: "ORDER"},
 		{name: "a stream that was broken off in an event", requests: []request{answered("a", stream, 1).with(func(q *request) { q.Body = q.Body[:30]; q.Err = "EOF" })}},
+		{name: "a stream in HTTP/1.0 that ends in order too early", requests: []request{answered("a", stream, 1).with(func(q *request) { q.HTTP10 = true; q.Body = eventTexts(1, 5, "v1") })}, want: "ORDER"},
+		{name: "a stream in HTTP/1.0 that is reset", requests: []request{answered("a", stream, 1).with(func(q *request) { q.HTTP10 = true; q.Body = eventTexts(1, 5, "v1"); q.Err = "reset" })}},
 		{name: "a stream that is taken up an event too late", requests: []request{takenUp(eventTexts(1, 2, "v1"), eventTexts(4, streamEvents, "v1"))}, want: "ORDER"},
 		{name: "a stream that is taken up and ends too early", requests: []request{takenUp(eventTexts(1, 2, "v1"), eventTexts(3, 4, "v1"))}, want: "ORDER"},
 		{name: "a stream that is taken up after its last event", requests: []request{takenUp(eventTexts(1, streamEvents, "v1"), "")}},
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cornelwing/cornelwing/internal/stand/link"
 	"github.com/cornelwing/cornelwing/internal/stand/rows"
 	"github.com/cornelwing/cornelwing/internal/stand/serv"
 )
@@ -38,6 +39,12 @@
 	Host int
 }
 
+// cutLinks cuts the paths between linkedHost and all servers for a while, in which it reaches them only through other hosts.
+type cutLinks struct {
+	Mode link.Mode
+	For  time.Duration
+}
+
 // breakStore lets the calls of a host to the store fail for a while.
 type breakStore struct {
 	Host int
@@ -104,6 +111,7 @@
 func (killHost) isFault()         {}
 func (freezeHost) isFault()       {}
 func (hangUp) isFault()           {}
+func (cutLinks) isFault()         {}
 func (breakStore) isFault()       {}
 func (copyStore) isFault()        {}
 func (restoreStore) isFault()     {}
@@ -134,21 +142,21 @@
 // maxReleaseGap bounds the time from one engine of a release to the next.
 const maxReleaseGap = 500 * time.Millisecond
 
-// schedule returns the faults of a seed, among them one release, which all begin within the duration.
+// schedule returns the faults of a seed, among them one release and one cut of links, which all begin within the duration.
 func schedule(seed uint64, hosts int, duration time.Duration) []event {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	out := []event{{
 		Fault: copyStore{},
 	}}
-	release := event{
+	fixed := append(cutSchedule(rng, hosts, duration), event{
 		At:    time.Duration(rng.Int64N(int64(duration/2) + 1)),
 		Fault: releaseEngines{Gap: time.Duration(rng.Int64N(int64(maxReleaseGap)))},
-	}
+	})
 	storms := 0
 	for at := time.Duration(0); ; {
 		at += time.Duration(rng.Int64N(int64(2 * meanGap)))
 		if at >= duration {
-			out = append(out, release)
+			out = append(out, fixed...)
 			slices.SortStableFunc(out, func(a, b event) int { return cmp.Compare(a.At, b.At) })
 			return out
 		}
@@ -166,6 +174,32 @@
 	}
 }
 
+// cutTime is how long linkedHost reaches servers through other hosts only, and killsInCut how many of these are killed meanwhile.
+const (
+	cutTime    = 4 * time.Second
+	killsInCut = 2
+)
+
+// cutSchedule returns a cut of the links of linkedHost, and the ends of other hosts in it.
+func cutSchedule(rng *rand.Rand, hosts int, duration time.Duration) []event {
+	if hosts <= linkedHost+1 {
+		return nil
+	}
+	modes := []link.Mode{link.Refuse, link.RefuseNew, link.Hang}
+	from := time.Duration(rng.Int64N(int64(max(duration-cutTime, 0)) + 1))
+	out := []event{{
+		At:    from,
+		Fault: cutLinks{Mode: modes[rng.IntN(len(modes))], For: cutTime},
+	}}
+	for range killsInCut {
+		out = append(out, event{
+			At:    from + time.Duration(rng.Int64N(int64(cutTime))),
+			Fault: killHost{Host: linkedHost + 1 + rng.IntN(hosts-linkedHost-1)},
+		})
+	}
+	return out
+}
+
 func randomFault(rng *rand.Rand, hosts int) fault {
 	h := rng.IntN(hosts)
 	service := []string{"plain", "engine", "worker"}[rng.IntN(3)]
@@ -220,6 +254,8 @@
 		r.freeze(f.Host, f.For)
 	case hangUp:
 		r.world.hosts[f.Host].hangUp()
+	case cutLinks:
+		r.cutLinks(f)
 	case breakStore:
 		r.breakStore(f)
 	case copyStore:
@@ -346,6 +382,21 @@
 	})
 }
 
+// cutLinks cuts the paths between linkedHost and all servers for a while.
+func (r *run) cutLinks(f cutLinks) {
+	from := time.Now()
+	l := r.world.hosts[linkedHost].links
+	l.setMode(f.Mode)
+	time.Sleep(f.For)
+	l.setMode(link.Open)
+	r.history.addDisturbance(disturbance{
+		Host:   linkedHost,
+		From:   from,
+		To:     time.Now(),
+		CutOff: true,
+	})
+}
+
 // breakStore lets the calls of a host to the store fail for a while.
 func (r *run) breakStore(f breakStore) {
 	from := time.Now()
--- a/internal/stand/soak/history.go
+++ b/internal/stand/soak/history.go
@@ -40,11 +40,11 @@
 	return r.Status >= 200 && r.Status < 300 && r.Err == "" && r.Stamped
 }
 
-// disturbance is a time in which a fault held a host: it was ended, frozen or could not use the store.
+// disturbance is a time in which a fault held a host: it was ended, frozen, or could not use the store or reach servers.
 type disturbance struct {
 	Host     int
 	From, To time.Time
-	// CutOff reports that the host could not use the store, and was disturbed in nothing else.
+	// CutOff reports that the host could not use the store or reach servers, and was disturbed in nothing else.
 	CutOff bool
 }
 
--- a/internal/stand/soak/world.go
+++ b/internal/stand/soak/world.go
@@ -30,6 +30,8 @@
 	callers string
 	ready   string
 	store   *rows.Listener
+	// links are the host's paths to the servers, or nil if it reaches them directly.
+	links *links
 }
 
 // world holds the store, the servers and the hosts of one run.
@@ -102,6 +104,10 @@
 			logPath:  filepath.Join(dir, fmt.Sprintf("host-%d.log", i)),
 		},
 	}
+	if i == linkedHost {
+		h.links = newLinks()
+		l.MapAddresses(h.links.addrOf)
+	}
 	settings := fmt.Sprintf(`host: {name: host-%d, domain: z}
 listen: {callers: %q, ready: %q, peers: %q, metrics: %q}
 store: {address: %q}
@@ -224,6 +230,9 @@
 		h.kill()
 		// The hosts have ended, so nothing uses the listener any more.
 		_ = h.store.Close()
+		if h.links != nil {
+			h.links.close()
+		}
 	}
 	w.servers.close()
 }
