--- a/internal/stand/soak/run.go
+++ b/internal/stand/soak/run.go
@@ -30,6 +30,8 @@
 	Hosts        int
 	// Faults is the time in which faults begin.
 	Faults time.Duration
+	// NoEvacuation leaves evacuations out, which programs of earlier landings do not know.
+	NoEvacuation bool
 }
 
 // Report is the outcome of a run.
@@ -100,7 +102,9 @@
 		clients.Go(func() { c.sendUntil(sending) })
 	}
 	var orders sync.WaitGroup
-	orders.Go(func() { r.evacuate(ctx, o.Faults) })
+	if !o.NoEvacuation {
+		orders.Go(func() { r.evacuate(ctx, o.Faults) })
+	}
 	r.playAll(ctx, events)
 	orders.Wait()
 	calmFrom := time.Now()
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -19,6 +19,7 @@
 	hosts     = flag.Int("soak-hosts", 5, "number of entry hosts")
 	faultTime = flag.Duration("soak-faults", 15*time.Second, "time in which faults begin")
 	prebuilt  = flag.String("soak-binary", "", "prebuilt program of an entry host; empty means to build entryd")
+	evacuate  = flag.Bool("soak-evacuate", true, "whether an operator evacuates a zone, which programs of earlier landings do not know")
 	keep      = flag.String("soak-keep", "", "directory that keeps settings, logs and schedules of failed seeds")
 )
 
@@ -74,6 +75,7 @@
 				Seed:         seed,
 				Hosts:        *hosts,
 				Faults:       *faultTime,
+				NoEvacuation: !*evacuate,
 			})
 			if err != nil {
 				t.Fatal(err)
