--- a/internal/stand/soak/check.go
+++ b/internal/stand/soak/check.go
@@ -62,11 +62,11 @@
 // checkResponses checks that what looks like a whole response is the one of the request, and that a broken stream holds nothing but the beginning of one.
 func (h *history) checkResponses() {
 	for _, q := range h.requests {
-		if q.whole() && (q.EchoedID != q.ID || q.joined() != q.wantBody()) {
+		switch {
+		case q.whole() && (q.EchoedID != q.ID || q.joined() != q.wantBody()):
 			h.addViolationf("ORDER", "request %s (HTTP/1.0: %t) to %s got a whole response with ID %q and body %q after %q", q.ID, q.HTTP10, q.Route.Name, q.EchoedID, q.Body, q.Before)
-		}
-		if q.holdsEvents() && !strings.HasPrefix(q.wantBody(), q.joined()) {
-			h.addViolationf("ORDER", "request %s to %s got a stream that broke off with body %q after %q", q.ID, q.Route.Name, q.Body, q.Before)
+		case q.holdsEvents() && !strings.HasPrefix(q.wantBody(), q.joined()):
+			h.addViolationf("ORDER", "request %s (HTTP/1.0: %t) to %s got a stream that broke off with body %q after %q", q.ID, q.HTTP10, q.Route.Name, q.Body, q.Before)
 		}
 	}
 }
