--- a/internal/stand/serv/respond.go
+++ b/internal/stand/serv/respond.go
@@ -29,14 +29,11 @@
 	case DropResponse:
 		panic(http.ErrAbortHandler)
 	case Crash:
-		// Close closes the listener and all connections, including the one of this request.
-		_ = s.http.Close()
-		panic(http.ErrAbortHandler)
+		s.exit()
 	case CrashAfterHead:
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(crashDelay)
-		_ = s.http.Close()
-		panic(http.ErrAbortHandler)
+		s.exit()
 	case EndlessHead, EndlessLine, EndlessBody, EndlessEvent:
 		s.writeEndlessly(w, b)
 		return
@@ -99,8 +96,11 @@
 	}
 }
 
-// exit ends the server as if its process was killed. It does not return.
+// exit ends the server with its listener and all connections, including the one of the request, as if its process was killed. It does not return.
 func (s *Server) exit() {
+	if s.End != nil {
+		s.End()
+	}
 	_ = s.http.Close()
 	panic(http.ErrAbortHandler)
 }
@@ -139,7 +139,7 @@
 
 // eventText returns the text of the event with the number in a stream.
 func (s *Server) eventText(event int) string {
-	text := fmt.Sprintf("data: piece %d\n\n", event)
+	text := fmt.Sprintf("data: piece %d%s\n\n", event, s.EventSuffix)
 	if s.HasID == nil || s.HasID(event) {
 		text = fmt.Sprintf("id: %d\n%s", event, text)
 	}
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -1,12 +1,15 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
 
+	"github.com/cornelwing/cornelwing/internal/stand/link"
 	"github.com/cornelwing/cornelwing/internal/stand/rows"
 	"github.com/cornelwing/cornelwing/internal/stand/serv"
 )
@@ -36,6 +39,12 @@
 	Host int
 }
 
+// cutLinks cuts the paths between linkedHost and all servers for a while, in which it reaches them only through other hosts.
+type cutLinks struct {
+	Mode link.Mode
+	For  time.Duration
+}
+
 // breakStore lets the calls of a host to the store fail for a while.
 type breakStore struct {
 	Host int
@@ -62,6 +71,16 @@
 	Service string
 }
 
+// engineFreezes stops the process of an engine for a while.
+type engineFreezes struct {
+	For time.Duration
+}
+
+// releaseEngines replaces the engines by those of a new software version, one after the other with the gap between them, while the old ones still serve.
+type releaseEngines struct {
+	Gap time.Duration
+}
+
 // serverPauses lets a server turn all requests away, with the text as Retry-After, for a while.
 type serverPauses struct {
 	Service    string
@@ -92,12 +111,15 @@
 func (killHost) isFault()         {}
 func (freezeHost) isFault()       {}
 func (hangUp) isFault()           {}
+func (cutLinks) isFault()         {}
 func (breakStore) isFault()       {}
 func (copyStore) isFault()        {}
 func (restoreStore) isFault()     {}
 func (changeKey) isFault()        {}
 func (serverLeaves) isFault()     {}
 func (serverCrashes) isFault()    {}
+func (engineFreezes) isFault()    {}
+func (releaseEngines) isFault()   {}
 func (serverPauses) isFault()     {}
 func (serverLimits) isFault()     {}
 func (serverMisbehaves) isFault() {}
@@ -117,16 +139,25 @@
 // meanGap is the mean time between the beginnings of two faults, which is shorter than most of them last.
 const meanGap = 400 * time.Millisecond
 
-// schedule returns the faults of a seed, which all begin within the duration.
+// maxReleaseGap bounds the time from one engine of a release to the next.
+const maxReleaseGap = 500 * time.Millisecond
+
+// schedule returns the faults of a seed, among them one release and one cut of links, which all begin within the duration.
 func schedule(seed uint64, hosts int, duration time.Duration) []event {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	out := []event{{
 		Fault: copyStore{},
 	}}
+	fixed := append(cutSchedule(rng, hosts, duration), event{
+		At:    time.Duration(rng.Int64N(int64(duration/2) + 1)),
+		Fault: releaseEngines{Gap: time.Duration(rng.Int64N(int64(maxReleaseGap)))},
+	})
 	storms := 0
 	for at := time.Duration(0); ; {
 		at += time.Duration(rng.Int64N(int64(2 * meanGap)))
 		if at >= duration {
+			out = append(out, fixed...)
+			slices.SortStableFunc(out, func(a, b event) int { return cmp.Compare(a.At, b.At) })
 			return out
 		}
 		f := randomFault(rng, hosts)
@@ -143,11 +174,37 @@
 	}
 }
 
+// cutTime is how long linkedHost reaches servers through other hosts only, and killsInCut how many of these are killed meanwhile.
+const (
+	cutTime    = 4 * time.Second
+	killsInCut = 2
+)
+
+// cutSchedule returns a cut of the links of linkedHost, and the ends of other hosts in it.
+func cutSchedule(rng *rand.Rand, hosts int, duration time.Duration) []event {
+	if hosts <= linkedHost+1 {
+		return nil
+	}
+	modes := []link.Mode{link.Refuse, link.RefuseNew, link.Hang}
+	from := time.Duration(rng.Int64N(int64(max(duration-cutTime, 0)) + 1))
+	out := []event{{
+		At:    from,
+		Fault: cutLinks{Mode: modes[rng.IntN(len(modes))], For: cutTime},
+	}}
+	for range killsInCut {
+		out = append(out, event{
+			At:    from + time.Duration(rng.Int64N(int64(cutTime))),
+			Fault: killHost{Host: linkedHost + 1 + rng.IntN(hosts-linkedHost-1)},
+		})
+	}
+	return out
+}
+
 func randomFault(rng *rand.Rand, hosts int) fault {
 	h := rng.IntN(hosts)
 	service := []string{"plain", "engine", "worker"}[rng.IntN(3)]
 	d := 300*time.Millisecond + time.Duration(rng.Int64N(int64(2*time.Second)))
-	switch rng.IntN(15) {
+	switch rng.IntN(18) {
 	case 0:
 		return terminateHost{Host: h}
 	case 1:
@@ -177,6 +234,10 @@
 	case 13:
 		kinds := []serv.Behavior{serv.Full, serv.Fail, serv.DropResponse, serv.Truncate, serv.TruncateHead, serv.Reset, serv.OtherRequestID, serv.NoStamp, serv.RespondTwice, serv.EndlessHead}
 		return serverMisbehaves{Service: service, Behavior: kinds[rng.IntN(len(kinds))], For: d}
+	case 14:
+		return engineFreezes{For: d}
+	case 15, 16:
+		return serverCrashes{Service: "engine"}
 	default:
 		return crashingRequests{For: 6 * time.Second}
 	}
@@ -193,6 +254,8 @@
 		r.freeze(f.Host, f.For)
 	case hangUp:
 		r.world.hosts[f.Host].hangUp()
+	case cutLinks:
+		r.cutLinks(f)
 	case breakStore:
 		r.breakStore(f)
 	case copyStore:
@@ -205,18 +268,22 @@
 		r.withServer(rng, f.Service, f, r.world.servers.leave)
 	case serverCrashes:
 		// The stand-in has no error of a close that matters here.
-		r.withServer(rng, f.Service, f, func(s *serv.Server) { _ = s.Close() })
+		r.withServer(rng, f.Service, f, func(s *server) { _ = s.Close() })
+	case engineFreezes:
+		r.withServer(rng, "engine", f, func(s *server) { r.freezeEngine(s, f.For) })
+	case releaseEngines:
+		r.world.servers.release(f.Gap)
 	case serverPauses:
-		r.withServer(rng, f.Service, f, func(s *serv.Server) {
+		r.withServer(rng, f.Service, f, func(s *server) {
 			s.SetPause(f.RetryAfter)
 			time.Sleep(f.For)
 			s.SetPause("")
 		})
 	case serverLimits:
-		r.withServer(rng, f.Service, f, func(s *serv.Server) { r.limit(s, f) })
+		r.withServer(rng, f.Service, f, func(s *server) { r.limit(s, f) })
 	case serverMisbehaves:
-		r.withServer(rng, f.Service, f, func(s *serv.Server) {
-			s.SetDefaultBehavior(f.Behavior)
+		r.withServer(rng, f.Service, f, func(s *server) {
+			s.SetDefaultBehavior(s.possible(f.Behavior))
 			time.Sleep(f.For)
 			s.SetDefaultBehavior(serv.Good)
 		})
@@ -228,18 +295,43 @@
 }
 
 // withServer calls the function with a random server of the service, unless a fault of the same kind holds each of them.
-func (r *run) withServer(rng *rand.Rand, service string, kind fault, f func(s *serv.Server)) {
+func (r *run) withServer(rng *rand.Rand, service string, kind fault, f func(s *server)) {
 	name := fmt.Sprintf("%T", kind)
 	s := r.world.servers.hold(rng, service, name)
 	if s == nil {
 		return
 	}
-	defer r.world.servers.release(s, name)
+	defer r.world.servers.letGo(s, name)
 	f(s)
 }
 
+// possible returns the behavior, or another one if it would break no rule of the protocol that callers could notice: the end of an unframed response that the server itself ends early and in order counts as complete.
+func (s *server) possible(b serv.Behavior) serv.Behavior {
+	if s.Unframed && b == serv.TruncateHead {
+		return serv.Reset
+	}
+	return b
+}
+
+// freezeEngine stops the process of an engine for a while, and records that.
+func (r *run) freezeEngine(s *server, d time.Duration) {
+	e, ok := s.backend.(*engineProcess)
+	if !ok {
+		panic(fmt.Sprintf("server %s has no process", s.ID))
+	}
+	from := time.Now()
+	e.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	e.signal(syscall.SIGCONT)
+	r.history.addFreeze(freeze{
+		Server: s.ID,
+		From:   from,
+		To:     time.Now(),
+	})
+}
+
 // limit lets a server name a limit for a while, and records that.
-func (r *run) limit(s *serv.Server, f serverLimits) {
+func (r *run) limit(s *server, f serverLimits) {
 	s.SetLimit(strconv.FormatFloat(f.PerSecond, 'f', 2, 64))
 	r.history.addLimit(s.ID, f.PerSecond, f.For)
 	time.Sleep(f.For)
@@ -290,6 +382,21 @@
 	})
 }
 
+// cutLinks cuts the paths between linkedHost and all servers for a while.
+func (r *run) cutLinks(f cutLinks) {
+	from := time.Now()
+	l := r.world.hosts[linkedHost].links
+	l.setMode(f.Mode)
+	time.Sleep(f.For)
+	l.setMode(link.Open)
+	r.history.addDisturbance(disturbance{
+		Host:   linkedHost,
+		From:   from,
+		To:     time.Now(),
+		CutOff: true,
+	})
+}
+
 // breakStore lets the calls of a host to the store fail for a while.
 func (r *run) breakStore(f breakStore) {
 	from := time.Now()
--- a/internal/stand/soak/history.go
+++ b/internal/stand/soak/history.go
@@ -10,10 +10,17 @@
 
 // request is one attempt of a client, and what it got.
 type request struct {
-	ID    string
-	Host  int
-	Route route
-	Key   string
+	ID string
+	// First is the ID of the stream's first attempt if this one takes the stream up, and Before holds the events that earlier attempts got.
+	First  string
+	Before string
+	// BreaksAfter is the number of events after which the connection breaks at the client, or 0 if it does not.
+	BreaksAfter int
+	Host        int
+	// HTTP10 reports that the client sent HTTP/1.0.
+	HTTP10 bool
+	Route  route
+	Key    string
 	// Crashing reports that the request has the part of a prompt that crashes engines.
 	Crashing bool
 	Sent     time.Time
@@ -33,14 +40,20 @@
 	return r.Status >= 200 && r.Status < 300 && r.Err == "" && r.Stamped
 }
 
-// disturbance is a time in which a fault held a host: it was ended, frozen or could not use the store.
+// disturbance is a time in which a fault held a host: it was ended, frozen, or could not use the store or reach servers.
 type disturbance struct {
 	Host     int
 	From, To time.Time
-	// CutOff reports that the host could not use the store, and was disturbed in nothing else.
+	// CutOff reports that the host could not use the store or reach servers, and was disturbed in nothing else.
 	CutOff bool
 }
 
+// freeze is a time in which a fault had stopped the process of a server.
+type freeze struct {
+	Server   string
+	From, To time.Time
+}
+
 // limitation is a limit that a server named.
 type limitation struct {
 	Server    string
@@ -72,6 +85,7 @@
 	mu           sync.Mutex
 	requests     []request
 	disturbances []disturbance
+	freezes      []freeze
 	limits       []limitation
 	evacuations  []evacuation
 	violations   []Violation
@@ -89,6 +103,12 @@
 	h.disturbances = append(h.disturbances, d)
 }
 
+func (h *history) addFreeze(f freeze) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.freezes = append(h.freezes, f)
+}
+
 func (h *history) addLimit(server string, perSecond float64, d time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/stand/soak/run.go
+++ b/internal/stand/soak/run.go
@@ -11,6 +11,9 @@
 const (
 	// clientsPerHost is the number of clients for each host.
 	clientsPerHost = 3
+	// http10ClientsPerHost is the number of clients beside them that send HTTP/1.0, and http10Client the number of the first one.
+	http10ClientsPerHost = 1
+	http10Client         = 500
 	// calmTime is how long requests are sent after the last fault has ended, and recoverTime the part of it in which some may still fail.
 	calmTime    = 7 * time.Second
 	recoverTime = 5 * time.Second
@@ -21,10 +24,14 @@
 	// Binary is the program of an entry host, and Dir holds its settings and logs.
 	Binary string
 	Dir    string
-	Seed   uint64
-	Hosts  int
+	// EngineBinary is a program that calls ServeEngine if EngineEnv is set.
+	EngineBinary string
+	Seed         uint64
+	Hosts        int
 	// Faults is the time in which faults begin.
 	Faults time.Duration
+	// NoEvacuation leaves evacuations out, which programs of earlier landings do not know.
+	NoEvacuation bool
 }
 
 // Report is the outcome of a run.
@@ -32,9 +39,14 @@
 	Violations []Violation
 	// Schedule describes the faults, one a line.
 	Schedule []string
-	// Requests is the number of requests, and Whole that of those that got a whole response.
+	// Requests is the number of requests, Whole that of those that got a whole response, and TakenUp that of those that took a stream up.
 	Requests int
 	Whole    int
+	TakenUp  int
+	// WholeHTTP10 is the number of whole responses to requests in HTTP/1.0.
+	WholeHTTP10 int
+	// Failed counts the requests that did not get a whole response by their status, of which 0 is none.
+	Failed map[int]int
 }
 
 // run is the state of one run.
@@ -67,7 +79,7 @@
 
 // Run starts hosts, plays the faults of a seed while clients send requests, and returns the broken rules. All processes have ended when it returns.
 func Run(ctx context.Context, o Options) (Report, error) {
-	w, err := newWorld(o.Dir, o.Binary, o.Hosts)
+	w, err := newWorld(o)
 	if err != nil {
 		return Report{}, fmt.Errorf("start soak: %w", err)
 	}
@@ -84,8 +96,15 @@
 	for n := range clientsPerHost * o.Hosts {
 		clients.Go(func() { r.newClient(n).sendUntil(sending) })
 	}
+	for n := range http10ClientsPerHost * o.Hosts {
+		c := r.newClient(http10Client + n)
+		c.http10 = true
+		clients.Go(func() { c.sendUntil(sending) })
+	}
 	var orders sync.WaitGroup
-	orders.Go(func() { r.evacuate(ctx, o.Faults) })
+	if !o.NoEvacuation {
+		orders.Go(func() { r.evacuate(ctx, o.Faults) })
+	}
 	r.playAll(ctx, events)
 	orders.Wait()
 	calmFrom := time.Now()
@@ -95,6 +114,8 @@
 	if ctx.Err() != nil {
 		return Report{}, fmt.Errorf("play soak: %w", ctx.Err())
 	}
+	// What servers have reported is complete once they have ended.
+	w.servers.close()
 	r.history.check(w.servers.logs(), w.revokedAt, calmFrom.Add(recoverTime))
 	return r.report(events), nil
 }
@@ -129,6 +150,7 @@
 	out := Report{
 		Violations: r.history.violations,
 		Requests:   len(r.history.requests),
+		Failed:     map[int]int{},
 	}
 	for _, e := range events {
 		out.Schedule = append(out.Schedule, e.String())
@@ -136,6 +158,14 @@
 	for _, q := range r.history.requests {
 		if q.whole() {
 			out.Whole++
+		} else {
+			out.Failed[q.Status]++
+		}
+		if q.HTTP10 && q.whole() {
+			out.WholeHTTP10++
+		}
+		if q.First != "" {
+			out.TakenUp++
 		}
 	}
 	return out
--- a/internal/stand/soak/world.go
+++ b/internal/stand/soak/world.go
@@ -30,6 +30,8 @@
 	callers string
 	ready   string
 	store   *rows.Listener
+	// links are the host's paths to the servers, or nil if it reaches them directly.
+	links *links
 }
 
 // world holds the store, the servers and the hosts of one run.
@@ -50,8 +52,8 @@
 	era       int
 }
 
-// newWorld starts everything in the directory, with the program at binary, and waits until all hosts are ready.
-func newWorld(dir, binary string, hosts int) (*world, error) {
+// newWorld starts everything that the options describe, and waits until all hosts are ready.
+func newWorld(o Options) (*world, error) {
 	w := &world{
 		store:     rows.New(),
 		key:       "key-0",
@@ -59,13 +61,14 @@
 		era:       1,
 	}
 	w.store.SetEra("1")
-	w.servers = newFleet(w.store)
+	w.servers = newFleet(w.store, o.EngineBinary, o.Dir)
 	if err := w.servers.start(); err != nil {
+		w.close()
 		return nil, fmt.Errorf("start servers: %w", err)
 	}
 	w.writeConfiguration()
-	for i := range hosts {
-		h, err := w.addHost(dir, binary, i)
+	for i := range o.Hosts {
+		h, err := w.addHost(o, i)
 		if err != nil {
 			w.close()
 			return nil, fmt.Errorf("start host %d: %w", i, err)
@@ -82,7 +85,7 @@
 }
 
 // addHost starts one host.
-func (w *world) addHost(dir, binary string, i int) (*host, error) {
+func (w *world) addHost(o Options, i int) (*host, error) {
 	l, err := w.store.Listen()
 	if err != nil {
 		return nil, fmt.Errorf("listen for its calls to the store: %w", err)
@@ -96,19 +99,27 @@
 		ready:   addrs[1],
 		store:   l,
 		process: &process{
-			binary:   binary,
-			settings: filepath.Join(dir, fmt.Sprintf("host-%d.yaml", i)),
-			logPath:  filepath.Join(dir, fmt.Sprintf("host-%d.log", i)),
+			binary:   o.Binary,
+			settings: filepath.Join(o.Dir, fmt.Sprintf("host-%d.yaml", i)),
+			logPath:  filepath.Join(o.Dir, fmt.Sprintf("host-%d.log", i)),
 		},
 	}
+	if i == linkedHost {
+		h.links = newLinks()
+		l.MapAddresses(h.links.addrOf)
+	}
+	evacuate := fmt.Sprintf(", evacuate: %s", evacuateTime)
+	if o.NoEvacuation {
+		evacuate = ""
+	}
 	settings := fmt.Sprintf(`host: {name: host-%d, domain: z}
 listen: {callers: %q, ready: %q, peers: %q, metrics: %q}
 store: {address: %q}
-upstreams: {forget: %s, evacuate: %s}
+upstreams: {forget: %s%s}
 stop: {grace: %s}
 keys: {revoke: %s}
 retry: {ratio: 0.2, extra: 60}
-`, i, addrs[0], addrs[1], addrs[2], addrs[3], l.Addr(), forgetTime, evacuateTime, stopGrace, revokeTime)
+`, i, addrs[0], addrs[1], addrs[2], addrs[3], l.Addr(), forgetTime, evacuate, stopGrace, revokeTime)
 	if err := os.WriteFile(h.settings, []byte(settings), 0o644); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
@@ -223,6 +234,9 @@
 		h.kill()
 		// The hosts have ended, so nothing uses the listener any more.
 		_ = h.store.Close()
+		if h.links != nil {
+			h.links.close()
+		}
 	}
 	w.servers.close()
 }
