Take a response for a refusal only if it says that nothing ran

Cause: stage.Refusal had no check of its own, so an error response with the attempt's id and without "ran" decoded as ran=false. reach counted it as "nothing ran", and a stage that must run once was sent again.

Change: Refusal checks itself in UnmarshalJSON: attempt_id and ran must be there. Any other error response is Broken, as before.

--- a/internal/stage/call.go
+++ b/internal/stage/call.go
@@ -21,8 +21,11 @@
 	EventDone  = "done"
 )
 
-// ErrNoAttemptID is returned for a message whose attempt_id is empty.
-var ErrNoAttemptID = errors.New("attempt_id must not be empty")
+// ErrNoAttemptID is returned for a message whose attempt_id is empty, and ErrNoRan for a refusal that does not state whether the attempt ran.
+var (
+	ErrNoAttemptID = errors.New("attempt_id must not be empty")
+	ErrNoRan       = errors.New("ran must be stated")
+)
 
 // Call is the body of a request to an upstream to run one attempt of a stage.
 type Call struct {
@@ -95,6 +98,27 @@
 	Reason       string `json:"reason"`
 }
 
+// UnmarshalJSON decodes a refusal and returns an error if its attempt_id is empty or ran is missing, since a response that says nothing of it may come after the attempt ran.
+func (r *Refusal) UnmarshalJSON(b []byte) error {
+	type plain Refusal
+	p := struct {
+		plain
+		Ran *bool `json:"ran"`
+	}{}
+	if err := json.Unmarshal(b, &p); err != nil {
+		return fmt.Errorf("decode refusal: %w", err)
+	}
+	if p.AttemptID == "" {
+		return fmt.Errorf("check refusal: %w", ErrNoAttemptID)
+	}
+	if p.Ran == nil {
+		return fmt.Errorf("check refusal: %w", ErrNoRan)
+	}
+	*r = Refusal(p.plain)
+	r.Ran = *p.Ran
+	return nil
+}
+
 // Load is an upstream's report of its own load.
 type Load struct {
 	Busy   int `json:"busy"`
