Play the end of hosts at the Go client's outcomes

Change: tests alone. The answer to a question for the outcome of a key ends after each byte; answers and done events state no outcome.

--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -86,3 +86,52 @@
 		})
 	}
 }
+
+// Guards against an answer of a host that states no outcome, taken for an answer.
+func TestAnswerWithoutOutcomeIsIncomplete(t *testing.T) {
+	docs := []string{``, `null`, `{}`, `{"request_id":"r"}`, `{"output":"x","stages":[]}`}
+	for _, doc := range docs {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, stream %v", doc, stream), func(t *testing.T) {
+				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					if stream {
+						w.Header().Set("Content-Type", wire.TypeStream)
+						_, _ = io.WriteString(w, "event: done\ndata: "+doc+"\n\n")
+						return
+					}
+					w.Header().Set("Content-Type", wire.TypeJSON)
+					_, _ = io.WriteString(w, doc)
+				}))
+				defer s.Close()
+				c := New([]string{s.URL}, "token")
+				if a, err := c.Send(t.Context(), Call{Pipeline: "p", OnToken: func(wire.Token) {}}, 0); !errors.Is(err, ErrIncompleteResponse) {
+					t.Errorf("got answer %+v and error %v, want ErrIncompleteResponse", a, err)
+				}
+				if stream {
+					return
+				}
+				if a, err := c.Outcome(t.Context(), "key"); !errors.Is(err, ErrIncompleteResponse) {
+					t.Errorf("got outcome %+v and error %v, want ErrIncompleteResponse", a, err)
+				}
+			})
+		}
+	}
+}
+
+// Guards against the end of a host taken for the outcome of a key.
+func TestOutcomeIsReadOnlyWithItsLastByte(t *testing.T) {
+	const doc = `{"request_id":"r","outcome":"answered","output":"x","stages":[]}`
+	sent := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		// net/http then neither adds a length nor uses chunks.
+		w.Header().Set("Transfer-Encoding", "identity")
+		_, _ = io.WriteString(w, doc[:sent])
+	}))
+	defer s.Close()
+	c := New([]string{s.URL}, "token")
+	for sent = range len(doc) + 1 {
+		if _, err := c.Outcome(t.Context(), "key"); (err == nil) != (sent == len(doc)) {
+			t.Fatalf("after %d of %d bytes the error is %v", sent, len(doc), err)
+		}
+	}
+}
