Reset the connections of HTTP/1.0 callers whose responses are incomplete

Cause: the connection of a host that was killed, or that stopped with a request in flight, ended in order within a response to a caller of HTTP/1.0, and the part looked whole. A handler that aborted did the same where it did not reset the connection itself.

Change: while the handler of an HTTP/1.0 request runs, its socket does not linger, so that whoever closes it, the kernel included, ends it with a reset. Once the handler has returned and the bytes are sent, it ends in order again.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -52,6 +52,9 @@
 	headBytes int
 	claimed   int
 	evicted   bool
+	// resets reports that the connection ends with a reset, and incomplete that its response is not whole yet.
+	resets     bool
+	incomplete bool
 	// ownDeadline reports that the handler has set a deadline for writing.
 	ownDeadline bool
 }
@@ -238,6 +241,37 @@
 	return nil
 }
 
+// beginIncomplete makes the connection end with a reset until endIncomplete is called, whoever closes it: also the kernel does so if this process is killed.
+func (c *conn) beginIncomplete() {
+	c.mu.Lock()
+	c.incomplete = true
+	c.resets = true
+	c.mu.Unlock()
+	// An error means that the connection is closed already.
+	_ = c.SetLinger(0)
+}
+
+// endIncomplete records that the response is whole, but for bytes that the server still holds. The connection ends in order once they are sent.
+func (c *conn) endIncomplete() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.incomplete = false
+}
+
+// allowOrderlyEnd makes the connection end in order, unless its response is incomplete.
+func (c *conn) allowOrderlyEnd() {
+	c.mu.Lock()
+	allowed := c.resets && !c.incomplete
+	if allowed {
+		c.resets = false
+	}
+	c.mu.Unlock()
+	if allowed {
+		// An error means that the connection is closed already.
+		_ = c.SetLinger(-1)
+	}
+}
+
 // Close closes the connection and releases what is held for it.
 func (c *conn) Close() error {
 	c.gate.conns.Remove(c)
@@ -245,6 +279,7 @@
 	claim := c.claim
 	c.mu.Unlock()
 	claim.Release()
+	c.allowOrderlyEnd()
 	return c.Conn.Close()
 }
 
@@ -265,6 +300,7 @@
 
 // endRequest records that the request has ended.
 func (c *conn) endRequest() {
+	c.allowOrderlyEnd()
 	next := c.newClaim()
 	c.mu.Lock()
 	ended := c.claim
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -62,6 +62,21 @@
 	})
 }
 
+// resetIncomplete makes the connections of HTTP/1.0 requests end with a reset until their handlers have returned. Such a response may have nothing but the end of the connection to mark its own, and an end in order would make a part of it look whole.
+func resetIncomplete(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connOf(r)
+		if c == nil || r.ProtoAtLeast(1, 1) {
+			h.ServeHTTP(w, r)
+			return
+		}
+		c.beginIncomplete()
+		h.ServeHTTP(w, r)
+		// A handler that panics leaves an incomplete response.
+		c.endIncomplete()
+	})
+}
+
 // trackedBody notices the end of a body.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/serve/graceful.go
+++ b/internal/serve/graceful.go
@@ -122,7 +122,7 @@
 			conns:    g.conns,
 			memory:   g.memory,
 		}
-		srv.Handler = trackRequests(srv.Handler)
+		srv.Handler = trackRequests(resetIncomplete(srv.Handler))
 		srv.ConnContext = withConn
 		srv.ConnState = onState
 	}
