--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -316,6 +316,7 @@
 		if id != "" {
 			x.requestHead.LastEvent = id
 		}
+		x.ids.add(id, x.sends)
 		if err := rc.Flush(); err != nil {
 			x.abort = true
 			return fmt.Errorf("flush to caller: %w", err)
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -83,6 +83,8 @@
 	// headSent reports that the caller has received the start of its response.
 	headSent   bool
 	eventsSent int
+	// ids are the ids of the events that the caller has received.
+	ids eventIDs
 	// framing is how the last upstream's response marks the end of its body, or "" if there was no response.
 	framing send.Framing
 	// limit is the limit that the last upstream's response named, in requests per second, or 0.
--- a/internal/root/relay/flow/response.go
+++ b/internal/root/relay/flow/response.go
@@ -151,6 +151,7 @@
 	if x.eventsSent > 0 {
 		fields["events"] = x.eventsSent
 		fields["first_ms"] = int64(common.Millis(x.firstByte))
+		fields["ids"] = x.ids.String()
 	}
 	if x.framing != "" {
 		fields["framing"] = x.framing
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/hosts"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
+	"github.com/cornelwing/cornelwing/internal/root/relay/vital"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
@@ -37,6 +38,8 @@
 	CutPools int   `json:"cut_pools"`
 	Relayed  int64 `json:"relayed"`
 	Tunnels  int64 `json:"tunnels"`
+	// Ends counts the responses that ended with their connection, by whether their upstream is known to have outlived that.
+	Ends vital.Stats `json:"ends"`
 	// Streams counts the streams of which this host knows at which software version they began.
 	Streams int `json:"streams"`
 	// Blocked counts the requests and parts of prompts that are not sent because they crash upstreams, and CrashTrials how often this host allowed one more request with one of them.
@@ -102,6 +105,7 @@
 	s.CutPools = r.dialer.CutPools()
 	s.Relayed = r.dialer.Relayed()
 	s.Tunnels = r.tunnels.OpenCount()
+	s.Ends = r.witness.Stats()
 	s.Tables = r.tables.Stats()
 	s.Blocks = r.peers.BlockStats()
 	s.Streams = r.origins.Streams()
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
+	"github.com/cornelwing/cornelwing/internal/root/relay/vital"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 	"github.com/cornelwing/cornelwing/internal/serve"
 	"github.com/cornelwing/cornelwing/internal/setup"
@@ -128,6 +129,7 @@
 	writers    *hosts.Writers
 	settlement *settlement
 	dialer     *links.Dialer
+	witness    *vital.Witness
 	tunnels    *hosts.Tunnels
 	tables     *hosts.Tables
 	flow       *flow.Service
@@ -162,6 +164,7 @@
 		lease:      grant.New(grant.SinceBoot, s.Keys.Revoke.D()-keyLeaseMargin),
 		table:      route.New(s.Host.Domain),
 		dialer:     dialer,
+		witness:    vital.New(deps, dialer.DialContext),
 		dispatcher: batch.NewDispatcher(deps, a.Workers(dialer)),
 		meter:      meter.New(),
 		history:    origin.NewHistory(),
@@ -227,7 +230,7 @@
 		WarmUps:       r.warmUps,
 		PermitClock:   grant.SinceBoot,
 		Origins:       r.origins,
-		Sender:        send.New(dialer.DialContext),
+		Sender:        send.New(dialer.DialContext, send.WithEndCheck(r.witness.Outlived)),
 		Workers:       r.peers,
 		CrashDetector: r.crashes,
 		Lease:         r.lease,
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -64,11 +64,20 @@
 // Client sends requests to upstreams.
 type Client struct {
 	transport *http.Transport
+	endCheck  EndCheck
+}
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithEndCheck sets what is asked about the end of each response that ends with its connection.
+func WithEndCheck(check EndCheck) Option {
+	return func(c *Client) { c.endCheck = check }
 }
 
 // New returns a client that opens a connection with dial for each request. The transport therefore never resends a request, and a response cannot belong to an earlier request.
-func New(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
-	return &Client{
+func New(dial func(ctx context.Context, network, addr string) (net.Conn, error), opts ...Option) *Client {
+	c := &Client{
 		transport: &http.Transport{
 			MaxResponseHeaderBytes: jhttp.MaxResponseHead,
 			DialContext:            GuardDial(dial),
@@ -78,6 +87,10 @@
 			WriteBufferSize:        bufferSize,
 		},
 	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // bufferSize is the size of a connection's read and write buffers, in bytes.
@@ -110,12 +123,7 @@
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err == nil {
-		return Response{
-			Status:  resp.StatusCode,
-			Header:  resp.Header,
-			Body:    resp.Body,
-			Framing: framingOf(resp),
-		}
+		return c.response(ctx, r.Addr, resp)
 	}
 	if errors.Is(err, ErrPermitExpired) {
 		return Late{}
@@ -129,3 +137,20 @@
 		Err: fmt.Errorf("send to %s: %w", r.Addr, err),
 	}
 }
+
+// response returns the response of the upstream at the address to a request with the context.
+func (c *Client) response(ctx context.Context, addr string, resp *http.Response) Response {
+	out := Response{
+		Status:  resp.StatusCode,
+		Header:  resp.Header,
+		Body:    resp.Body,
+		Framing: framingOf(resp),
+	}
+	if out.Framing == FramedByClose && c.endCheck != nil {
+		out.Body = &closeDelimitedBody{
+			ReadCloser: resp.Body,
+			check:      func() { _ = c.endCheck(context.WithoutCancel(ctx), addr) },
+		}
+	}
+	return out
+}
