--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -289,11 +289,13 @@
 	rc := http.NewResponseController(x.w)
 	began := x.Now()
 	ev := newEventReader(resp.Body, resp.Framing)
+	ev.mayBeEmpty = x.restMayBeEmpty
 	for {
 		raw, id, err := ev.next()
 		atEnd := errors.Is(err, io.EOF)
 		if err != nil && !atEnd {
 			x.abort = x.headSent && !x.canResume()
+			x.restMayBeEmpty = x.eventsSent > 0 && errors.Is(err, send.ErrUnconfirmedEnd)
 			return fmt.Errorf("pass stream on: %w", err)
 		}
 		resp.Header.Del("Content-Length")
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -70,7 +70,7 @@
 // Option configures a Client.
 type Option func(*Client)
 
-// WithEndCheck sets what is asked about the end of each response that ends with its connection.
+// WithEndCheck sets what confirms the end of each response that ends with its connection.
 func WithEndCheck(check EndCheck) Option {
 	return func(c *Client) { c.endCheck = check }
 }
@@ -149,7 +149,7 @@
 	if out.Framing == FramedByClose && c.endCheck != nil {
 		out.Body = &closeDelimitedBody{
 			ReadCloser: resp.Body,
-			check:      func() { _ = c.endCheck(context.WithoutCancel(ctx), addr) },
+			confirm:    func() error { return c.endCheck(ctx, addr) },
 		}
 	}
 	return out
