--- a/internal/root/relay/links/dialer.go
+++ b/internal/root/relay/links/dialer.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -133,13 +134,10 @@
 
 // Reaches reports whether a connection to the address can be opened, by this host or another one.
 func (d *Dialer) Reaches(ctx context.Context, addr string) bool {
-	ways := []Try{
+	c, _, err := Race(ctx, probePatience, []Try{
 		func(ctx context.Context) (net.Conn, error) { return d.dialDirect(ctx, "tcp", addr) },
-	}
-	if up, known := d.upstreamAt(addr); known && d.relay != nil {
-		ways = append(ways, func(ctx context.Context) (net.Conn, error) { return d.dialRelayed(ctx, up) })
-	}
-	c, _, err := Race(ctx, probePatience, ways)
+		func(ctx context.Context) (net.Conn, error) { return d.dialKnownRelayed(ctx, addr) },
+	})
 	if err != nil {
 		return false
 	}
@@ -148,6 +146,34 @@
 	return true
 }
 
+// DialProbe connects to the address by this host, or by another one if that takes long. A refused connection decides unless this host may be cut from the pool, as a process may start again at the address while others are asked.
+func (d *Dialer) DialProbe(ctx context.Context, network, addr string) (net.Conn, error) {
+	var refused atomic.Bool
+	c, _, err := Race(ctx, probePatience, []Try{
+		func(ctx context.Context) (net.Conn, error) {
+			c, err := d.dialDirect(ctx, network, addr)
+			refused.Store(errors.Is(err, syscall.ECONNREFUSED))
+			return c, err
+		},
+		func(ctx context.Context) (net.Conn, error) {
+			if up, _ := d.upstreamAt(addr); refused.Load() && !d.mayBeCut(up.Pool) {
+				return nil, ErrNoLink
+			}
+			return d.dialKnownRelayed(ctx, addr)
+		},
+	})
+	return c, err
+}
+
+// dialKnownRelayed connects to the address through another host if it is that of an upstream.
+func (d *Dialer) dialKnownRelayed(ctx context.Context, addr string) (net.Conn, error) {
+	up, known := d.upstreamAt(addr)
+	if !known || d.relay == nil {
+		return nil, ErrUnknownUpstream
+	}
+	return d.dialRelayed(ctx, up)
+}
+
 // DialForPeer connects to an upstream for another host that does not reach it. It never goes through a third host.
 func (d *Dialer) DialForPeer(ctx context.Context, name string) (net.Conn, error) {
 	d.mu.Lock()
--- a/internal/root/relay/links/dialer_test.go
+++ b/internal/root/relay/links/dialer_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,6 +158,43 @@
 	})
 }
 
+// Guards against an upstream that started again while other hosts were asked and passes for the one that ended (rule ORDER).
+func TestProbeAsksOthersOnlyIfNoAnswerComes(t *testing.T) {
+	cases := []struct {
+		name      string
+		direct    error
+		hangs     bool
+		cut       bool
+		connected bool
+		relayed   int
+	}{
+		{name: "an upstream that accepts", connected: true},
+		{name: "an upstream that refuses", direct: syscall.ECONNREFUSED},
+		{name: "an upstream that refuses a host that may be cut", direct: syscall.ECONNREFUSED, cut: true, connected: true, relayed: 1},
+		{name: "an upstream that is silent", hangs: true, connected: true, relayed: 1},
+		{name: "a path that breaks", direct: errTest, connected: true, relayed: 1},
+	}
+	for _, c := range cases {
+		Convey("With "+c.name, t, func() {
+			n := &network{}
+			d := newTestDialer(n, 3)
+			if c.cut {
+				n.direct = errTest
+				So(dial(d, "p1:1"), ShouldNotBeNil)
+				So(dial(d, "p2:1"), ShouldBeNil)
+				n.relayedTries = 0
+			}
+			n.direct, n.hangs = c.direct, c.hangs
+			conn, err := d.DialProbe(t.Context(), "tcp", "p0:1")
+			So(err == nil, ShouldEqual, c.connected)
+			So(n.relayedTries, ShouldEqual, c.relayed)
+			if conn != nil {
+				So(conn.Close(), ShouldBeNil)
+			}
+		})
+	}
+}
+
 func TestHangingConnectionsCostLittleOnceTheHostSeemsCut(t *testing.T) {
 	Convey("While connections hang, all but the first two take no longer than the patience", t, func() {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -64,15 +64,15 @@
 // Client sends requests to upstreams.
 type Client struct {
 	transport *http.Transport
-	endCheck  EndCheck
+	watchEnd  func(addr string) EndWatch
 }
 
 // Option configures a Client.
 type Option func(*Client)
 
-// WithEndCheck sets what confirms the end of each response that ends with its connection.
-func WithEndCheck(check EndCheck) Option {
-	return func(c *Client) { c.endCheck = check }
+// WithEndWatch sets what watches the upstream at an address while it sends a response that ends with its connection, to confirm the end.
+func WithEndWatch(watch func(addr string) EndWatch) Option {
+	return func(c *Client) { c.watchEnd = watch }
 }
 
 // New returns a client that opens a connection with dial for each request. The transport therefore never resends a request, and a response cannot belong to an earlier request.
@@ -146,10 +146,12 @@
 		Body:    resp.Body,
 		Framing: framingOf(resp),
 	}
-	if out.Framing == FramedByClose && c.endCheck != nil {
+	if out.Framing == FramedByClose && c.watchEnd != nil {
+		watch := c.watchEnd(addr)
 		out.Body = &closeDelimitedBody{
 			ReadCloser: resp.Body,
-			confirm:    func() error { return c.endCheck(ctx, addr) },
+			confirm:    func() error { return watch.Confirm(ctx) },
+			stop:       watch.Stop,
 		}
 	}
 	return out
