--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -34,8 +34,10 @@
 	began := x.Now()
 	x.upstream = up
 	x.survived = false
-	ctx, cancel := x.attemptContext(place.WithRegions(ctx, x.regions))
+	whole := place.WithRegions(ctx, x.regions)
+	ctx, cancel := x.attemptContext(whole)
 	defer cancel()
+	ctx = send.WithEndContext(ctx, whole)
 	x.sends++
 	req := x.upstreamRequest(up)
 	release := earlyRelease{
@@ -173,11 +175,13 @@
 		err = x.forwardBuffered(resp)
 	}
 	if err != nil {
-		x.reportLostConnection(ctx, up)
+		if !errors.Is(err, send.ErrUnconfirmedEnd) || x.Upstreams.Serves(up.Incarnation()) {
+			x.reportLostConnection(ctx, up)
+		}
 		return x.recordUnknownOutcome(up, began, err), x.abort
 	}
 	x.CrashDetector.RecordSurvived(x.blamable)
-	x.Table.Done(x.Now(), up.Name, x.Now().Sub(began), true)
+	x.Table.Done(x.Now(), up.Name, x.Now().Sub(began)-resp.ConfirmTime(), true)
 	return nil, true
 }
 
@@ -289,13 +293,11 @@
 	rc := http.NewResponseController(x.w)
 	began := x.Now()
 	ev := newEventReader(resp.Body, resp.Framing)
-	ev.mayBeEmpty = x.restMayBeEmpty
 	for {
 		raw, id, err := ev.next()
 		atEnd := errors.Is(err, io.EOF)
 		if err != nil && !atEnd {
 			x.abort = x.headSent && !x.canResume()
-			x.restMayBeEmpty = x.eventsSent > 0 && errors.Is(err, send.ErrUnconfirmedEnd)
 			return fmt.Errorf("pass stream on: %w", err)
 		}
 		resp.Header.Del("Content-Length")
--- a/internal/root/relay/flow/events.go
+++ b/internal/root/relay/flow/events.go
@@ -23,7 +23,7 @@
 	// errEventTooLong reports an event longer than maxEventBytes.
 	errEventTooLong = errors.New("event is too long")
 	errPartialEvent = errors.New("stream ended inside an event")
-	// errNoEvents reports that the connection ended before the first event of a stream that must have one and whose end nothing else marks.
+	// errNoEvents reports that the connection ended before the first event of a stream whose end nothing else marks.
 	errNoEvents = errors.New("stream ended before its first event")
 )
 
@@ -31,8 +31,6 @@
 type eventReader struct {
 	r       *bufio.Reader
 	framing send.Framing
-	// mayBeEmpty reports that nothing may be left of the stream.
-	mayBeEmpty bool
 	// count is the number of events returned.
 	count int
 }
@@ -77,7 +75,7 @@
 	switch {
 	case partial > 0:
 		return fmt.Errorf("read event, got %d bytes: %w", partial, errPartialEvent)
-	case e.count == 0 && e.framing == send.FramedByClose && !e.mayBeEmpty:
+	case e.count == 0 && e.framing == send.FramedByClose:
 		return errNoEvents
 	default:
 		return io.EOF
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -83,8 +83,6 @@
 	// headSent reports that the caller has received the start of its response.
 	headSent   bool
 	eventsSent int
-	// restMayBeEmpty reports that the last upstream's part of the stream may have been all that was left of it.
-	restMayBeEmpty bool
 	// ids are the ids of the events that the caller has received.
 	ids eventIDs
 	// framing is how the last upstream's response marks the end of its body, or "" if there was no response.
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -58,6 +58,8 @@
 type Upstreams interface {
 	// MarkLeaving records that an upstream announced in a response that it is leaving.
 	MarkLeaving(i route.Incarnation)
+	// Serves reports whether the upstream is registered and not leaving. One that leaves may end after its last response.
+	Serves(i route.Incarnation) bool
 	// MayHaveRestarted reports whether the upstream may have been a later start of it, with another software version, at the given time.
 	MayHaveRestarted(i route.Incarnation, version string, at time.Time) bool
 }
--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -197,6 +197,14 @@
 	m.ups[up.Name] = up
 }
 
+// Serves reports whether the start of the upstream has a row and is not leaving.
+func (m *Upstreams) Serves(i route.Incarnation) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	up, ok := m.ups[i.Name]
+	return ok && up.Incarnation() == i && !up.Leaving && !m.leavers.has(m.Now(), i)
+}
+
 // MayHaveRestarted reports whether the upstream may have been a later start of it, with another software version, at the given time. Its row was then outdated.
 func (m *Upstreams) MayHaveRestarted(i route.Incarnation, version string, at time.Time) bool {
 	m.mu.Lock()
--- a/internal/root/relay/links/dialer.go
+++ b/internal/root/relay/links/dialer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -132,14 +133,17 @@
 	return c, err
 }
 
-// Reaches reports whether a connection to the address can be opened, by this host or another one.
+// localErrors are the errors of a host that can open no connection to any address.
+var localErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
+
+// Reaches reports whether a connection to the address can be opened, by this host or another one, or may be, as this host can open none at all.
 func (d *Dialer) Reaches(ctx context.Context, addr string) bool {
 	c, _, err := Race(ctx, probePatience, []Try{
 		func(ctx context.Context) (net.Conn, error) { return d.dialDirect(ctx, "tcp", addr) },
 		func(ctx context.Context) (net.Conn, error) { return d.dialKnownRelayed(ctx, addr) },
 	})
 	if err != nil {
-		return false
+		return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
 	}
 	// Nothing was sent over the connection, so an error of Close doesn't matter.
 	_ = c.Close()
--- a/internal/root/relay/links/dialer_test.go
+++ b/internal/root/relay/links/dialer_test.go
@@ -149,6 +149,7 @@
 		{name: "this host alone", relayed: errTest, reached: true},
 		{name: "another host alone", direct: errTest, reached: true},
 		{name: "none", direct: errTest, relayed: errTest},
+		{name: "none, as this host has no descriptor left", direct: fmt.Errorf("connect: %w", syscall.EMFILE), relayed: errTest, reached: true},
 	}
 	Convey("A probe finds an upstream that a host reaches", t, func() {
 		for _, c := range cases {
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -150,7 +150,7 @@
 		watch := c.watchEnd(addr)
 		out.Body = &closeDelimitedBody{
 			ReadCloser: resp.Body,
-			confirm:    func() error { return watch.Confirm(ctx) },
+			confirm:    func() error { return watch.Confirm(endContextOf(ctx)) },
 			stop:       watch.Stop,
 		}
 	}
--- a/internal/root/relay/vital/witness.go
+++ b/internal/root/relay/vital/witness.go
@@ -31,9 +31,10 @@
 
 // Stats counts the ends of connections that were asked about.
 type Stats struct {
-	// Outlived counts those that the process outlived, and Unconfirmed those of which that is not known.
+	// Outlived counts those that the process outlived, Unconfirmed those of which that is not known, and Abandoned those whose request ended first.
 	Outlived    int64 `json:"outlived"`
 	Unconfirmed int64 `json:"unconfirmed"`
+	Abandoned   int64 `json:"abandoned"`
 }
 
 // Witness finds out whether processes outlive connections. It is safe for concurrent use.
@@ -107,23 +108,27 @@
 
 // Confirm returns nil if the process has outlived a connection that ended before the call, or an error if it has not or that can't be found out.
 func (x *Watch) Confirm(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	limited, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	err := x.sentinel.waitForProof(ctx, x.witness.Now())
-	x.witness.record(x.sentinel.addr, err)
+	err := x.sentinel.waitForProof(limited, x.witness.Now())
+	x.witness.record(x.sentinel.addr, err, ctx.Err() != nil)
 	if err != nil {
 		return fmt.Errorf("process at %s may not have outlived the connection: %w", x.sentinel.addr, err)
 	}
 	return nil
 }
 
-// record counts and logs an answer.
-func (w *Witness) record(addr string, err error) {
+// record counts and logs an answer. abandoned reports that the request ended before there was one.
+func (w *Witness) record(addr string, err error, abandoned bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err == nil {
+	switch {
+	case err == nil:
 		w.stats.Outlived++
 		return
+	case abandoned:
+		w.stats.Abandoned++
+		return
 	}
 	w.stats.Unconfirmed++
 	w.Log.WithError(err).WithField("addr", addr).Info("Upstream may not have outlived its response.")
