--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -96,7 +97,7 @@
 		TimeLeft:          x.timeLeft(),
 		Upstream:          up.Name,
 		Account:           x.account.Name,
-		LastEvent:         x.requestHead.LastEvent,
+		LastEvent:         cmp.Or(x.position.lastID, x.requestHead.LastEvent),
 		NeedsStageResults: x.stagesDone,
 		Inputs:            x.inputs,
 		Rank:              x.rank(),
@@ -173,7 +174,9 @@
 		err = x.forwardBuffered(resp)
 	}
 	if err != nil {
-		x.reportLostConnection(ctx, up)
+		if !errors.Is(err, errNotContinued) {
+			x.reportLostConnection(ctx, up)
+		}
 		return x.recordUnknownOutcome(up, began, err), x.abort
 	}
 	x.CrashDetector.RecordSurvived(x.blamable)
@@ -284,22 +287,26 @@
 	return nil
 }
 
-// forwardEvents forwards complete events of the response to a request that was sent at the given time, as they arrive. If the stream breaks and can be resumed, the caller's response stays open and another upstream of the same software version continues after the last event that the caller received.
+// forwardEvents forwards complete events of the response to a request that was sent at the given time, as they arrive. A stream whose next event does not continue the caller's is broken from that event on. If the stream breaks and can be resumed, the caller's response stays open and another upstream of the same software version continues after the last event that the caller received.
 func (x *exchange) forwardEvents(resp send.Response, sentAt time.Time) error {
 	rc := http.NewResponseController(x.w)
 	began := x.Now()
-	ev := newEventReader(resp.Body, resp.Framing)
-	ev.mayBeEmpty = x.restMayBeEmpty
+	events := newEventReader(resp.Body, resp.Framing)
+	events.mayBeEmpty = x.restMayBeEmpty
+	x.position.beginPart()
 	for {
-		raw, id, err := ev.next()
+		ev, err := events.next()
 		atEnd := errors.Is(err, io.EOF)
+		if err == nil {
+			err = x.position.check(ev)
+		}
 		if err != nil && !atEnd {
 			x.abort = x.headSent && !x.canResume()
 			x.restMayBeEmpty = x.eventsSent > 0 && errors.Is(err, send.ErrUnconfirmedEnd)
 			return fmt.Errorf("pass stream on: %w", err)
 		}
 		resp.Header.Del("Content-Length")
-		if ev.count == 1 {
+		if events.count == 1 {
 			x.Table.RecordAnswering(x.Now(), x.upstream.Name)
 			x.Table.RecordFirstEvent(x.upstream, x.Now().Sub(sentAt))
 			x.stageTimes.ObserveEngine(x.Now(), x.route.Name, x.Now().Sub(sentAt))
@@ -310,15 +317,13 @@
 			return nil
 		}
 		x.fixOrigin(sentAt)
-		if err := x.writeBody(raw); err != nil {
+		if err := x.writeBody(ev.raw); err != nil {
 			return err
 		}
 		x.eventsSent++
 		x.recordIfSurvived(began)
-		if id != "" {
-			x.requestHead.LastEvent = id
-		}
-		x.ids.add(id, x.sends)
+		x.position.advance(ev)
+		x.ids.add(ev.id, x.sends)
 		if err := rc.Flush(); err != nil {
 			x.abort = true
 			return fmt.Errorf("flush to caller: %w", err)
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -83,6 +83,8 @@
 	// headSent reports that the caller has received the start of its response.
 	headSent   bool
 	eventsSent int
+	// position is how far the caller has received the stream, in this and in earlier responses.
+	position streamPosition
 	// restMayBeEmpty reports that the last upstream's part of the stream may have been all that was left of it.
 	restMayBeEmpty bool
 	// ids are the ids of the events that the caller has received.
--- a/internal/root/relay/flow/resume.go
+++ b/internal/root/relay/flow/resume.go
@@ -32,16 +32,17 @@
 	return x.route.Kind == plan.Stream && x.route.Resumable && x.requestHead.LastEvent != ""
 }
 
-// hasKnownBeginning reports whether the caller resumes a stream whose first upstream is on record. A caller that names an invented stream gets no priority.
+// hasKnownBeginning reports whether the caller has a part of a resumable stream whose first upstream is on record. A caller that names an invented stream gets no priority.
 func (x *exchange) hasKnownBeginning() bool {
-	return x.resumes() && x.origin.Upstream.Name != ""
+	return x.route.Resumable && x.position.lastID != "" && x.origin.Upstream.Name != ""
 }
 
-// findOrigin finds out where the stream began that the caller resumes. It sends an error response and returns false if that can't be learned.
+// findOrigin finds out where the stream began that the caller resumes, and after which event it resumes it. On routes that are not resumable each request begins a stream, whatever Last-Event-Id says. It sends an error response and returns false if that can't be learned.
 func (x *exchange) findOrigin() bool {
 	if !x.resumes() {
 		return true
 	}
+	x.position.lastID = x.requestHead.LastEvent
 	x.originKey = origin.KeyOf(x.account.Name, x.requestHead.Resumes)
 	o, ok := x.Origins.Find(x.r.Context(), origin.Lookup{
 		Key:   x.originKey,
@@ -123,7 +124,7 @@
 
 // canResume reports whether another upstream can continue the stream.
 func (x *exchange) canResume() bool {
-	return x.route.Resumable && x.requestHead.LastEvent != "" && x.isCertain(x.origin)
+	return x.route.Resumable && x.position.isKnown() && x.isCertain(x.origin)
 }
 
 // abandonIfVersionGone abandons the request if it continues a stream and its pool has no upstream of the version that began it, and reports whether it did.
