--- a/internal/root/front/chain/reach/stream_test.go
+++ b/internal/root/front/chain/reach/stream_test.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -62,3 +63,64 @@
 		})
 	}
 }
+
+// streamServer sends a stream of the events.
+func streamServer(t *testing.T, events string) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, events)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// tokenEvents returns the token events with the indexes, of the attempt a.
+func tokenEvents(indexes ...int) string {
+	text := ""
+	for _, i := range indexes {
+		text += fmt.Sprintf("event: token\ndata: {\"attempt_id\":\"a\",\"index\":%d,\"text\":\"%d\"}\n\n", i, i)
+	}
+	return text
+}
+
+// Guards against tokens that come twice or are missing because an engine does not continue a stream at the token that it was asked for.
+func TestResumedStreamPassesEachTokenOnce(t *testing.T) {
+	const done = "event: done\ndata: {\"attempt_id\":\"a\",\"tokens\":4,\"busy_ms\":1}\n\n"
+	scenarios := []struct {
+		name   string
+		events string
+		tokens string
+		gap    bool
+	}{
+		{name: "continues there", events: tokenEvents(2, 3) + done, tokens: "23"},
+		{name: "begins again", events: tokenEvents(0, 1, 2, 3) + done, tokens: "23"},
+		{name: "repeats the last token", events: tokenEvents(1, 2, 3) + done, tokens: "23"},
+		{name: "sends a token twice", events: tokenEvents(2, 2, 3) + done, tokens: "23"},
+		{name: "goes back", events: tokenEvents(2, 0, 1, 2, 3) + done, tokens: "23"},
+		{name: "skips the first token", events: tokenEvents(3) + done, gap: true},
+		{name: "skips a later token", events: tokenEvents(2, 4) + done, tokens: "2", gap: true},
+		{name: "ends before the last token", events: tokenEvents(2) + done, tokens: "2", gap: true},
+		{name: "has no tokens", events: done, gap: true},
+		{name: "ends before the token asked for", events: tokenEvents(0, 1) + done, gap: true},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			tokens := ""
+			got := New().Do(t.Context(), Attempt{
+				Addr:    streamServer(t, sc.events),
+				Call:    stage.Call{AttemptID: "a", ResumeFrom: 2},
+				Stream:  true,
+				NewConn: true,
+				Silence: time.Second,
+				OnToken: func(tok stage.Token) error { tokens += tok.Text; return nil },
+			})
+			if tokens != sc.tokens {
+				t.Errorf("got tokens %q, want %q", tokens, sc.tokens)
+			}
+			broken, _ := got.(Broken)
+			if _, done := got.(Done); done == sc.gap || errors.Is(broken.Err, ErrGap) != sc.gap {
+				t.Errorf("got result %+v, want a gap: %t", got, sc.gap)
+			}
+		})
+	}
+}
