--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -98,7 +99,7 @@
 		TimeLeft:          x.timeLeft(),
 		Upstream:          up.Name,
 		Account:           x.account.Name,
-		LastEvent:         x.requestHead.LastEvent,
+		LastEvent:         cmp.Or(x.position.lastID, x.requestHead.LastEvent),
 		NeedsStageResults: x.stagesDone,
 		Inputs:            x.inputs,
 		Rank:              x.rank(),
@@ -175,7 +176,7 @@
 		err = x.forwardBuffered(resp)
 	}
 	if err != nil {
-		if !errors.Is(err, send.ErrUnconfirmedEnd) || x.Upstreams.Serves(up.Incarnation()) {
+		if x.mayBeCrash(err, up) {
 			x.reportLostConnection(ctx, up)
 		}
 		return x.recordUnknownOutcome(up, began, err), x.abort
@@ -185,6 +186,18 @@
 	return nil, true
 }
 
+// mayBeCrash reports whether the upstream may have crashed, if the error ended its response. One that leaves may end after its last response, and one whose events do not continue the stream lives.
+func (x *exchange) mayBeCrash(err error, up route.Upstream) bool {
+	switch {
+	case errors.Is(err, errNotContinued):
+		return false
+	case errors.Is(err, send.ErrUnconfirmedEnd):
+		return x.Upstreams.Serves(up.Incarnation())
+	default:
+		return true
+	}
+}
+
 // recordAnnouncements records what an upstream states of itself in a response, whatever the response.
 func (x *exchange) recordAnnouncements(up route.Upstream, sentAt time.Time, head ResponseHead) {
 	if head.statesLimit() {
@@ -288,20 +301,24 @@
 	return nil
 }
 
-// forwardEvents forwards complete events of the response to a request that was sent at the given time, as they arrive. If the stream breaks and can be resumed, the caller's response stays open and another upstream of the same software version continues after the last event that the caller received.
+// forwardEvents forwards complete events of the response to a request that was sent at the given time, as they arrive. A stream whose next event does not continue the caller's is broken from that event on. If the stream breaks and can be resumed, the caller's response stays open and another upstream of the same software version continues after the last event that the caller received.
 func (x *exchange) forwardEvents(resp send.Response, sentAt time.Time) error {
 	rc := http.NewResponseController(x.w)
 	began := x.Now()
-	ev := newEventReader(resp.Body, resp.Framing)
+	events := newEventReader(resp.Body, resp.Framing)
+	x.position.beginPart()
 	for {
-		raw, id, err := ev.next()
+		ev, err := events.next()
 		atEnd := errors.Is(err, io.EOF)
+		if err == nil {
+			err = x.position.check(ev)
+		}
 		if err != nil && !atEnd {
 			x.abort = x.headSent && !x.canResume()
 			return fmt.Errorf("pass stream on: %w", err)
 		}
 		resp.Header.Del("Content-Length")
-		if ev.count == 1 {
+		if events.count == 1 {
 			x.Table.RecordAnswering(x.Now(), x.upstream.Name)
 			x.Table.RecordFirstEvent(x.upstream, x.Now().Sub(sentAt))
 			x.stageTimes.ObserveEngine(x.Now(), x.route.Name, x.Now().Sub(sentAt))
@@ -312,15 +329,13 @@
 			return nil
 		}
 		x.fixOrigin(sentAt)
-		if err := x.writeBody(raw); err != nil {
+		if err := x.writeBody(ev.raw); err != nil {
 			return err
 		}
 		x.eventsSent++
 		x.recordIfSurvived(began)
-		if id != "" {
-			x.requestHead.LastEvent = id
-		}
-		x.ids.add(id, x.sends)
+		x.position.advance(ev)
+		x.ids.add(ev.id, x.sends)
 		if err := rc.Flush(); err != nil {
 			x.abort = true
 			return fmt.Errorf("flush to caller: %w", err)
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -83,6 +83,8 @@
 	// headSent reports that the caller has received the start of its response.
 	headSent   bool
 	eventsSent int
+	// position is how far the caller has received the stream, in this and in earlier responses.
+	position streamPosition
 	// ids are the ids of the events that the caller has received.
 	ids eventIDs
 	// framing is how the last upstream's response marks the end of its body, or "" if there was no response.
