--- a/internal/root/relay/hosts/tunnels_test.go
+++ b/internal/root/relay/hosts/tunnels_test.go
@@ -31,6 +31,7 @@
 	tunnels []*Tunnels
 	// accepted are the upstream's connections.
 	accepted chan net.Conn
+	ln       net.Listener
 	addr     string
 }
 
@@ -53,6 +54,7 @@
 			c.accepted <- conn
 		}
 	}()
+	c.ln = ln
 	c.addr = ln.Addr().String()
 	c.peers, c.stop = startPeers(t, n, time.Now, func(deps common.Deps, p *Peers) {
 		d := links.NewDialer(deps)
