--- a/internal/root/relay/batch/dispatcher_test.go
+++ b/internal/root/relay/batch/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -81,3 +82,35 @@
 	w.Queue = queue
 	return w
 }
+
+// sizedClient returns so many results from each call, whatever was asked.
+type sizedClient struct {
+	blockingClient
+	results int
+}
+
+func (c sizedClient) Run(context.Context, route.Upstream, []Item) (Response, error) {
+	var out Response
+	for range c.results {
+		out.Results = append(out.Results, Result{
+			Handle: "10.0.0.2:80/a",
+		})
+	}
+	return out, nil
+}
+
+// Guards against work that counts as completed by a response with fewer results than pieces.
+func TestWorkIsCompletedOnlyByAResultForEachPiece(t *testing.T) {
+	for results := range 7 {
+		Convey(fmt.Sprintf("Work of 4 pieces, whose worker sends %d results", results), t, func() {
+			d := newTestDispatcher(sizedClient{
+				blockingClient: blockingClient{freed: make(chan string, 100)},
+				results:        results,
+			})
+			o := d.Do(t.Context(), workOf("a", 4).inQueue("p"))
+			completed, ok := o.(Completed)
+			So(ok, ShouldEqual, results == 4)
+			So(len(completed.Handles), ShouldBeIn, 0, 4)
+		})
+	}
+}
