--- a/internal/root/relay/hosts/forward.go
+++ b/internal/root/relay/hosts/forward.go
@@ -110,7 +110,7 @@
 		if a.Report != nil {
 			p.local.RecordReport(*a.Report)
 		}
-		return a.outcome(), nil
+		return a.outcome(len(w.Pieces)), nil
 	case errors.Is(err, errUnknownPath) && w.Regions.Bound():
 		return nil, &p.roster.self
 	case err == nil && !a.Leaving:
--- a/internal/root/relay/hosts/peers.go
+++ b/internal/root/relay/hosts/peers.go
@@ -99,9 +99,13 @@
 	}
 }
 
-// outcome returns the outcome of the work; it must not be called for a response that names an owner.
-func (a workResponse) outcome() batch.Outcome {
+// outcome returns the outcome of work with so many pieces; it must not be called for a response that names an owner. Work is completed only by a handle for each piece.
+func (a workResponse) outcome(pieces int) batch.Outcome {
 	switch {
+	case len(a.Handles) > 0 && len(a.Handles) < pieces:
+		return batch.Failed{
+			Reason: batch.ReasonWorkerFailed,
+		}
 	case len(a.Handles) > 0:
 		return batch.Completed{
 			Handles: a.Handles,
