--- a/internal/root/store/client.go
+++ b/internal/root/store/client.go
@@ -129,7 +129,7 @@
 	return nil
 }
 
-// Object returns the content of an object, or ErrNotFound if there is none.
+// Object returns the content of an object, or ErrNotFound if there is none. The content must mark its own end, as JSON does: if the platform sends it without a length or chunks and ends early, Object returns a part of it.
 func (c *Client) Object(ctx context.Context, key string) ([]byte, error) {
 	status, data, err := c.do(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(key), nil)
 	if err != nil {
--- a/internal/root/store/store.go
+++ b/internal/root/store/store.go
@@ -20,7 +20,7 @@
 type Objects interface {
 	// PutObject creates or replaces an object.
 	PutObject(ctx context.Context, key string, data []byte) error
-	// Object returns the content of an object, or ErrNotFound, ErrUnavailable or ErrUnknownOutcome.
+	// Object returns the content of an object, or ErrNotFound, ErrUnavailable or ErrUnknownOutcome. It may be a part of a content that does not mark its own end.
 	Object(ctx context.Context, key string) ([]byte, error)
 }
 
