--- a/internal/root/relay/vital/sentinel.go
+++ b/internal/root/relay/vital/sentinel.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,8 +40,9 @@
 	mu sync.Mutex
 	// openSince is when the current connection was opened, or zero if there is none.
 	openSince time.Time
-	// resets counts the new connections that were reset at once.
-	resets int
+	// resets counts the new connections that were reset at once, and stayedOpen reports that another one was not.
+	resets     int
+	stayedOpen bool
 }
 
 func newSentinel(dial Dial, addr string, now func() time.Time) *sentinel {
@@ -104,11 +106,9 @@
 	if errors.Is(err, errAbsent) {
 		return err
 	}
-	if s.now().Sub(opened) < settleTime {
-		s.recordTurnedAway(err)
-		// A process at its limit would otherwise be asked without a pause. None starts again in this time.
-		common.Sleep(ctx, retryTime)
-	}
+	s.recordClosed(err, s.now().Sub(opened))
+	// A process at its limit would otherwise be asked without a pause. None starts again in this time.
+	common.Sleep(ctx, retryTime)
 	return nil
 }
 
@@ -149,21 +149,28 @@
 	s.openSince = at
 }
 
-// recordTurnedAway records how a new connection was closed at once. Only a reset shows a process at its limit of connections: an end in order may be that of a dead one.
-func (s *sentinel) recordTurnedAway(err error) {
+// recordClosed records how a connection was closed after the time. Only a reset of a new one may show a process at its limit of connections: an end in order may be that of a dead one.
+func (s *sentinel) recordClosed(err error, after time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil {
+	switch {
+	case after >= settleTime:
+		s.stayedOpen = true
+	case errors.Is(err, syscall.ECONNRESET):
 		s.resets++
 	}
 }
 
 // waitForProof returns nil once it is certain that the process was there after the time, or an error if it may not have been.
 func (s *sentinel) waitForProof(ctx context.Context, ended time.Time) error {
-	resets := s.resetCount()
+	before, _ := s.resetCount()
 	for {
 		wait, ok := s.untilProof(ended)
-		if ok && wait <= 0 || s.resetCount()-resets >= minTurnedAway {
+		if ok && wait <= 0 {
+			return nil
+		}
+		// If none was reset before the end, a proxy may reset them since its process is gone.
+		if n, full := s.resetCount(); full && before > 0 && n-before >= minTurnedAway {
 			return nil
 		}
 		timer := time.NewTimer(wait)
@@ -192,8 +199,9 @@
 	return settleTime - s.now().Sub(ended), true
 }
 
-func (s *sentinel) resetCount() int {
+// resetCount returns how many new connections were reset, and whether none has stayed open.
+func (s *sentinel) resetCount() (n int, full bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.resets
+	return s.resets, !s.stayedOpen
 }
--- a/internal/root/relay/vital/witness.go
+++ b/internal/root/relay/vital/witness.go
@@ -19,7 +19,7 @@
 	confirmTimeout = 500 * time.Millisecond
 	// retryTime is the time between two looks at a connection that is not open.
 	retryTime = 5 * time.Millisecond
-	// minTurnedAway is after how many resets of new connections in a row a process counts as living: one at its limit of connections does so, while the address of a dead one refuses further connections.
+	// minTurnedAway is after how many resets of new connections a process counts as living that has let none stay open: one at its limit of connections does so, while the address of a dead one refuses further connections.
 	minTurnedAway = 3
 )
 
