--- a/internal/root/relay/hosts/tunnelend_test.go
+++ b/internal/root/relay/hosts/tunnelend_test.go
@@ -141,6 +141,18 @@
 	})
 }
 
+// closeAccepted closes the upstream's other connections, as the kernel does with those of a process that ends.
+func (c *tunnelCluster) closeAccepted() {
+	for {
+		select {
+		case conn := <-c.accepted:
+			_ = conn.Close()
+		case <-time.After(time.Second):
+			return
+		}
+	}
+}
+
 // Guards against the end of an upstream's process behind a tunnel taken for the end of its response (incident ORDER).
 func TestUnframedResponseThroughTunnelIsNotWholeIfUpstreamEnds(t *testing.T) {
 	for sent := len(unframedHead); sent <= len(unframedHead+unframedBody); sent++ {
@@ -153,6 +165,7 @@
 				_, _ = io.WriteString(conn, (unframedHead + unframedBody)[:sent])
 				_ = c.ln.Close()
 				_ = conn.Close()
+				c.closeAccepted()
 			}()
 			Convey("reading ends with an error", func() {
 				body, err := r.read(1 << 40)
