--- a/internal/root/crash/blame/ledger.go
+++ b/internal/root/crash/blame/ledger.go
@@ -1,6 +1,7 @@
 package blame
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -15,6 +16,8 @@
 	// maxToldCrashes is how many crashes that count against a fingerprint other hosts are told, and maxToldRequests how many requests of each. They bound the size of a message.
 	maxToldCrashes  = 16
 	maxToldRequests = 16
+	// maxToldSurvivals is the maximum number of fingerprints of these requests whose survivals are told.
+	maxToldSurvivals = 256
 	// maxWatched is the maximum number of suspects that a host watches.
 	maxWatched = 4096
 	// untoldTime is how long a change of the verdict waits to be told. Only the hosts that collect crashes tell changes, so it bounds what the others keep.
@@ -220,7 +223,7 @@
 	return out
 }
 
-// Evidence returns what is known of the fingerprints: the latest crashes, with some of their requests, and the survivals.
+// Evidence returns what is known of the fingerprints: the latest crashes, with some of their requests, and the survivals of all that these have. A host that does not know them would blame a sound part beside the one that crashes upstreams.
 func (l *Ledger) Evidence(now time.Time, list []crash.Fingerprint) Update {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -232,7 +235,26 @@
 			crashes = append(crashes, c)
 		}
 	}
-	return NewUpdate(now, crashes, l.evidence.Survivals(list))
+	return NewUpdate(now, crashes, l.evidence.Survivals(withMostFrequent(list, crashes)))
+}
+
+// withMostFrequent returns the list, followed by further fingerprints of the crashes, those of the most requests first, up to maxToldSurvivals.
+func withMostFrequent(list []crash.Fingerprint, crashes []Crash) []crash.Fingerprint {
+	counts := map[crash.Fingerprint]int{}
+	for _, c := range crashes {
+		for _, r := range c.Requests {
+			for _, f := range r.Fingerprints() {
+				counts[f]++
+			}
+		}
+	}
+	for _, f := range list {
+		delete(counts, f)
+	}
+	more := slices.SortedFunc(maps.Keys(counts), func(a, b crash.Fingerprint) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	return append(slices.Clone(list), more[:min(len(more), maxToldSurvivals)]...)
 }
 
 // GrantTrial reports whether one more request with a blocked fingerprint may be sent now, and counts it as sent.
