--- a/internal/root/relay/vital/sentinel.go
+++ b/internal/root/relay/vital/sentinel.go
@@ -173,6 +173,7 @@
 		if n, full := s.resetCount(); full && before > 0 && n-before >= minTurnedAway {
 			return nil
 		}
+		began := s.now()
 		timer := time.NewTimer(wait)
 		select {
 		case <-s.lost:
@@ -182,6 +183,10 @@
 			timer.Stop()
 			return fmt.Errorf("%w: %w", errUndecided, ctx.Err())
 		case <-timer.C:
+			if now := s.now(); now.Sub(began) > wait+maxAbsence {
+				// This host did not run, so what happened to the connection may not have been noticed yet.
+				ended = now
+			}
 		}
 	}
 }
