--- a/internal/root/relay/vital/witness.go
+++ b/internal/root/relay/vital/witness.go
@@ -17,14 +17,13 @@
 	settleTime = 50 * time.Millisecond
 	// confirmTimeout bounds the time for confirming an end.
 	confirmTimeout = 500 * time.Millisecond
-	// retryTime is the time between two looks at a connection that is not open.
-	retryTime = 5 * time.Millisecond
-	// minTurnedAway is after how many resets of new connections a process counts as living that has let none stay open: one at its limit of connections does so, while the address of a dead one refuses further connections.
-	minTurnedAway = 3
+	// pollTime is the time between two looks at a sentinel that connects, and retryTime the one between two connections that are closed at once.
+	pollTime  = 5 * time.Millisecond
+	retryTime = 50 * time.Millisecond
 )
 
 // errUndecided reports that neither life nor death of a process was shown in time.
-var errUndecided = errors.New("no connection stayed open")
+var errUndecided = errors.New("no connection has stayed open since before the end")
 
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
