--- a/internal/root/crash/guard.go
+++ b/internal/root/crash/guard.go
@@ -51,7 +51,7 @@
 // RecordConnLoss handles a connection that was lost while the upstream ran the request. It probes the upstream and reports whether it is unreachable.
 // If the upstream is unreachable, RecordConnLoss marks the request. For a new crash it also notifies the other hosts before it returns.
 func (g *Guard) RecordConnLoss(ctx context.Context, fp Fingerprint, up route.Upstream) bool {
-	if g.prober.Reachable(ctx, up) {
+	if g.prober.StaysReachable(ctx, up) {
 		return false
 	}
 	now := g.Now()
--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -143,7 +143,7 @@
 
 // RecordConnLoss records that the connection to an upstream was lost while it ran the request. It returns once the crash has been reported, or after reportWait.
 func (c *Crashes) RecordConnLoss(ctx context.Context, r blame.Request, up route.Upstream) {
-	if c.prober.Reachable(ctx, up) {
+	if c.prober.StaysReachable(ctx, up) {
 		return
 	}
 	c.unreachable(up)
