--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -20,10 +20,10 @@
 	began := x.Now()
 	x.upstream = up
 	x.survived = false
-	whole := place.WithRegions(ctx, x.regions)
-	ctx, cancel := x.attemptContext(whole)
+	requestCtx := place.WithRegions(ctx, x.regions)
+	ctx, cancel := x.attemptContext(requestCtx)
 	defer cancel()
-	ctx = send.WithEndContext(ctx, whole)
+	ctx = send.WithEndContext(ctx, requestCtx)
 	x.sends++
 	req := x.upstreamRequest(up)
 	release := earlyRelease{
@@ -120,9 +120,11 @@
 	x.mayHaveRun = true
 	x.excluded = append(x.excluded, up.Name)
 	x.setCause(CauseUpstreamBroken, err.Error())
-	if x.r.Context().Err() != nil || x.timeLeft() <= 0 {
+	switch {
+	case x.r.Context().Err() != nil, x.timeLeft() <= 0, errors.Is(err, send.ErrUnconfirmedEnd):
+		// An upstream whose end could not be confirmed may have done all of its work.
 		x.Table.Release(x.Now(), up.Name)
-	} else {
+	default:
 		x.Table.Done(x.Now(), up.Name, x.Now().Sub(began), false)
 	}
 	return retry.Broken{}
