--- a/internal/root/front/chain/reach/end_test.go
+++ b/internal/root/front/chain/reach/end_test.go
@@ -167,6 +167,31 @@
 	}
 }
 
+// Guards against a document that says nothing of the load, taken for a report of an upstream that is idle and no longer leaving.
+func TestLoadIsReadOnlyFromDocumentThatStatesIt(t *testing.T) {
+	cases := []struct {
+		body string
+		ok   bool
+	}{
+		{body: endLoad, ok: true},
+		{body: `{"busy":0,"queued":0,"slots":0,"age_ms":0}`, ok: true},
+		{body: `{}`},
+		{body: `null`},
+		{body: `{"error":"starting"}`},
+		{body: `{"busy":1,"leaving":true}`},
+		{body: `{"slots":null}`},
+	}
+	for _, tc := range cases {
+		Convey("A document is a load report only if it states the slots: "+tc.body, t, func() {
+			u := newEndingUpstream(t)
+			u.text = endFramings[1].response(http.StatusOK, tc.body)
+			u.sent = len(u.text)
+			_, err := New().Probe(t.Context(), u.addr)
+			So(err == nil, ShouldEqual, tc.ok)
+		})
+	}
+}
+
 // Guards against a response that says nothing of whether the attempt ran, taken for one that says that it did not.
 func TestErrorWithoutStatementThatNothingRanIsBroken(t *testing.T) {
 	bodies := []string{
--- a/internal/stage/call.go
+++ b/internal/stage/call.go
@@ -21,10 +21,11 @@
 	EventDone  = "done"
 )
 
-// ErrNoAttemptID is returned for a message whose attempt_id is empty, and ErrNoRan for a refusal that does not state whether the attempt ran.
+// ErrNoAttemptID is returned for a message whose attempt_id is empty, ErrNoRan for a refusal that does not state whether the attempt ran, and ErrNoSlots for a load report that does not state the slots.
 var (
 	ErrNoAttemptID = errors.New("attempt_id must not be empty")
 	ErrNoRan       = errors.New("ran must be stated")
+	ErrNoSlots     = errors.New("slots must be stated")
 )
 
 // Call is the body of a request to an upstream to run one attempt of a stage.
@@ -130,3 +131,21 @@
 	// AgeMS is the age of the report when the upstream sent it, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
 }
+
+// UnmarshalJSON decodes a load report and returns an error if slots is missing, since a document that is no report would say otherwise that the upstream is idle and not leaving.
+func (l *Load) UnmarshalJSON(b []byte) error {
+	type plain Load
+	p := struct {
+		plain
+		Slots *int `json:"slots"`
+	}{}
+	if err := json.Unmarshal(b, &p); err != nil {
+		return fmt.Errorf("decode load report: %w", err)
+	}
+	if p.Slots == nil {
+		return fmt.Errorf("check load report: %w", ErrNoSlots)
+	}
+	*l = Load(p.plain)
+	l.Slots = *p.Slots
+	return nil
+}
