--- a/internal/root/relay/flow/events.go
+++ b/internal/root/relay/flow/events.go
@@ -23,7 +23,7 @@
 	// errEventTooLong reports an event longer than maxEventBytes.
 	errEventTooLong = errors.New("event is too long")
 	errPartialEvent = errors.New("stream ended inside an event")
-	// errNoEvents reports that the connection ended before the first event of a stream whose end nothing else marks.
+	// errNoEvents reports that the connection ended before the first event with data or an id of a stream whose end nothing else marks.
 	errNoEvents = errors.New("stream ended before its first event")
 )
 
@@ -52,8 +52,9 @@
 type eventReader struct {
 	r       *bufio.Reader
 	framing send.Framing
-	// count is the number of events returned.
-	count int
+	// count is the number of events returned, and hasContent reports that one of them had data or an id.
+	count      int
+	hasContent bool
 }
 
 func newEventReader(r io.Reader, framing send.Framing) *eventReader {
@@ -84,6 +85,7 @@
 		content := bytes.TrimRight(ev.raw[lineStart(ev.raw):], "\r\n")
 		if len(content) == 0 {
 			e.count++
+			e.hasContent = e.hasContent || ev.hasData || ev.id != ""
 			return ev, nil
 		}
 		ev.addLine(content)
@@ -95,7 +97,7 @@
 	switch {
 	case partial > 0:
 		return fmt.Errorf("read event, got %d bytes: %w", partial, errPartialEvent)
-	case e.count == 0 && e.framing == send.FramedByClose:
+	case !e.hasContent && e.framing == send.FramedByClose:
 		return errNoEvents
 	default:
 		return io.EOF
