--- a/internal/root/crash/prober.go
+++ b/internal/root/crash/prober.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// StaysReachable probes the upstream, and once more after settleTime if it is reachable.
+// StaysReachable probes the upstream, and once more after settleTime if it is reachable. If only the later probe fails, another one decides, as a single one can be lost.
 func (p *Prober) StaysReachable(ctx context.Context, up route.Upstream) bool {
 	// The probes continue for the other requests if the first one is cancelled.
 	ctx = context.WithoutCancel(ctx)
@@ -39,7 +39,9 @@
 			return false, nil
 		}
 		common.Sleep(ctx, settleTime)
-		return p.probe(ctx, up), nil
+		// A connection that is lost from now on needs probes of its own.
+		p.probes.Forget(up.Name)
+		return p.probe(ctx, up) || p.probe(ctx, up), nil
 	})
 	return reachable == true
 }
