--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -120,11 +120,11 @@
 	x.mayHaveRun = true
 	x.excluded = append(x.excluded, up.Name)
 	x.setCause(CauseUpstreamBroken, err.Error())
-	switch {
-	case x.r.Context().Err() != nil, x.timeLeft() <= 0, errors.Is(err, send.ErrUnconfirmedEnd):
-		// An upstream whose end could not be confirmed may have done all of its work.
+	// An upstream whose end could not be confirmed, though it is not gone, may have done all of its work.
+	undecided := errors.Is(err, send.ErrUnconfirmedEnd) && !errors.Is(err, send.ErrUpstreamGone)
+	if undecided || x.r.Context().Err() != nil || x.timeLeft() <= 0 {
 		x.Table.Release(x.Now(), up.Name)
-	default:
+	} else {
 		x.Table.Done(x.Now(), up.Name, x.Now().Sub(began), false)
 	}
 	return retry.Broken{}
--- a/internal/root/relay/flow/unconfirmed_test.go
+++ b/internal/root/relay/flow/unconfirmed_test.go
@@ -47,6 +47,7 @@
 		usable bool
 	}{
 		{name: "ends that were not confirmed", err: fmt.Errorf("%w: closed", send.ErrUnconfirmedEnd), usable: true},
+		{name: "connections that ended with their upstream", err: fmt.Errorf("%w: closed", send.ErrUpstreamGone)},
 		{name: "connections that broke", err: io.ErrUnexpectedEOF},
 	}
 	for _, sc := range scenarios {
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -230,7 +230,7 @@
 		WarmUps:       r.warmUps,
 		PermitClock:   grant.SinceBoot,
 		Origins:       r.origins,
-		Sender:        send.New(dialer.DialContext, send.WithEndWatch(func(addr string) send.EndWatch { return r.witness.Watch(addr) })),
+		Sender:        send.New(dialer.DialContext, send.WithEndWatch(func(addr string, isOpen func() bool) send.EndWatch { return r.witness.Watch(addr, isOpen) })),
 		Workers:       r.peers,
 		CrashDetector: r.crashes,
 		Lease:         r.lease,
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -64,14 +64,14 @@
 // Client sends requests to upstreams.
 type Client struct {
 	transport *http.Transport
-	watchEnd  func(addr string) EndWatch
+	watchEnd  func(addr string, isOpen func() bool) EndWatch
 }
 
 // Option configures a Client.
 type Option func(*Client)
 
-// WithEndWatch sets what watches the upstream at an address while it sends a response that ends with its connection, to confirm the end.
-func WithEndWatch(watch func(addr string) EndWatch) Option {
+// WithEndWatch sets what watches the upstream at an address while it sends a response that ends with its connection, to confirm the end. isOpen reports whether the upstream has not ended the connection yet, or false if that is not known.
+func WithEndWatch(watch func(addr string, isOpen func() bool) EndWatch) Option {
 	return func(c *Client) { c.watchEnd = watch }
 }
 
@@ -98,9 +98,9 @@
 
 // Do sends the request and waits for the head of the response.
 func (c *Client) Do(ctx context.Context, r Request) Result {
-	var connected atomic.Bool
+	var used usedConn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { used.set(info.Conn) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			if info.Err == nil && r.Sent != nil {
 				r.Sent()
@@ -123,12 +123,12 @@
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err == nil {
-		return c.response(ctx, r.Addr, resp)
+		return c.response(ctx, r.Addr, &used, resp)
 	}
 	if errors.Is(err, ErrPermitExpired) {
 		return Late{}
 	}
-	if !connected.Load() {
+	if !used.isSet() {
 		return Unsent{
 			Err: fmt.Errorf("connect to %s: %w", r.Addr, err),
 		}
@@ -138,8 +138,8 @@
 	}
 }
 
-// response returns the response of the upstream at the address to a request with the context.
-func (c *Client) response(ctx context.Context, addr string, resp *http.Response) Response {
+// response returns the response of the upstream at the address to a request with the context, which arrives on the connection.
+func (c *Client) response(ctx context.Context, addr string, used *usedConn, resp *http.Response) Response {
 	out := Response{
 		Status:  resp.StatusCode,
 		Header:  resp.Header,
@@ -147,12 +147,15 @@
 		Framing: framingOf(resp),
 	}
 	if out.Framing == FramedByClose && c.watchEnd != nil {
-		watch := c.watchEnd(addr)
-		out.Body = &closeDelimitedBody{
+		watch := c.watchEnd(addr, used.isOpen)
+		body := &closeDelimitedBody{
 			ReadCloser: resp.Body,
-			confirm:    func() error { return watch.Confirm(endContextOf(ctx)) },
+			used:       used,
+			confirm:    func(arrived time.Time) error { return watch.Confirm(endContextOf(ctx), arrived) },
 			stop:       watch.Stop,
 		}
+		body.recordArrival()
+		out.Body = body
 	}
 	return out
 }
--- a/internal/root/relay/vital/witness.go
+++ b/internal/root/relay/vital/witness.go
@@ -17,13 +17,14 @@
 	settleTime = 50 * time.Millisecond
 	// confirmTimeout bounds the time for confirming an end.
 	confirmTimeout = 500 * time.Millisecond
-	// pollTime is the time between two looks at a sentinel that connects, and retryTime the one between two connections that are closed at once.
-	pollTime  = 5 * time.Millisecond
-	retryTime = 50 * time.Millisecond
+	// restartTime is less than the time in which a process ends and another one accepts connections at its address.
+	restartTime = 200 * time.Millisecond
+	// pollTime is the time between two looks at a sentinel that connects.
+	pollTime = 5 * time.Millisecond
 )
 
-// errUndecided reports that neither life nor death of a process was shown in time.
-var errUndecided = errors.New("no connection has stayed open since before the end")
+// errUndecided reports that neither life nor death of a process was shown.
+var errUndecided = errors.New("no connection has been open since the last data")
 
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -67,49 +68,51 @@
 type Watch struct {
 	witness  *Witness
 	sentinel *sentinel
-	stop     sync.Once
+	// isOpen reports whether the peer has not ended the watched connection yet. It may be wrong only in saying that it has.
+	isOpen func() bool
+	stop   sync.Once
 }
 
-// Watch begins to watch the process at the address.
-func (w *Witness) Watch(addr string) *Watch {
+// Watch begins to watch the process at the address, to which a connection leads that is open as long as isOpen returns true.
+func (w *Witness) Watch(addr string, isOpen func() bool) *Watch {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s, ok := w.sentinels[addr]
-	if !ok || s.hasLost() {
+	if !ok {
 		s = newSentinel(w.dial, addr, w.Now)
 		w.sentinels[addr] = s
 	}
-	s.watches++
-	return &Watch{
+	x := &Watch{
 		witness:  w,
 		sentinel: s,
+		isOpen:   isOpen,
 	}
+	s.add(x)
+	return x
 }
 
 // Stop ends the watch. It may be called more than once.
 func (x *Watch) Stop() {
-	x.stop.Do(func() { x.witness.release(x.sentinel) })
+	x.stop.Do(func() { x.witness.release(x) })
 }
 
 // release ends the sentinel with its last watch.
-func (w *Witness) release(s *sentinel) {
+func (w *Witness) release(x *Watch) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s.watches--
-	if s.watches > 0 {
+	s := x.sentinel
+	if s.remove(x) > 0 {
 		return
 	}
 	s.close()
-	if w.sentinels[s.addr] == s {
-		delete(w.sentinels, s.addr)
-	}
+	delete(w.sentinels, s.addr)
 }
 
-// Confirm returns nil if the process has outlived a connection that ended before the call, or an error if it has not or that can't be found out.
-func (x *Watch) Confirm(ctx context.Context) error {
+// Confirm returns nil if the process has outlived a connection on which the last data arrived at the time and that ended before the call. The error is send.ErrUpstreamGone if it has probably not, or another one if that can't be found out.
+func (x *Watch) Confirm(ctx context.Context, arrived time.Time) error {
 	limited, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	err := x.sentinel.waitForProof(limited, x.witness.Now())
+	err := x.sentinel.waitForProof(limited, x, arrived)
 	x.witness.record(x.sentinel.addr, err, ctx.Err() != nil)
 	if err != nil {
 		return fmt.Errorf("process at %s may not have outlived the connection: %w", x.sentinel.addr, err)
