--- a/internal/root/relay/vital/sentinel.go
+++ b/internal/root/relay/vital/sentinel.go
@@ -241,7 +241,7 @@
 	defer s.mu.Unlock()
 	s.check()
 	latest := arrived.Add(restartTime)
-	lost := !s.lostAt.Before(arrived)
+	lost := !s.lostAt.IsZero() && !s.lostAt.Before(arrived)
 	switch {
 	case s.conn != nil && (s.watches[x] == s.process || !lost && !s.sameSince.After(latest)):
 		from := s.conn.openedAt
--- a/internal/root/relay/vital/witness_test.go
+++ b/internal/root/relay/vital/witness_test.go
@@ -11,10 +11,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 )
 
 var (
@@ -323,6 +325,23 @@
 	})
 }
 
+// Guards against sound upstreams that count as gone because the kernel could not say when their last data arrived.
+func TestUnknownTimeOfArrivalShowsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Without the time of the last data, the end is neither confirmed nor the process gone", t, func() {
+			w := newWitness(&fakeProcess{
+				up: true,
+			})
+			watch := w.Watch("a", func() bool { return false })
+			defer watch.Stop()
+			time.Sleep(time.Second)
+			err := watch.Confirm(t.Context(), time.Time{})
+			So(err, ShouldNotBeNil)
+			So(errors.Is(err, send.ErrUpstreamGone), ShouldBeFalse)
+		})
+	})
+}
+
 // Guards against connections that are left open, and against answers for processes that begin and end all the time.
 func TestWatchesOfProcessThatEndsAndStartsLeaveNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
