--- a/internal/root/crash/prober.go
+++ b/internal/root/crash/prober.go
@@ -41,7 +41,10 @@
 		common.Sleep(ctx, settleTime)
 		// A connection that is lost from now on needs probes of its own.
 		p.probes.Forget(up.Name)
-		return p.probe(ctx, up) || p.probe(ctx, up), nil
+		if p.probe(ctx, up) {
+			return true, nil
+		}
+		return p.probe(ctx, up), nil
 	})
 	return reachable == true
 }
