Show streams that go on at a process which has replaced that of the row

The soak releases a software version in place: each engine is killed and started at once under its name and at its address, and writes its row up to a second later.

--- a/internal/stand/soak/engine.go
+++ b/internal/stand/soak/engine.go
@@ -21,6 +21,8 @@
 	Zone     string
 	Version  string
 	Unframed bool
+	// Addr is the address that the engine listens on, or empty for a free one.
+	Addr string
 }
 
 // engineState is what faults set at an engine. The soak sends it as a line of JSON whenever it changes.
@@ -33,8 +35,9 @@
 
 // engineReport is one line of JSON that an engine sends. Each line holds one of the fields.
 type engineReport struct {
-	// Registrations holds the engine's row in the store by state. It is the first line, and says that the engine serves.
+	// Registrations holds the engine's row in the store by state, and Addr its address. They are the first line, and say that the engine serves.
 	Registrations map[string]json.RawMessage `json:",omitempty"`
+	Addr          string                     `json:",omitempty"`
 	Arrival       *serv.Arrival              `json:",omitempty"`
 	// Run is the ID of a request that begins to run.
 	Run string `json:",omitempty"`
@@ -80,6 +83,7 @@
 			"ready":    s.RegistrationJSON("ready"),
 			"draining": s.RegistrationJSON("draining"),
 		},
+		Addr: s.Addr(),
 	})
 	follow(s, json.NewDecoder(states))
 	return nil
@@ -92,6 +96,7 @@
 		Service:     "engine",
 		Zone:        c.Zone,
 		Version:     c.Version,
+		ListenAddr:  c.Addr,
 		StartedAtMS: time.Now().UnixMilli(),
 		Events:      streamEvents,
 		EventDelay:  eventDelay,
--- a/internal/stand/soak/engineprocess.go
+++ b/internal/stand/soak/engineprocess.go
@@ -21,6 +21,7 @@
 type engineProcess struct {
 	cmd           *exec.Cmd
 	registrations map[string]json.RawMessage
+	addr          string
 	// done is closed once the process has ended and all of its reports are read.
 	done chan struct{}
 
@@ -70,6 +71,7 @@
 	var first engineReport
 	err := in.Decode(&first)
 	e.registrations = first.Registrations
+	e.addr = first.Addr
 	go e.read(in)
 	if err != nil {
 		<-e.done
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -81,6 +81,12 @@
 	Gap time.Duration
 }
 
+// releaseInPlace replaces the engines by those of a new software version under the same IDs and addresses, one after the other with the gap between them. Each writes its row after the delay.
+type releaseInPlace struct {
+	Gap      time.Duration
+	RowDelay time.Duration
+}
+
 // serverPauses lets a server turn all requests away, with the text as Retry-After, for a while.
 type serverPauses struct {
 	Service    string
@@ -120,6 +126,7 @@
 func (serverCrashes) isFault()    {}
 func (engineFreezes) isFault()    {}
 func (releaseEngines) isFault()   {}
+func (releaseInPlace) isFault()   {}
 func (serverPauses) isFault()     {}
 func (serverLimits) isFault()     {}
 func (serverMisbehaves) isFault() {}
@@ -139,10 +146,13 @@
 // meanGap is the mean time between the beginnings of two faults, which is shorter than most of them last.
 const meanGap = 400 * time.Millisecond
 
-// maxReleaseGap bounds the time from one engine of a release to the next.
-const maxReleaseGap = 500 * time.Millisecond
+// maxReleaseGap bounds the time from one engine of a release to the next, and maxRowDelay that from the start of an engine to its first write of its row.
+const (
+	maxReleaseGap = 500 * time.Millisecond
+	maxRowDelay   = time.Second
+)
 
-// schedule returns the faults of a seed, among them one release and one cut of links, which all begin within the duration.
+// schedule returns the faults of a seed, among them one release, one release in place and one cut of links, which all begin within the duration.
 func schedule(seed uint64, hosts int, duration time.Duration) []event {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	out := []event{{
@@ -152,6 +162,15 @@
 		At:    time.Duration(rng.Int64N(int64(duration/2) + 1)),
 		Fault: releaseEngines{Gap: time.Duration(rng.Int64N(int64(maxReleaseGap)))},
 	})
+	// It draws from a source of its own, so the other faults of a seed stay as they are.
+	own := rand.New(rand.NewPCG(seed, 11))
+	fixed = append(fixed, event{
+		At: time.Duration(own.Int64N(int64(duration) + 1)),
+		Fault: releaseInPlace{
+			Gap:      time.Duration(own.Int64N(int64(maxReleaseGap))),
+			RowDelay: time.Duration(own.Int64N(int64(maxRowDelay))),
+		},
+	})
 	storms := 0
 	for at := time.Duration(0); ; {
 		at += time.Duration(rng.Int64N(int64(2 * meanGap)))
@@ -273,6 +292,8 @@
 		r.withServer(rng, "engine", f, func(s *server) { r.freezeEngine(s, f.For) })
 	case releaseEngines:
 		r.world.servers.release(f.Gap)
+	case releaseInPlace:
+		r.world.servers.releaseInPlace(f.Gap, f.RowDelay)
 	case serverPauses:
 		r.withServer(rng, f.Service, f, func(s *server) {
 			s.SetPause(f.RetryAfter)
--- a/internal/stand/soak/fleet.go
+++ b/internal/stand/soak/fleet.go
@@ -54,6 +54,8 @@
 	Zone    string
 	// Unframed reports that responses have neither a length nor chunks.
 	Unframed bool
+	// Addr is the address at which the server starts, or empty for a free one.
+	Addr string
 }
 
 // holding is a fault of a kind that holds a server.
@@ -80,6 +82,8 @@
 	releases int
 	// superseded holds the engines for which a release has started another one.
 	superseded map[*server]bool
+	// reborn holds the engines that are started again under their ID and address.
+	reborn map[*server]bool
 	// engines counts the engines that were ever started.
 	engines int
 }
@@ -90,6 +94,7 @@
 		engineBinary: engineBinary,
 		dir:          dir,
 		superseded:   map[*server]bool{},
+		reborn:       map[*server]bool{},
 		states:       map[*server]string{},
 		held:         map[holding]bool{},
 	}
@@ -143,6 +148,7 @@
 			Zone:     s.Zone,
 			Version:  f.version(),
 			Unframed: s.Unframed,
+			Addr:     s.Addr,
 		})
 		if err != nil {
 			return err
@@ -169,8 +175,9 @@
 	delete(f.states, s)
 	closed := f.closed
 	superseded := f.superseded[s]
+	reborn := f.reborn[s]
 	f.mu.Unlock()
-	if closed {
+	if closed || reborn {
 		return
 	}
 	time.Sleep(restartTime)
