Tell engines that start again in place apart in the soak's checks

Two processes with one ID shared a name in the logs of checks, so that a limit or a stop of the second was looked up at the first. Names of functions and fields say what is done.

--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -162,7 +162,7 @@
 		At:    time.Duration(rng.Int64N(int64(duration/2) + 1)),
 		Fault: releaseEngines{Gap: time.Duration(rng.Int64N(int64(maxReleaseGap)))},
 	})
-	// It draws from a source of its own, so the other faults of a seed stay as they are.
+	// A source of its own leaves the other faults of a seed as they are.
 	own := rand.New(rand.NewPCG(seed, 11))
 	fixed = append(fixed, event{
 		At: time.Duration(own.Int64N(int64(duration) + 1)),
@@ -345,7 +345,7 @@
 	time.Sleep(d)
 	e.signal(syscall.SIGCONT)
 	r.history.addFreeze(freeze{
-		Server: s.ID,
+		Server: s.logName(),
 		From:   from,
 		To:     time.Now(),
 	})
@@ -354,7 +354,7 @@
 // limit lets a server name a limit for a while, and records that.
 func (r *run) limit(s *server, f serverLimits) {
 	s.SetLimit(strconv.FormatFloat(f.PerSecond, 'f', 2, 64))
-	r.history.addLimit(s.ID, f.PerSecond, f.For)
+	r.history.addLimit(s.logName(), f.PerSecond, f.For)
 	time.Sleep(f.For)
 	s.SetLimit("")
 }
--- a/internal/stand/soak/fleet.go
+++ b/internal/stand/soak/fleet.go
@@ -56,6 +56,16 @@
 	Unframed bool
 	// Addr is the address at which the server starts, or empty for a free one.
 	Addr string
+	// Restarts counts the servers that had the ID and the address before this one.
+	Restarts int
+}
+
+// logName returns the name of the server in checks, which no other server has.
+func (s *server) logName() string {
+	if s.Restarts == 0 {
+		return s.ID
+	}
+	return fmt.Sprintf("%s/%d", s.ID, s.Restarts)
 }
 
 // holding is a fault of a kind that holds a server.
@@ -82,8 +92,8 @@
 	releases int
 	// superseded holds the engines for which a release has started another one.
 	superseded map[*server]bool
-	// reborn holds the engines that are started again under their ID and address.
-	reborn map[*server]bool
+	// restarted holds the engines that are started again under their ID and address.
+	restarted map[*server]bool
 	// engines counts the engines that were ever started.
 	engines int
 }
@@ -94,7 +104,7 @@
 		engineBinary: engineBinary,
 		dir:          dir,
 		superseded:   map[*server]bool{},
-		reborn:       map[*server]bool{},
+		restarted:    map[*server]bool{},
 		states:       map[*server]string{},
 		held:         map[holding]bool{},
 	}
@@ -175,9 +185,9 @@
 	delete(f.states, s)
 	closed := f.closed
 	superseded := f.superseded[s]
-	reborn := f.reborn[s]
+	restarted := f.restarted[s]
 	f.mu.Unlock()
-	if closed || reborn {
+	if closed || restarted {
 		return
 	}
 	time.Sleep(restartTime)
@@ -247,7 +257,7 @@
 	var out []serverLog
 	for _, s := range f.all {
 		l := serverLog{
-			ID:       s.ID,
+			ID:       s.logName(),
 			Zone:     s.Zone,
 			Arrivals: s.ArrivalLog(),
 		}
--- a/internal/stand/soak/release.go
+++ b/internal/stand/soak/release.go
@@ -28,67 +28,61 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.releases++
+	out := f.enginesUp()
+	for _, s := range out {
+		f.superseded[s] = true
+	}
+	return out
+}
+
+// enginesUp returns the engines that are up and not leaving. The caller holds the lock.
+func (f *fleet) enginesUp() []*server {
 	var out []*server
 	for _, s := range f.all {
 		if s.Service == "engine" && f.states[s] == "ready" {
-			f.superseded[s] = true
 			out = append(out, s)
 		}
 	}
 	return out
 }
 
-// releaseInPlace replaces the engines that are up, with the gap between two, by ones of a new software version under the same IDs and addresses. Each writes its row only after the delay.
+// releaseInPlace begins a new software version, and starts each engine that is up again with it, with the gap between two. Each writes its row only after the delay.
 func (f *fleet) releaseInPlace(gap, rowDelay time.Duration) {
-	var rows sync.WaitGroup
-	for _, old := range f.beginRelease() {
-		rows.Go(func() { f.rebirth(old, rowDelay) })
-		time.Sleep(gap)
-	}
-	rows.Wait()
-}
-
-// beginRelease begins a new software version, and returns the engines that are up.
-func (f *fleet) beginRelease() []*server {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.releases++
-	var out []*server
-	for _, s := range f.all {
-		if s.Service == "engine" && f.states[s] == "ready" {
-			out = append(out, s)
-		}
+	engines := f.enginesUp()
+	f.mu.Unlock()
+	var restarts sync.WaitGroup
+	for _, s := range engines {
+		restarts.Go(func() { f.restartInPlace(s, rowDelay) })
+		time.Sleep(gap)
 	}
-	return out
+	restarts.Wait()
 }
 
-// rebirth kills an engine and starts one of the current software version under its ID and address, which writes its row after the delay.
-func (f *fleet) rebirth(old *server, rowDelay time.Duration) {
+// restartInPlace kills an engine that is up, and starts one of the current software version under its ID and address, which writes its row after the delay.
+func (f *fleet) restartInPlace(old *server, rowDelay time.Duration) {
 	e, ok := old.backend.(*engineProcess)
 	if !ok {
 		panic(fmt.Sprintf("server %s has no process", old.ID))
 	}
-	f.mu.Lock()
-	if f.states[old] != "ready" || f.closed {
-		f.mu.Unlock()
+	if !f.takeDown(old) {
 		return
 	}
-	f.reborn[old] = true
-	delete(f.states, old)
-	f.mu.Unlock()
-	// The engine is killed.
+	// The engine is killed, so an error does not matter.
 	_ = old.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return
+	}
 	s := &server{
 		ID:       old.ID,
 		Service:  old.Service,
 		Zone:     old.Zone,
 		Unframed: old.Unframed,
 		Addr:     e.addr,
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.closed {
-		return
+		Restarts: old.Restarts + 1,
 	}
 	if err := f.startBackend(s); err != nil {
 		// There is one engine less, which the checks of the end notice.
@@ -101,6 +95,18 @@
 	go f.replace(s)
 }
 
+// takeDown records that a server is about to be started again in its place, and returns false if it is not up.
+func (f *fleet) takeDown(s *server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.states[s] != "ready" || f.closed {
+		return false
+	}
+	f.restarted[s] = true
+	delete(f.states, s)
+	return true
+}
+
 // register writes the row of a server that is up.
 func (f *fleet) register(s *server) {
 	f.mu.Lock()
