--- a/internal/intact/head.go
+++ b/internal/intact/head.go
@@ -17,6 +17,8 @@
 	maxNameBytes = 1 << 10
 	// maxStatus is the largest status code that a response may have.
 	maxStatus = 599
+	// maxQuotedBytes bounds what an error quotes.
+	maxQuotedBytes = 64
 	// statusLineBytes is the length of a status line without a reason, such as "HTTP/1.1 200".
 	statusLineBytes = 12
 )
@@ -158,15 +160,20 @@
 func (h *headChecker) checkField(line string) error {
 	name, ok := strings.CutSuffix(line, ":")
 	if !ok || !isToken(name) {
-		return fmt.Errorf("field %q: %w", line, ErrNoResponse)
+		return fmt.Errorf("field %q: %w", clip(line), ErrNoResponse)
 	}
 	if h.old && strings.EqualFold(name, "Transfer-Encoding") {
 		// HTTP/1.0 has no chunks, so where the body ends is not known.
-		return fmt.Errorf("field %q in HTTP/1.0: %w", line, ErrNoResponse)
+		return fmt.Errorf("field %q in HTTP/1.0: %w", clip(line), ErrNoResponse)
 	}
 	return nil
 }
 
+// clip returns the part of the text that an error quotes.
+func clip(text string) string {
+	return text[:min(len(text), maxQuotedBytes)]
+}
+
 // isToken reports whether the text is a name of a field.
 func isToken(name string) bool {
 	for _, c := range []byte(name) {
@@ -181,11 +188,11 @@
 // CheckResponse returns ErrNoResponse for a response whose status or names of fields no response has, as far as net/http shows them.
 func CheckResponse(resp *http.Response) error {
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
-		return fmt.Errorf("status %q: %w", resp.Status, ErrNoResponse)
+		return fmt.Errorf("status %q: %w", clip(resp.Status), ErrNoResponse)
 	}
 	for name := range resp.Header {
 		if !isToken(name) {
-			return fmt.Errorf("field %q: %w", name, ErrNoResponse)
+			return fmt.Errorf("field %q: %w", clip(name), ErrNoResponse)
 		}
 	}
 	return nil
