--- a/internal/intact/head.go
+++ b/internal/intact/head.go
@@ -90,27 +90,34 @@
 
 // addToLine adds a part of the current line.
 func (h *headChecker) addToLine(part []byte) {
-	if h.inValue {
-		return
+	switch {
+	case h.inValue:
+	case h.statusRead:
+		h.addToField(part)
+	default:
+		h.addToStatus(part)
 	}
+}
+
+// addToStatus adds a part of the status line, and drops what follows the byte after the status.
+func (h *headChecker) addToStatus(part []byte) {
 	h.line = append(h.line, part...)
-	limit := maxNameBytes
-	if !h.statusRead {
-		limit = statusLineBytes + 1
+	if limit := statusLineBytes + 1; len(h.line) > limit {
+		h.line = h.line[:limit]
+		h.inValue = true
 	}
-	if i := bytes.IndexByte(h.line, ':'); h.statusRead && i >= 0 {
+}
+
+// addToField adds a part of a field line, and drops what follows the colon.
+func (h *headChecker) addToField(part []byte) {
+	h.line = append(h.line, part...)
+	if i := bytes.IndexByte(h.line, ':'); i >= 0 {
 		h.line = h.line[:i+1]
 		h.inValue = true
 	}
-	if len(h.line) <= limit {
-		return
-	}
-	if h.statusRead {
+	if len(h.line) > maxNameBytes {
 		h.err = fmt.Errorf("name of a field has over %d bytes: %w", maxNameBytes, ErrNoResponse)
-		return
 	}
-	h.line = h.line[:limit]
-	h.inValue = true
 }
 
 // endLine checks the current line.
