Play servers that send bytes which are no responses in the soak

Each run has a plain server and an engine that answer with the status 000, or in chunks that a field with a blank behind its name announces, for a second each. The faults draw from a source of their own, so the others of a seed stay.

--- a/internal/stand/serv/behavior.go
+++ b/internal/stand/serv/behavior.go
@@ -24,6 +24,9 @@
 	NoStamp
 	// Hang runs the request and never responds.
 	Hang
+	// StatusZero responds with the status 000, and BlankInName in chunks that a field with a blank behind its name announces. Both are no responses.
+	StatusZero
+	BlankInName
 	// RespondTwice sends a second response directly after the first.
 	RespondTwice
 	// Crash starts to run the request, then closes the server with all its connections.
--- a/internal/stand/serv/respond.go
+++ b/internal/stand/serv/respond.go
@@ -53,6 +53,9 @@
 	case RespondTwice:
 		s.writeTwoResponses(w, id)
 		return
+	case StatusZero, BlankInName:
+		s.writeNoResponse(w, b)
+		return
 	case TruncateHead:
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
@@ -128,6 +131,24 @@
 	_ = buf.Flush()
 }
 
+// writeNoResponse writes bytes to the connection that are no response, though a lenient reader takes them for one.
+func (s *Server) writeNoResponse(w http.ResponseWriter, b Behavior) {
+	text := rawHead(w.Header())
+	if b == StatusZero {
+		text = strings.Replace(text, " 200 ", " 000 ", 1) + "Content-Length: 1\r\n\r\nx"
+	} else {
+		text += "Transfer-Encoding : chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+	}
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	// Write errors are ignored, as the connection is closed right afterwards.
+	_, _ = buf.WriteString(text)
+	_ = buf.Flush()
+}
+
 // lastEvent returns the number of the event after which a stream begins.
 func (s *Server) lastEvent(r *http.Request) int {
 	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -146,13 +146,14 @@
 // meanGap is the mean time between the beginnings of two faults, which is shorter than most of them last.
 const meanGap = 400 * time.Millisecond
 
-// maxReleaseGap bounds the time from one engine of a release to the next, and maxRowDelay that from the start of an engine to its first write of its row.
+// maxReleaseGap bounds the time from one engine of a release to the next, maxRowDelay that from the start of an engine to its first write of its row, and noResponseTime is how long a server sends bytes that are no responses.
 const (
-	maxReleaseGap = 500 * time.Millisecond
-	maxRowDelay   = time.Second
+	maxReleaseGap  = 500 * time.Millisecond
+	maxRowDelay    = time.Second
+	noResponseTime = time.Second
 )
 
-// schedule returns the faults of a seed, among them one release, one release in place and one cut of links, which all begin within the duration.
+// schedule returns the faults of a seed, among them one release, one release in place, one cut of links and two servers that send bytes which are no responses, which all begin within the duration.
 func schedule(seed uint64, hosts int, duration time.Duration) []event {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	out := []event{{
@@ -164,6 +165,17 @@
 	})
 	// A source of its own leaves the other faults of a seed as they are.
 	own := rand.New(rand.NewPCG(seed, 11))
+	for _, service := range []string{"plain", "engine"} {
+		kinds := []serv.Behavior{serv.StatusZero, serv.BlankInName}
+		fixed = append(fixed, event{
+			At: time.Duration(own.Int64N(int64(duration) + 1)),
+			Fault: serverMisbehaves{
+				Service:  service,
+				Behavior: kinds[own.IntN(len(kinds))],
+				For:      noResponseTime,
+			},
+		})
+	}
 	fixed = append(fixed, event{
 		At: time.Duration(own.Int64N(int64(duration) + 1)),
 		Fault: releaseInPlace{
