--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -147,6 +147,10 @@
 	case x.headSent && !success:
 		return x.recordUnknownOutcome(up, began, errors.Errorf("status %d instead of the rest of a stream", resp.Status)), false
 	}
+	if success && x.continues() {
+		// What is found is logged and counted.
+		_ = x.Starts.Check(ctx, up.Incarnation())
+	}
 	x.mayHaveRun = true
 	if resp.Status >= 500 && x.spendFailureRetry() {
 		x.recordServerError(up, began, head)
--- a/internal/root/relay/flow/response.go
+++ b/internal/root/relay/flow/response.go
@@ -145,6 +145,10 @@
 	if x.upstream.Version != "" {
 		fields["software"] = x.upstream.Version
 	}
+	if o := x.origin; o.Known() && o.Upstream.Name != x.upstream.Name {
+		fields["origin"] = o.Upstream.Name
+		fields["origin_software"] = o.Version
+	}
 	if x.requestHead.Resumes != "" {
 		fields["resumes"] = x.requestHead.Resumes[:min(len(x.requestHead.Resumes), maxLoggedIDBytes)]
 	}
--- a/internal/root/relay/flow/resume.go
+++ b/internal/root/relay/flow/resume.go
@@ -32,6 +32,11 @@
 	return x.route.Kind == plan.Stream && x.route.Resumable && x.requestHead.LastEvent != ""
 }
 
+// continues reports whether the caller has a part of the stream, so that the next upstream must continue it.
+func (x *exchange) continues() bool {
+	return x.route.Resumable && x.position.lastID != ""
+}
+
 // hasKnownBeginning reports whether the caller has a part of a resumable stream whose first upstream is on record. A caller that names an invented stream gets no priority.
 func (x *exchange) hasKnownBeginning() bool {
 	return x.route.Resumable && x.position.lastID != "" && x.origin.Upstream.Name != ""
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -18,6 +18,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
+	"github.com/cornelwing/cornelwing/internal/root/relay/starts"
 	"github.com/cornelwing/cornelwing/internal/root/retry"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
@@ -64,6 +65,12 @@
 	MayHaveRestarted(i route.Incarnation, version string, at time.Time) bool
 }
 
+// Starts finds out whether upstreams are still the processes that their rows describe.
+type Starts interface {
+	// Check asks the process at the address of the upstream when it started.
+	Check(ctx context.Context, i route.Incarnation) starts.Finding
+}
+
 // Limits keeps to the request rates that upstreams name, over all hosts.
 type Limits interface {
 	// Note records the limit, in requests per second, that an upstream named in the response to a request that was sent at the given time. 0 means that it named none.
@@ -99,6 +106,7 @@
 	// PermitClock is the clock by which permits for cold upstreams expire. It goes on while the host is suspended.
 	PermitClock   func() time.Duration
 	Origins       Origins
+	Starts        Starts
 	Sender        Sender
 	Workers       Workers
 	CrashDetector CrashDetector
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
 	"github.com/cornelwing/cornelwing/internal/root/relay/hosts"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
+	"github.com/cornelwing/cornelwing/internal/root/relay/starts"
 	"github.com/cornelwing/cornelwing/internal/root/relay/vital"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
@@ -40,6 +41,8 @@
 	Tunnels  int64 `json:"tunnels"`
 	// Ends counts the responses that ended with their connection, by whether their upstream is known to have outlived that.
 	Ends vital.Stats `json:"ends"`
+	// Starts counts what upstreams said when they were asked whether they are still the process of their row.
+	Starts starts.Stats `json:"starts"`
 	// Streams counts the streams of which this host knows at which software version they began.
 	Streams int `json:"streams"`
 	// Blocked counts the requests and parts of prompts that are not sent because they crash upstreams, and CrashTrials how often this host allowed one more request with one of them.
@@ -106,6 +109,7 @@
 	s.Relayed = r.dialer.Relayed()
 	s.Tunnels = r.tunnels.OpenCount()
 	s.Ends = r.witness.Stats()
+	s.Starts = r.starts.Stats()
 	s.Tables = r.tables.Stats()
 	s.Blocks = r.peers.BlockStats()
 	s.Streams = r.origins.Streams()
--- a/internal/root/relay/places_test.go
+++ b/internal/root/relay/places_test.go
@@ -24,6 +24,7 @@
 		Domains:   map[string]string{"b": "rb"},
 	}, Adapter{
 		Workers: noWorkers,
+		Starts:  noStarts,
 		Hosts:   emptyHostTable{},
 		Eras:    follow.NewEras(deps),
 		Evacuation: func(key string, _ []byte) (string, error) {
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
+	"github.com/cornelwing/cornelwing/internal/root/relay/starts"
 	"github.com/cornelwing/cornelwing/internal/root/relay/vital"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 	"github.com/cornelwing/cornelwing/internal/serve"
@@ -91,6 +92,8 @@
 	HeaderCodec flow.HeaderCodec
 	// Workers returns the client for workers that connects by the dialer.
 	Workers func(d *links.Dialer) batch.WorkerClient
+	// Starts returns the client that asks upstreams when they started, and connects by the dialer.
+	Starts func(d *links.Dialer) starts.Client
 }
 
 // HostTable is the table in which hosts register themselves.
@@ -130,6 +133,7 @@
 	settlement *settlement
 	dialer     *links.Dialer
 	witness    *vital.Witness
+	starts     *starts.Checker
 	tunnels    *hosts.Tunnels
 	tables     *hosts.Tables
 	flow       *flow.Service
@@ -165,6 +169,7 @@
 		table:      route.New(s.Host.Domain),
 		dialer:     dialer,
 		witness:    vital.New(deps, dialer.DialProbe),
+		starts:     starts.New(deps, a.Starts(dialer)),
 		dispatcher: batch.NewDispatcher(deps, a.Workers(dialer)),
 		meter:      meter.New(),
 		history:    origin.NewHistory(),
@@ -230,6 +235,7 @@
 		WarmUps:       r.warmUps,
 		PermitClock:   grant.SinceBoot,
 		Origins:       r.origins,
+		Starts:        r.starts,
 		Sender:        send.New(dialer.DialContext, send.WithEndWatch(func(addr string, isOpen func() bool) send.EndWatch { return r.witness.Watch(addr, isOpen) })),
 		Workers:       r.peers,
 		CrashDetector: r.crashes,
--- /dev/null
+++ b/internal/root/relay/starts/checker.go
@@ -0,0 +1,101 @@
+package starts
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/route"
+)
+
+// askTimeout bounds one question to an upstream.
+const askTimeout = 250 * time.Millisecond
+
+// ErrUnstated is returned by a Client if the process answers without stating its start.
+var ErrUnstated = errors.New("process does not state its start")
+
+// Client asks the process at an address when it started.
+type Client interface {
+	// StartedAtMS returns when the process started, in milliseconds since the Unix epoch, or ErrUnstated.
+	StartedAtMS(ctx context.Context, addr string) (int64, error)
+}
+
+// Stats counts the findings.
+type Stats struct {
+	Same        int64 `json:"same"`
+	Other       int64 `json:"other"`
+	Unstated    int64 `json:"unstated"`
+	Unreachable int64 `json:"unreachable"`
+}
+
+// Checker compares processes with the rows of upstreams. It is safe for concurrent use.
+type Checker struct {
+	common.Deps
+	client Client
+
+	same, other, unstated, unreachable atomic.Int64
+}
+
+// New returns a checker that asks by the client.
+func New(deps common.Deps, client Client) *Checker {
+	return &Checker{
+		Deps:   deps.WithPart("starts"),
+		client: client,
+	}
+}
+
+// Stats returns the counts so far.
+func (c *Checker) Stats() Stats {
+	return Stats{
+		Same:        c.same.Load(),
+		Other:       c.other.Load(),
+		Unstated:    c.unstated.Load(),
+		Unreachable: c.unreachable.Load(),
+	}
+}
+
+// Check asks the process at the address of the upstream when it started. What it finds was so at some time after the call began.
+func (c *Checker) Check(ctx context.Context, i route.Incarnation) Finding {
+	f := c.ask(ctx, i)
+	switch f := f.(type) {
+	case Same:
+		c.same.Add(1)
+	case Other:
+		c.other.Add(1)
+		c.Log.WithField("upstream", i.Name).WithField("row_started_ms", i.StartedAtMS).WithField("started_ms", f.StartedAtMS).Info("Another start of an upstream than that of its row answers at its address.")
+	case Unstated:
+		c.unstated.Add(1)
+	case Unreachable:
+		c.unreachable.Add(1)
+		c.Log.WithError(f.Err).WithField("upstream", i.Name).Info("Upstream does not say when it started.")
+	default:
+		panic(fmt.Sprintf("unknown finding %T", f))
+	}
+	return f
+}
+
+func (c *Checker) ask(ctx context.Context, i route.Incarnation) Finding {
+	if i.StartedAtMS == 0 {
+		return Unstated{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	at, err := c.client.StartedAtMS(ctx, i.Addr)
+	switch {
+	case errors.Is(err, ErrUnstated):
+		return Unstated{}
+	case err != nil:
+		return Unreachable{
+			Err: err,
+		}
+	case at != i.StartedAtMS:
+		return Other{
+			StartedAtMS: at,
+		}
+	}
+	return Same{}
+}
--- a/internal/root/relay/sync_test.go
+++ b/internal/root/relay/sync_test.go
@@ -24,6 +24,7 @@
 		r := New(common.NewQuietDeps("host-1", "d"), setup.Relay{}, Adapter{
 			Hosts:   emptyHostTable{},
 			Workers: noWorkers,
+			Starts:  noStarts,
 			Eras:    follow.NewEras(common.NewQuietDeps("host-1", "d")),
 			Upstream: func(key string, value []byte) (route.Upstream, error) {
 				return route.Upstream{
--- a/internal/stand/serv/server.go
+++ b/internal/stand/serv/server.go
@@ -44,6 +44,10 @@
 	Version string
 	// StartedAtMS is the start time of the server in milliseconds, or 0 for 1.
 	StartedAtMS int64
+	// HidesStart leaves the start time out of reports.
+	HidesStart bool
+	// ListenAddr is the loopback address that the server listens on, or empty for a free one.
+	ListenAddr string
 	// Events is the number of events in a streamed response. If it is 0, the response has a plain body.
 	Events int
 	// NeedsInputs rejects requests without an Inputs header, which carries the results of stages.
@@ -119,7 +123,7 @@
 // Start starts the server on a loopback address.
 func (s *Server) Start() error {
 	// Servers of tests that run at the same time have the same IDs, so the address of a closed one must not be assigned to another.
-	addr, err := stand.FreeAddr()
+	addr, err := s.chooseAddr()
 	if err != nil {
 		return fmt.Errorf("find address for server %s: %w", s.ID, err)
 	}
@@ -134,8 +138,12 @@
 	mux.HandleFunc("POST /v1/stage-run", s.runPieces)
 	mux.HandleFunc("POST /v1/stage-free", s.freeResults)
 	mux.HandleFunc("/", s.serveRequest)
+	// A report is no request: it is neither counted nor turned away.
+	root := http.NewServeMux()
+	root.HandleFunc("GET /v1/report", s.report)
+	root.Handle("/", s.withServerHeaders(mux))
 	s.http = &http.Server{
-		Handler:           s.withServerHeaders(mux),
+		Handler:           root,
 		ReadHeaderTimeout: time.Second,
 	}
 	go func() {
@@ -146,6 +154,29 @@
 	return nil
 }
 
+// chooseAddr returns the address to listen on.
+func (s *Server) chooseAddr() (string, error) {
+	if s.ListenAddr != "" {
+		return s.ListenAddr, nil
+	}
+	addr, err := stand.FreeAddr()
+	if err != nil {
+		return "", fmt.Errorf("choose a free address: %w", err)
+	}
+	return addr, nil
+}
+
+// report sends the server's report on itself.
+func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	start := fmt.Sprintf(`,"born":%d`, cmp.Or(s.StartedAtMS, 1))
+	if s.HidesStart {
+		start = ""
+	}
+	// A write error means that the client has disconnected.
+	_, _ = fmt.Fprintf(w, `{"queue_depth":0,"in_flight":0%s}`, start)
+}
+
 // Stopped returns a channel that is closed when the server has been closed or has crashed.
 func (s *Server) Stopped() <-chan struct{} {
 	return s.stopped
