--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -24,6 +24,11 @@
 	ctx, cancel := x.attemptContext(requestCtx)
 	defer cancel()
 	ctx = send.WithEndContext(ctx, requestCtx)
+	if x.continues() {
+		if err := x.confirmStart(ctx, up); err != nil {
+			return x.recordUnsuitable(up, err), false
+		}
+	}
 	x.sends++
 	req := x.upstreamRequest(up)
 	release := earlyRelease{
@@ -147,9 +152,14 @@
 	case x.headSent && !success:
 		return x.recordUnknownOutcome(up, began, errors.Errorf("status %d instead of the rest of a stream", resp.Status)), false
 	}
-	if success && x.continues() {
-		// What is found is logged and counted.
-		_ = x.Starts.Check(ctx, up.Incarnation())
+	switch {
+	case success && x.continues():
+		// The process may have been replaced since it was asked. One that has been replaced never comes back.
+		if err := x.confirmStart(ctx, up); err != nil {
+			return x.recordReplaced(up, err), false
+		}
+	case success && x.mayBeContinued():
+		x.start = x.askStart(ctx, up)
 	}
 	x.mayHaveRun = true
 	if resp.Status >= 500 && x.spendFailureRetry() {
--- /dev/null
+++ b/internal/root/relay/flow/confirm.go
@@ -0,0 +1,91 @@
+package flow
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
+	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/relay/starts"
+	"github.com/cornelwing/cornelwing/internal/root/retry"
+	"github.com/cornelwing/cornelwing/internal/root/route"
+)
+
+// errReplaced reports that the process at the address of an upstream is not, or may not be, the one that its row describes, so that its software version is not known.
+var errReplaced = errors.New("process may not be the one of the upstream's row")
+
+// mayBeContinued reports whether another upstream may continue the stream.
+func (x *exchange) mayBeContinued() bool {
+	return x.route.Kind == plan.Stream && x.route.Resumable
+}
+
+// continues reports whether the caller has a part of the stream, so that the next upstream must continue it.
+func (x *exchange) continues() bool {
+	return x.mayBeContinued() && x.position.lastID != ""
+}
+
+// confirmStart returns errReplaced unless the process at the address of the upstream is the one that the row describes, or one of the two states no start.
+func (x *exchange) confirmStart(ctx context.Context, up route.Upstream) error {
+	switch f := x.Starts.Check(ctx, up.Incarnation()).(type) {
+	case starts.Same, starts.Unstated:
+		return nil
+	case starts.Other:
+		x.Upstreams.MarkReplaced(up.Incarnation(), f.StartedAtMS)
+		return fmt.Errorf("upstream %s started at %d: %w", up.Name, f.StartedAtMS, errReplaced)
+	case starts.Unreachable:
+		return fmt.Errorf("ask upstream %s for its start: %w: %w", up.Name, errReplaced, f.Err)
+	default:
+		panic(fmt.Sprintf("unknown finding %T", f))
+	}
+}
+
+// recordUnsuitable records that the request was not sent to the upstream, as its process may not be the one of its row.
+func (x *exchange) recordUnsuitable(up route.Upstream, err error) retry.Event {
+	x.unsuitable++
+	x.excluded = append(x.excluded, up.Name)
+	x.setCause(CauseNotSent, err.Error())
+	x.Table.Release(x.Now(), up.Name)
+	return retry.Unsent{}
+}
+
+// recordReplaced records an attempt whose response is not used, as its process may not be the one of the upstream's row.
+func (x *exchange) recordReplaced(up route.Upstream, err error) retry.Event {
+	x.mayHaveRun = true
+	x.excluded = append(x.excluded, up.Name)
+	x.setCause(CauseUpstreamBroken, err.Error())
+	x.Table.Release(x.Now(), up.Name)
+	return retry.Broken{}
+}
+
+// askStart asks the upstream for its start while the response to the caller goes on.
+func (x *exchange) askStart(ctx context.Context, up route.Upstream) <-chan starts.Finding {
+	out := make(chan starts.Finding, 1)
+	go func() { out <- x.Starts.Check(ctx, up.Incarnation()) }()
+	return out
+}
+
+// beginning returns where the stream begins that the current upstream sends. Its software version is known only if the process is the one that the row describes, or one of the two states no start.
+func (x *exchange) beginning() origin.Origin {
+	o := origin.Origin{
+		Pool:    x.pool,
+		Version: x.upstream.Version,
+	}
+	if x.start == nil {
+		return o
+	}
+	switch f := (<-x.start).(type) {
+	case starts.Same:
+		o.Confirmed = true
+	case starts.Unstated:
+	case starts.Other:
+		x.Upstreams.MarkReplaced(x.upstream.Incarnation(), f.StartedAtMS)
+		o.Version = origin.UnknownVersion
+	case starts.Unreachable:
+		o.Version = origin.UnknownVersion
+	default:
+		panic(fmt.Sprintf("unknown finding %T", f))
+	}
+	return o
+}
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
+	"github.com/cornelwing/cornelwing/internal/root/relay/starts"
 	"github.com/cornelwing/cornelwing/internal/root/retry"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 	"github.com/cornelwing/cornelwing/internal/root/warm"
@@ -56,6 +57,8 @@
 	origin      origin.Origin
 	originKey   origin.Key
 	originFixed bool
+	// start tells whether the process that begins the stream is the one of its upstream's row. It is nil if that does not matter.
+	start <-chan starts.Finding
 	// blamable is what is to blame if the request crashes an upstream.
 	blamable blame.Request
 	arrived  time.Time
@@ -78,6 +81,8 @@
 	// sends counts the upstreams that the request was sent to. mayHaveRun reports that one of them may have run the request.
 	sends      int
 	mayHaveRun bool
+	// unsuitable counts the upstreams that the request was not sent to as their process may not be the one of their row.
+	unsuitable int
 	// survived reports that the upstream of the current attempt has been sending the response for survivalTime.
 	survived bool
 	// headSent reports that the caller has received the start of its response.
@@ -212,6 +217,7 @@
 		PreferDomain: x.preferredDomain,
 		LeastLoaded:  x.trial,
 		Version:      x.origin.Version,
+		Versioned:    x.route.Resumable,
 		Unlimited:    unlimited,
 		Regions:      x.regions,
 		Prompt:       x.requestHead.prompt(),
@@ -220,6 +226,11 @@
 		q.Affinity = x.requestHead.affinityHash()
 	}
 	up, ok := x.Table.PickRandomlySeeded(x.Now(), q)
+	if !ok && q.Versioned {
+		// A stream that can't be continued is better than none.
+		q.Versioned = false
+		up, ok = x.Table.PickRandomlySeeded(x.Now(), q)
+	}
 	if !ok && len(x.excluded) > 0 {
 		q.Exclude = nil
 		up, ok = x.Table.PickRandomlySeeded(x.Now(), q)
@@ -246,6 +257,7 @@
 	state := retry.State{
 		Idempotent:     x.route.Repeatable(),
 		PossibleRuns:   x.sends,
+		NotRun:         x.unsuitable,
 		MaxAttempts:    x.route.Attempts,
 		BudgetRefusals: true,
 		Remaining:      x.timeLeft(),
--- a/internal/root/relay/flow/resume.go
+++ b/internal/root/relay/flow/resume.go
@@ -32,11 +32,6 @@
 	return x.route.Kind == plan.Stream && x.route.Resumable && x.requestHead.LastEvent != ""
 }
 
-// continues reports whether the caller has a part of the stream, so that the next upstream must continue it.
-func (x *exchange) continues() bool {
-	return x.route.Resumable && x.position.lastID != ""
-}
-
 // hasKnownBeginning reports whether the caller has a part of a resumable stream whose first upstream is on record. A caller that names an invented stream gets no priority.
 func (x *exchange) hasKnownBeginning() bool {
 	return x.route.Resumable && x.position.lastID != "" && x.origin.Upstream.Name != ""
@@ -80,7 +75,7 @@
 
 // isCertain reports whether the upstream that began a stream ran the version of its row at that time.
 func (x *exchange) isCertain(o origin.Origin) bool {
-	return o.Known() && !x.Upstreams.MayHaveRestarted(o.Upstream, o.Version, o.SentAt)
+	return o.Known() && (o.Confirmed || !x.Upstreams.MayHaveRestarted(o.Upstream, o.Version, o.SentAt))
 }
 
 // streamLifetime returns the longest time for which a stream of the route lasts.
@@ -99,16 +94,13 @@
 	x.originFixed = true
 	if !x.resumes() {
 		x.originKey = origin.KeyOf(x.account.Name, x.requestHead.ID)
-		x.origin = origin.Origin{
-			Pool:    x.pool,
-			Version: x.upstream.Version,
-		}
+		x.origin = x.beginning()
 	}
 	if x.origin.Upstream.Name == "" {
 		x.origin.Upstream = x.upstream.Incarnation()
 		x.origin.SentAt = sentAt
 	}
-	if x.route.Resumable && x.origin.Known() && x.isNamed() {
+	if x.route.Resumable && x.origin.Version != "" && x.isNamed() {
 		x.Origins.Record(x.originKey, x.origin, x.keepOrigin(), x.streamScope())
 	}
 }
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -63,6 +63,8 @@
 	Serves(i route.Incarnation) bool
 	// MayHaveRestarted reports whether the upstream may have been a later start of it, with another software version, at the given time.
 	MayHaveRestarted(i route.Incarnation, version string, at time.Time) bool
+	// MarkReplaced records that a process which started at the given time, in milliseconds since the Unix epoch, answers in place of the one that the row of the upstream describes.
+	MarkReplaced(i route.Incarnation, startedAtMS int64)
 }
 
 // Starts finds out whether upstreams are still the processes that their rows describe.
--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -35,6 +35,8 @@
 	startSeenAt map[string]time.Time
 	// retainedUntil holds the end of the retention of each upstream whose row disappeared in this way.
 	retainedUntil map[string]time.Time
+	// replaced holds the upstreams at whose address another process answers than the one that the row describes.
+	replaced map[string]replacement
 	// leavers are the incarnations that are leaving or have left, whatever an outdated row says.
 	leavers leavers
 	// outage reports that the platform cannot be read. recoveredAt is the end of the last outage.
@@ -57,6 +59,7 @@
 		ups:           map[string]route.Upstream{},
 		startSeenAt:   map[string]time.Time{},
 		retainedUntil: map[string]time.Time{},
+		replaced:      map[string]replacement{},
 		leavers:       leavers{},
 	}
 }
@@ -193,6 +196,7 @@
 	delete(m.retainedUntil, up.Name)
 	if old := m.ups[up.Name]; old.Incarnation() != up.Incarnation() || old.Version != up.Version {
 		m.startSeenAt[up.Name] = m.Now()
+		delete(m.replaced, up.Name)
 	}
 	m.ups[up.Name] = up
 }
@@ -291,6 +295,7 @@
 	delete(m.ups, name)
 	delete(m.startSeenAt, name)
 	delete(m.retainedUntil, name)
+	delete(m.replaced, name)
 }
 
 // OutageStarted records that the platform cannot be read.
@@ -315,7 +320,7 @@
 	return m.loaded
 }
 
-// List returns the upstreams sorted by name.
+// List returns the upstreams sorted by name, without the software version of those whose process has been replaced.
 func (m *Upstreams) List() []route.Upstream {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -328,6 +333,9 @@
 	out := make([]route.Upstream, 0, len(m.ups))
 	for _, u := range m.ups {
 		u.Leaving = u.Leaving || m.leavers.has(now, u.Incarnation())
+		if m.isReplaced(u) {
+			u.Version = ""
+		}
 		out = append(out, u)
 	}
 	slices.SortFunc(out, func(a, b route.Upstream) int { return strings.Compare(a.Name, b.Name) })
--- a/internal/root/relay/origin/origin.go
+++ b/internal/root/relay/origin/origin.go
@@ -38,6 +38,9 @@
 	Lifetime time.Duration
 }
 
+// UnknownVersion is the Version of a stream that began at a process whose software version is not known.
+const UnknownVersion = "(unknown)"
+
 // Origin is where a stream began. The zero value means that this is not known.
 type Origin struct {
 	Pool string `json:"pool"`
@@ -45,13 +48,15 @@
 	Version string `json:"version"`
 	// Upstream is the start of the upstream that began the stream.
 	Upstream route.Incarnation `json:"upstream"`
+	// Confirmed reports that the process that began the stream was the one that the upstream's row describes, by its own statement.
+	Confirmed bool `json:"confirmed,omitempty"`
 	// SentAt is when the request was sent that began the stream, by the clock of this host.
 	SentAt time.Time `json:"-"`
 }
 
 // Known reports whether o says where the stream began.
 func (o Origin) Known() bool {
-	return o.Version != ""
+	return o.Version != "" && o.Version != UnknownVersion
 }
 
 // matches reports whether both describe the same pool and version.
--- a/internal/root/relay/starts/checker.go
+++ b/internal/root/relay/starts/checker.go
@@ -12,8 +12,8 @@
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
-// askTimeout bounds one question to an upstream.
-const askTimeout = 250 * time.Millisecond
+// askTimeout bounds one question to an upstream. The first event of a stream waits for the answer.
+const askTimeout = 150 * time.Millisecond
 
 // ErrUnstated is returned by a Client if the process answers without stating its start.
 var ErrUnstated = errors.New("process does not state its start")
--- a/internal/root/route/query.go
+++ b/internal/root/route/query.go
@@ -22,6 +22,8 @@
 	LeastLoaded bool
 	// Version is the software version of the upstream, or "" for any.
 	Version string
+	// Versioned excludes the upstreams whose software version is not known.
+	Versioned bool
 	// Ejected includes upstreams that are ejected, for a request that no others can serve.
 	Ejected bool
 	// OnTrial includes upstreams that have served nothing since they were ejected and run a request now, if their ejection ended some time ago.
@@ -40,7 +42,7 @@
 
 // matches reports whether the entry is usable and allowed by the query.
 func (q Query) matches(now time.Time, e *entry) bool {
-	if !q.Regions.Allows(e.up.Region) || (q.Version != "" && e.up.Version != q.Version) {
+	if !q.Regions.Allows(e.up.Region) || !q.allowsVersion(e.up.Version) {
 		return false
 	}
 	if !e.usable(now, q.hosts) && !(q.includesEjected(now, e) && e.mayReturn(now, q.hosts)) {
@@ -52,6 +54,14 @@
 	return q.Allow == nil || q.Allow(e.up.Name)
 }
 
+// allowsVersion reports whether the query may choose an upstream with the software version, which is "" if it is not known.
+func (q Query) allowsVersion(version string) bool {
+	if q.Versioned && version == "" {
+		return false
+	}
+	return q.Version == "" || q.Version == version
+}
+
 // includesEjected reports whether the query may choose the entry although it was ejected.
 func (q Query) includesEjected(now time.Time, e *entry) bool {
 	return q.Ejected || (q.OnTrial && now.Sub(e.ejectedUntil) >= failureMemory)
