--- a/internal/root/front/chain/reach/conn.go
+++ b/internal/root/front/chain/reach/conn.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/cornelwing/cornelwing/internal/intact"
 )
 
 // Errors of Write. In both cases no byte was written.
@@ -35,7 +37,7 @@
 		return nil, fmt.Errorf("connect: %w", err)
 	}
 	tracked := &conn{
-		Conn: c,
+		Conn: intact.NewConn(c),
 	}
 	if sys, ok := c.(syscall.Conn); ok {
 		if tracked.raw, err = sys.SyscallConn(); err != nil {
--- a/internal/root/relay/links/dialer.go
+++ b/internal/root/relay/links/dialer.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/intact"
 	"github.com/cornelwing/cornelwing/internal/root/place"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 	"github.com/cornelwing/cornelwing/internal/root/route"
@@ -107,8 +108,16 @@
 	d.evidence.sync(ups)
 }
 
-// DialContext connects to the upstream with the address.
+// DialContext connects to the upstream with the address. The reset of the connection is never read as its end.
 func (d *Dialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := d.dial(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return intact.NewConn(c), nil
+}
+
+func (d *Dialer) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	up, known := d.upstreamAt(addr)
 	if !known || d.relay == nil {
 		return d.dialDirect(ctx, network, addr)
@@ -178,7 +187,7 @@
 	return d.dialRelayed(ctx, up)
 }
 
-// DialForPeer connects to an upstream for another host that does not reach it. It never goes through a third host.
+// DialForPeer connects to an upstream for another host that does not reach it. It never goes through a third host. The reset of the connection is never read as its end.
 func (d *Dialer) DialForPeer(ctx context.Context, name string) (net.Conn, error) {
 	d.mu.Lock()
 	up, known := d.byName[name]
@@ -189,7 +198,11 @@
 	if d.justFailed(up) {
 		return nil, ErrNoLink
 	}
-	return d.dialAndRecord(ctx, up)
+	c, err := d.dialAndRecord(ctx, up)
+	if err != nil {
+		return nil, err
+	}
+	return intact.NewConn(c), nil
 }
 
 func (d *Dialer) dialDirect(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/internal/root/relay/send/permit.go
+++ b/internal/root/relay/send/permit.go
@@ -41,6 +41,11 @@
 	mayWrite func() bool
 }
 
+// NetConn returns the connection that c wraps.
+func (c *guardedConn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Write writes to the connection, or returns ErrPermitExpired if the permit had expired at the first write.
 func (c *guardedConn) Write(b []byte) (int, error) {
 	if !c.mayWrite() {
--- a/internal/root/relay/send/usedconn.go
+++ b/internal/root/relay/send/usedconn.go
@@ -4,11 +4,12 @@
 	"fmt"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/cornelwing/cornelwing/internal/intact"
 )
 
 // usedConn is the connection of a request, once there is one.
@@ -55,7 +56,7 @@
 	if c == nil {
 		return nil, errNoSocket
 	}
-	sys, ok := socketOf(*c).(syscall.Conn)
+	sys, ok := intact.Socket(*c)
 	if !ok {
 		return nil, errNoSocket
 	}
@@ -76,11 +77,3 @@
 	}
 	return info, nil
 }
-
-// socketOf returns the connection that a guarded one wraps.
-func socketOf(c net.Conn) net.Conn {
-	if g, ok := c.(*guardedConn); ok {
-		return g.Conn
-	}
-	return c
-}
--- a/internal/root/store/client.go
+++ b/internal/root/store/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/intact"
 	"github.com/cornelwing/cornelwing/internal/jhttp"
 	"github.com/cornelwing/cornelwing/internal/plat"
 )
@@ -54,6 +55,7 @@
 			Transport: &http.Transport{
 				MaxResponseHeaderBytes: jhttp.MaxResponseHead,
 				MaxIdleConnsPerHost:    maxIdleConns,
+				DialContext:            intact.Dial((&net.Dialer{}).DialContext),
 			},
 		},
 	}
