--- a/internal/jhttp/call.go
+++ b/internal/jhttp/call.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/cornelwing/cornelwing/internal/intact"
 )
 
 // ContentType is the media type of request and response bodies.
@@ -53,6 +55,9 @@
 		return Response{}, fmt.Errorf("send call: %w", causeOf(ctx, err))
 	}
 	defer resp.Body.Close()
+	if err := intact.CheckResponse(resp); err != nil {
+		return Response{}, fmt.Errorf("read head of answer: %w", err)
+	}
 	watchdog.Expect(c.Timeouts.Stall)
 	headAt := time.Now()
 	body, err := io.ReadAll(io.LimitReader(watchedReader{
--- a/internal/jhttp/call_test.go
+++ b/internal/jhttp/call_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/cornelwing/cornelwing/internal/intact"
 )
 
 func TestDo(t *testing.T) {
@@ -79,3 +82,25 @@
 		}
 	}
 }
+
+// Guards against bytes that are no response and count as one (class of MIXED of issue 54).
+func TestBytesThatAreNoResponseAreNoAnswer(t *testing.T) {
+	heads := []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/1.1 200 OK\r\nX A: b\r\n"}
+	for _, head := range heads {
+		t.Run(strings.TrimSpace(head), func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, head+"Content-Length: 2\r\n\r\n{}")
+			}))
+			defer s.Close()
+			resp, err := Do(t.Context(), http.DefaultTransport, Call{Method: "GET", URL: s.URL, Limit: 1000})
+			if !errors.Is(err, intact.ErrNoResponse) || resp.Status != 0 {
+				t.Errorf("got status %d and error %v, want that it is no response", resp.Status, err)
+			}
+		})
+	}
+}
--- a/internal/root/front/chain/reach/client.go
+++ b/internal/root/front/chain/reach/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cornelwing/cornelwing/internal/intact"
 	"github.com/cornelwing/cornelwing/internal/jhttp"
 	"github.com/cornelwing/cornelwing/internal/stage"
 	"github.com/cornelwing/cornelwing/pkg/wire"
@@ -115,6 +116,9 @@
 		return c.classifyError(ctx, a, !tracker.sealIfUnsent(), err)
 	}
 	defer resp.Body.Close()
+	if err := intact.CheckResponse(resp); err != nil {
+		return c.brokenResult(a, fmt.Errorf("call %s: %w", a.Addr, err))
+	}
 	if resp.StatusCode != http.StatusOK {
 		return c.readRefusal(resp, a)
 	}
--- a/internal/root/front/chain/reach/engine.go
+++ b/internal/root/front/chain/reach/engine.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cornelwing/cornelwing/internal/intact"
 	"github.com/cornelwing/cornelwing/internal/stage"
 	"github.com/cornelwing/cornelwing/pkg/wire"
 )
@@ -44,6 +45,9 @@
 		return fmt.Errorf("send order: %w", err)
 	}
 	defer resp.Body.Close()
+	if err := intact.CheckResponse(resp); err != nil {
+		return fmt.Errorf("send order: %w", err)
+	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return fmt.Errorf("order refused with status %d: %w", resp.StatusCode, ErrStatus)
 	}
@@ -63,6 +67,9 @@
 		return fmt.Errorf("read %s: %w", path, err)
 	}
 	defer resp.Body.Close()
+	if err := intact.CheckResponse(resp); err != nil {
+		return fmt.Errorf("read %s: %w", path, err)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("read %s: status %d: %w", path, resp.StatusCode, ErrStatus)
 	}
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cornelwing/cornelwing/internal/intact"
 	"github.com/cornelwing/cornelwing/internal/jhttp"
 )
 
@@ -80,7 +81,7 @@
 	c := &Client{
 		transport: &http.Transport{
 			MaxResponseHeaderBytes: jhttp.MaxResponseHead,
-			DialContext:            GuardDial(dial),
+			DialContext:            GuardDial(intact.DialOnce(dial)),
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			ReadBufferSize:         bufferSize,
--- a/internal/root/store/client.go
+++ b/internal/root/store/client.go
@@ -209,6 +209,9 @@
 		return 0, nil, fmt.Errorf("call platform: %w", ErrUnknownOutcome)
 	}
 	defer resp.Body.Close()
+	if err := intact.CheckResponse(resp); err != nil {
+		return 0, nil, fmt.Errorf("read head of answer: %v: %w", err, ErrUnknownOutcome)
+	}
 	data, err := io.ReadAll(io.LimitReader(watchdog.Watch(resp.Body, c.timeout), maxBodyBytes))
 	if err != nil {
 		return 0, nil, fmt.Errorf("read answer: %w", ErrUnknownOutcome)
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 
+	"github.com/cornelwing/cornelwing/internal/intact"
 	"github.com/cornelwing/cornelwing/pkg/wire"
 )
 
@@ -223,6 +224,9 @@
 		return wire.Answer{}, fmt.Errorf("send request: %v: %w", err, ErrIncompleteResponse)
 	}
 	defer resp.Body.Close()
+	if err := intact.CheckResponse(resp); err != nil {
+		return wire.Answer{}, fmt.Errorf("read head of response: %v: %w", err, ErrIncompleteResponse)
+	}
 	if resp.Header.Get("Content-Type") == wire.TypeStream {
 		return readStream(resp.Body, call.OnToken)
 	}
@@ -260,6 +264,9 @@
 		return wire.Answer{}, fmt.Errorf("request outcome: %v: %w", err, ErrIncompleteResponse)
 	}
 	defer resp.Body.Close()
+	if err := intact.CheckResponse(resp); err != nil {
+		return wire.Answer{}, fmt.Errorf("read head of outcome: %v: %w", err, ErrIncompleteResponse)
+	}
 	return readResponse(resp)
 }
 
