--- a/internal/root/front/chain/attempt.go
+++ b/internal/root/front/chain/attempt.go
@@ -56,6 +56,9 @@
 		if res.Refusal.Leaving {
 			r.onLeaving(up.Name)
 		}
+		if res.Refusal.Version != "" {
+			r.beginAgain(s)
+		}
 		return retry.Refused{RetryAfter: time.Duration(res.Refusal.RetryAfterMS) * time.Millisecond}, nil
 	case reach.Broken:
 		return r.handleBroken(ctx, s, up, res.Err, took), nil
@@ -94,6 +97,7 @@
 			MaxTokens:  r.job.MaxTokens,
 			Urgency:    r.job.Urgency,
 			ResumeFrom: s.tokenCount,
+			Version:    s.version,
 			DeadlineMS: r.stageLimit().Milliseconds(),
 		},
 		OnSilence: r.silenceHandler(up),
@@ -125,7 +129,8 @@
 	}
 	s.output.WriteString(tok.Text)
 	s.tokenCount++
-	if r.job.OnToken == nil || r.stage != len(r.job.Pipeline.Stages)-1 {
+	s.version = tok.Version
+	if !r.forwardsTokens() {
 		return nil
 	}
 	if err := r.job.OnToken(wire.Token{
@@ -137,6 +142,21 @@
 	return nil
 }
 
+// forwardsTokens reports whether the caller receives the tokens of the current stage.
+func (r *run) forwardsTokens() bool {
+	return r.job.OnToken != nil && r.stage == len(r.job.Pipeline.Stages)-1
+}
+
+// beginAgain discards the tokens of the stage, as no engine that was found can continue them, unless the caller has received them.
+func (r *run) beginAgain(s *stageState) {
+	if r.forwardsTokens() {
+		return
+	}
+	s.output.Reset()
+	s.tokenCount = 0
+	s.version = ""
+}
+
 func (r *run) finishStage(s *stageState, up route.Upstream, res stage.Result, took time.Duration) *wire.Problem {
 	r.Table.Done(r.Now(), up.Name, took, true)
 	r.mayHaveRun = true
@@ -176,6 +196,9 @@
 	case errors.Is(err, reach.ErrSilent):
 		s.useNewConns = true
 		return retry.Broken{AddsNoLoad: r.retryAddsNoLoad(ctx, up)}
+	case errors.Is(err, reach.ErrVersion):
+		r.beginAgain(s)
+		return retry.Broken{}
 	case errors.Is(err, reach.ErrStray), errors.Is(err, reach.ErrGap):
 		return retry.Broken{}
 	}
--- a/internal/root/front/chain/reach/result.go
+++ b/internal/root/front/chain/reach/result.go
@@ -42,5 +42,6 @@
 	ErrStray     = errors.New("result belongs to another attempt")
 	ErrTruncated = errors.New("result is truncated")
 	ErrGap       = errors.New("tokens are missing from the stream")
+	ErrVersion   = errors.New("token is of another version of the model")
 	ErrStatus    = errors.New("unexpected status")
 )
--- a/internal/root/front/chain/run.go
+++ b/internal/root/front/chain/run.go
@@ -74,9 +74,10 @@
 	// possibleRuns counts the attempts that ran or may have run, and notRun those that are known not to have run.
 	possibleRuns int
 	notRun       int
-	// output is the text that the stage has streamed so far, and tokenCount the number of tokens in it.
+	// output is the text that the stage has streamed so far, tokenCount the number of tokens in it, and version that of the model that generated them, or "" if it is not known.
 	output     strings.Builder
 	tokenCount int
+	version    string
 	// useNewConns is set after an attempt made no progress within the silence limit. Further attempts use new connections.
 	useNewConns bool
 	began       time.Time
--- a/internal/stage/call.go
+++ b/internal/stage/call.go
@@ -39,6 +39,8 @@
 	Urgency int `json:"urgency"`
 	// ResumeFrom is the index of the first token that the engine sends.
 	ResumeFrom int `json:"resume_from,omitempty"`
+	// Version is the version of the model that generated the tokens before ResumeFrom, or "" if it is not known. An engine with another one refuses the call.
+	Version string `json:"version,omitempty"`
 	// DeadlineMS is the time left until the deadline, in milliseconds.
 	DeadlineMS int64 `json:"deadline_ms"`
 }
@@ -88,6 +90,8 @@
 	AttemptID string `json:"attempt_id"`
 	Index     int    `json:"index"`
 	Text      string `json:"text"`
+	// Version is the version of the model that generated the token, or "" if the engine does not state it.
+	Version string `json:"version,omitempty"`
 }
 
 // Refusal is the response of an upstream that rejected an attempt without running any part of it.
@@ -97,6 +101,8 @@
 	Leaving      bool   `json:"leaving,omitempty"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
 	Reason       string `json:"reason"`
+	// Version is the version of the engine's model if the call asked for another one.
+	Version string `json:"version,omitempty"`
 }
 
 // UnmarshalJSON decodes a refusal and returns an error if its attempt_id is empty or ran is missing, since a response that says nothing of it may come after the attempt ran.
--- a/internal/stand/runner/engine.go
+++ b/internal/stand/runner/engine.go
@@ -29,6 +29,10 @@
 		return
 	}
 	defer release()
+	if version := s.State().Version; call.Version != "" && call.Version != version {
+		writeVersionRefusal(w, call, version)
+		return
+	}
 	start := time.Now()
 	prefill := s.Service
 	if s.cache.touch(call.Input[:min(prefixBytes, len(call.Input))]) {
@@ -67,6 +71,7 @@
 		AttemptID: call.AttemptID,
 		Index:     i,
 		Text:      TokenText(call.Input, i),
+		Version:   s.State().Version,
 	}
 	roll, chaos := s.Faults.RollChaos(chaosKindCount * 8)
 	if !chaos {
--- a/internal/stand/runner/orders.go
+++ b/internal/stand/runner/orders.go
@@ -88,12 +88,25 @@
 
 // writeRefusal responds to a call that the server does not run.
 func writeRefusal(w http.ResponseWriter, call stage.Call, reason string, leaving bool) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusServiceUnavailable)
-	// A write error means that the client has disconnected and needs no response.
-	_ = json.NewEncoder(w).Encode(stage.Refusal{
+	sendRefusal(w, stage.Refusal{
 		AttemptID: call.AttemptID,
 		Leaving:   leaving,
 		Reason:    reason,
 	})
 }
+
+// writeVersionRefusal responds to a call that the server does not run, as its model has the version and not the one that the call asks for.
+func writeVersionRefusal(w http.ResponseWriter, call stage.Call, version string) {
+	sendRefusal(w, stage.Refusal{
+		AttemptID: call.AttemptID,
+		Reason:    "model has version " + version,
+		Version:   version,
+	})
+}
+
+func sendRefusal(w http.ResponseWriter, refusal stage.Refusal) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	// A write error means that the client has disconnected and needs no response.
+	_ = json.NewEncoder(w).Encode(refusal)
+}
