--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -159,6 +159,7 @@
 			return x.recordReplaced(up, err), false
 		}
 	case success && x.mayBeContinued():
+		x.startFinding = nil
 		x.start = x.askStart(ctx, up)
 	}
 	x.mayHaveRun = true
@@ -180,7 +181,14 @@
 		if x.mayBeCrash(err, up) {
 			x.reportLostConnection(ctx, up)
 		}
-		return x.recordUnknownOutcome(up, began, err), x.abort
+		ev := x.recordUnknownOutcome(up, began, err)
+		if errors.Is(err, errUpstreamEnded) {
+			// The retry was taken from the budget already.
+			ev = retry.Broken{
+				AddsNoLoad: true,
+			}
+		}
+		return ev, x.abort
 	}
 	x.CrashDetector.RecordSurvived(x.blamable)
 	x.Table.Done(x.Now(), up.Name, x.Now().Sub(began)-resp.ConfirmTime(), true)
--- a/internal/root/relay/flow/confirm.go
+++ b/internal/root/relay/flow/confirm.go
@@ -3,18 +3,28 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
+	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 	"github.com/cornelwing/cornelwing/internal/root/relay/starts"
 	"github.com/cornelwing/cornelwing/internal/root/retry"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 )
 
-// errReplaced reports that the process at the address of an upstream is not, or may not be, the one that its row describes, so that its software version is not known.
-var errReplaced = errors.New("process may not be the one of the upstream's row")
+// endTime is the time within which a process that ends closes all of its connections.
+const endTime = 20 * time.Millisecond
+
+var (
+	// errReplaced reports that the process at the address of an upstream is not, or may not be, the one that its row describes, so that its software version is not known.
+	errReplaced = errors.New("process may not be the one of the upstream's row")
+	// errUpstreamEnded reports that an upstream has ended before it could say when it started, with no event forwarded.
+	errUpstreamEnded = errors.New("upstream ended as the stream began")
+)
 
 // mayBeContinued reports whether another upstream may continue the stream.
 func (x *exchange) mayBeContinued() bool {
@@ -66,19 +76,33 @@
 	return out
 }
 
+// confirmBeginning waits until the upstream has said when it started, before the caller gets the first event of a stream. It returns errUpstreamEnded if the upstream has ended instead, and another one can begin the stream.
+func (x *exchange) confirmBeginning(resp send.Response) error {
+	if x.start == nil {
+		return nil
+	}
+	x.startFinding = <-x.start
+	x.start = nil
+	if _, unreachable := x.startFinding.(starts.Unreachable); !unreachable {
+		return nil
+	}
+	common.Sleep(x.r.Context(), endTime)
+	if resp.IsOpen() || !x.spendFailureRetry() {
+		return nil
+	}
+	return errUpstreamEnded
+}
+
 // beginning returns where the stream begins that the current upstream sends. Its software version is known only if the process is the one that the row describes, or one of the two states no start.
 func (x *exchange) beginning() origin.Origin {
 	o := origin.Origin{
 		Pool:    x.pool,
 		Version: x.upstream.Version,
 	}
-	if x.start == nil {
-		return o
-	}
-	switch f := (<-x.start).(type) {
+	switch f := x.startFinding.(type) {
+	case nil, starts.Unstated:
 	case starts.Same:
 		o.Confirmed = true
-	case starts.Unstated:
 	case starts.Other:
 		x.Upstreams.MarkReplaced(x.upstream.Incarnation(), f.StartedAtMS)
 		o.Version = origin.UnknownVersion
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -57,8 +57,9 @@
 	origin      origin.Origin
 	originKey   origin.Key
 	originFixed bool
-	// start tells whether the process that begins the stream is the one of its upstream's row. It is nil if that does not matter.
-	start <-chan starts.Finding
+	// start will tell whether the process that begins the stream is the one of its upstream's row, and startFinding is what it has told. Both are nil if that does not matter.
+	start        <-chan starts.Finding
+	startFinding starts.Finding
 	// blamable is what is to blame if the request crashes an upstream.
 	blamable blame.Request
 	arrived  time.Time
--- a/internal/root/relay/flow/forward.go
+++ b/internal/root/relay/flow/forward.go
@@ -84,6 +84,11 @@
 			x.abort = x.headSent && !x.canResume()
 			return fmt.Errorf("pass stream on: %w", err)
 		}
+		if !atEnd {
+			if err := x.confirmBeginning(resp); err != nil {
+				return fmt.Errorf("begin stream: %w", err)
+			}
+		}
 		resp.Header.Del("Content-Length")
 		if events.count == 1 {
 			x.Table.RecordAnswering(x.Now(), x.upstream.Name)
