--- a/internal/root/relay/flow/confirm.go
+++ b/internal/root/relay/flow/confirm.go
@@ -76,14 +76,15 @@
 	return out
 }
 
-// confirmBeginning waits until the upstream has said when it started, before the caller gets the first event of a stream. It returns errUpstreamEnded if the upstream has ended instead, and another one can begin the stream.
+// confirmBeginning waits until the upstream has said when it started, before the caller gets the first event of a stream. It returns errUpstreamEnded if the process that sends the stream has ended instead, and another upstream can begin it.
 func (x *exchange) confirmBeginning(resp send.Response) error {
 	if x.start == nil {
 		return nil
 	}
 	x.startFinding = <-x.start
 	x.start = nil
-	if _, unreachable := x.startFinding.(starts.Unreachable); !unreachable {
+	switch x.startFinding.(type) {
+	case starts.Same, starts.Unstated:
 		return nil
 	}
 	common.Sleep(x.r.Context(), endTime)
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -42,12 +42,8 @@
 	Body   io.ReadCloser
 	// Framing is how the response marks the end of its body.
 	Framing Framing
-	used    *usedConn
-}
-
-// IsOpen reports whether the upstream has not ended the connection of the response yet. It returns false if that is not known.
-func (r Response) IsOpen() bool {
-	return r.used != nil && r.used.isOpen()
+	// IsOpen reports whether the upstream has not ended the connection of the response yet, or false if that is not known.
+	IsOpen func() bool
 }
 
 // Unsent reports that no connection was made, so that no byte of the request left this host.
@@ -152,7 +148,7 @@
 		Header:  resp.Header,
 		Body:    resp.Body,
 		Framing: framingOf(resp),
-		used:    used,
+		IsOpen:  used.isOpen,
 	}
 	if out.Framing == FramedByClose && c.watchEnd != nil {
 		watch := c.watchEnd(addr, used.isOpen)
--- a/internal/root/relay/starts/checker.go
+++ b/internal/root/relay/starts/checker.go
@@ -58,9 +58,17 @@
 	}
 }
 
-// Check asks the process at the address of the upstream when it started. What it finds was so at some time after the call began.
+// Check asks the process at the address of the upstream when it started. What it finds was so at some time after the call began. A question that its context ends finds the process unreachable, and is not counted.
 func (c *Checker) Check(ctx context.Context, i route.Incarnation) Finding {
 	f := c.ask(ctx, i)
+	if ctx.Err() == nil {
+		c.record(i, f)
+	}
+	return f
+}
+
+// record counts the finding, and logs what is not as the row says.
+func (c *Checker) record(i route.Incarnation, f Finding) {
 	switch f := f.(type) {
 	case Same:
 		c.same.Add(1)
@@ -75,7 +83,6 @@
 	default:
 		panic(fmt.Sprintf("unknown finding %T", f))
 	}
-	return f
 }
 
 func (c *Checker) ask(ctx context.Context, i route.Incarnation) Finding {
