--- a/internal/root/relay/flow/forward.go
+++ b/internal/root/relay/flow/forward.go
@@ -84,6 +84,7 @@
 			x.abort = x.headSent && !x.canResume()
 			return fmt.Errorf("pass stream on: %w", err)
 		}
+		took := x.Now().Sub(sentAt)
 		if !atEnd {
 			if err := x.confirmBeginning(resp); err != nil {
 				return fmt.Errorf("begin stream: %w", err)
@@ -92,8 +93,8 @@
 		resp.Header.Del("Content-Length")
 		if events.count == 1 {
 			x.Table.RecordAnswering(x.Now(), x.upstream.Name)
-			x.Table.RecordFirstEvent(x.upstream, x.Now().Sub(sentAt))
-			x.stageTimes.ObserveEngine(x.Now(), x.route.Name, x.Now().Sub(sentAt))
+			x.Table.RecordFirstEvent(x.upstream, took)
+			x.stageTimes.ObserveEngine(x.Now(), x.route.Name, took)
 		}
 		x.sendHead(resp)
 		x.freeAllResults()
