Play harmed ways between hosts in the soak

Hosts reach each other through a mesh of the stand-in: the rows of hosts name its addresses to all readers alike, so a host that passes rows on passes on nothing else. The mesh asks the kernel which process opened a connection, so that one way can be harmed and the other not. Harms (lost one way or both, refused, delayed; two hosts, one host, two groups) come from a source of their own, and the other faults of a seed stay as they are.

--- a/internal/stand/rows/listen.go
+++ b/internal/stand/rows/listen.go
@@ -29,8 +29,11 @@
 	LoseAnswers
 )
 
-// serversTable is the table in which servers register themselves.
-const serversTable = "servers"
+// serversTable is the table in which servers register themselves, and hostsTable that in which entry hosts do.
+const (
+	serversTable = "servers"
+	hostsTable   = "hosts"
+)
 
 // maxPageRows is the maximum number of rows in one response to a read.
 const maxPageRows = 500
@@ -43,6 +46,8 @@
 	addr  string
 	// mapAddr, if set, returns the address that stands for that of a server in the rows that this listener sends.
 	mapAddr atomic.Pointer[func(addr string) string]
+	// mapHost, if set, does the same for entry hosts.
+	mapHost atomic.Pointer[func(addr string) string]
 }
 
 // Listen opens a new loopback address of the store.
@@ -73,32 +78,37 @@
 	l.mapAddr.Store(&f)
 }
 
-// mapped returns the rows with the addresses that MapAddresses asks for.
+// MapHosts makes the rows of entry hosts that the listener sends name other addresses than their own. It must be called before a host reads them.
+func (l *Listener) MapHosts(f func(addr string) string) {
+	l.mapHost.Store(&f)
+}
+
+// mapped returns the rows with the addresses that MapAddresses and MapHosts ask for.
 func (l *Listener) mapped(rows []Row) []Row {
-	f := l.mapAddr.Load()
-	if f == nil {
-		return rows
-	}
+	server, host := l.mapAddr.Load(), l.mapHost.Load()
 	out := slices.Clone(rows)
 	for i, r := range out {
-		if r.Table == serversTable && !r.Deleted {
-			out[i].Value = mapAddress(r.Value, *f)
+		switch {
+		case r.Table == serversTable && !r.Deleted && server != nil:
+			out[i].Value = mapAddress(r.Value, "address", *server)
+		case r.Table == hostsTable && !r.Deleted && host != nil:
+			out[i].Value = mapAddress(r.Value, "addr", *host)
 		}
 	}
 	return out
 }
 
-// mapAddress replaces the address in the row of a server. A row that holds none stays as it is.
-func mapAddress(value []byte, f func(addr string) string) []byte {
+// mapAddress replaces the address in a field of a row. A row that holds none stays as it is.
+func mapAddress(value []byte, field string, f func(addr string) string) []byte {
 	var fields map[string]any
 	if json.Unmarshal(value, &fields) != nil {
 		return value
 	}
-	addr, ok := fields["address"].(string)
+	addr, ok := fields[field].(string)
 	if !ok {
 		return value
 	}
-	fields["address"] = f(addr)
+	fields[field] = f(addr)
 	b, err := json.Marshal(fields)
 	if err != nil {
 		// What has just been decoded can be encoded.
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -183,6 +183,7 @@
 			RowDelay: time.Duration(own.Int64N(int64(maxRowDelay))),
 		},
 	})
+	fixed = append(fixed, newerFaults(rand.New(rand.NewPCG(seed, 13)), hosts, duration)...)
 	storms := 0
 	for at := time.Duration(0); ; {
 		at += time.Duration(rng.Int64N(int64(2 * meanGap)))
@@ -205,6 +206,24 @@
 	}
 }
 
+// newerGap is the mean time between the beginnings of two faults of newerFaults.
+const newerGap = 1500 * time.Millisecond
+
+// newerFaults returns the faults of the kinds that came after those of randomFault. They have a source of their own, which leaves the other faults of a seed as they are.
+func newerFaults(rng *rand.Rand, hosts int, duration time.Duration) []event {
+	var out []event
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.Int64N(int64(2 * newerGap)))
+		if at >= duration || hosts < 2 {
+			return out
+		}
+		out = append(out, event{
+			At:    at,
+			Fault: randomHarm(rng, hosts),
+		})
+	}
+}
+
 // cutTime is how long linkedHost reaches servers through other hosts only, and killsInCut how many of these are killed meanwhile.
 const (
 	cutTime    = 4 * time.Second
@@ -287,6 +306,8 @@
 		r.world.hosts[f.Host].hangUp()
 	case cutLinks:
 		r.cutLinks(f)
+	case harmWays:
+		r.harmWays(f)
 	case breakStore:
 		r.breakStore(f)
 	case copyStore:
--- a/internal/stand/soak/process.go
+++ b/internal/stand/soak/process.go
@@ -77,10 +77,7 @@
 
 // catches reports whether the process has a handler for the signal.
 func (p *process) catches(s syscall.Signal) bool {
-	p.mu.Lock()
-	pid := p.cmd.Process.Pid
-	p.mu.Unlock()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid()))
 	if err != nil {
 		return false
 	}
@@ -90,6 +87,16 @@
 	return err == nil && mask&(1<<(s-1)) != 0
 }
 
+// pid returns the ID of the process of the latest start, or 0 before the first one.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // ended returns a channel that is closed when the process of the latest start has ended.
 func (p *process) ended() <-chan struct{} {
 	p.mu.Lock()
--- a/internal/stand/soak/world.go
+++ b/internal/stand/soak/world.go
@@ -39,6 +39,8 @@
 	store   *rows.Store
 	servers *fleet
 	hosts   []*host
+	// ways are those on which hosts reach each other.
+	ways *hostWays
 
 	mu      sync.Mutex
 	version int
@@ -59,6 +61,7 @@
 		key:       "key-0",
 		revokedAt: map[string]time.Time{},
 		era:       1,
+		ways:      newHostWays(),
 	}
 	w.store.SetEra("1")
 	w.servers = newFleet(w.store, o.EngineBinary, o.Dir)
@@ -104,6 +107,10 @@
 			logPath:  filepath.Join(o.Dir, fmt.Sprintf("host-%d.log", i)),
 		},
 	}
+	if err := w.ways.add(hostName(i), addrs[2], h.process); err != nil {
+		return nil, err
+	}
+	l.MapHosts(w.ways.addrOf)
 	if i == linkedHost {
 		h.links = newLinks()
 		l.MapAddresses(h.links.addrOf)
@@ -112,14 +119,14 @@
 	if o.NoEvacuation {
 		evacuate = ""
 	}
-	settings := fmt.Sprintf(`host: {name: host-%d, domain: z}
+	settings := fmt.Sprintf(`host: {name: %s, domain: z}
 listen: {callers: %q, ready: %q, peers: %q, metrics: %q}
 store: {address: %q}
 upstreams: {forget: %s%s}
 stop: {grace: %s}
 keys: {revoke: %s}
 retry: {ratio: 0.2, extra: 60}
-`, i, addrs[0], addrs[1], addrs[2], addrs[3], l.Addr(), forgetTime, evacuate, stopGrace, revokeTime)
+`, hostName(i), addrs[0], addrs[1], addrs[2], addrs[3], l.Addr(), forgetTime, evacuate, stopGrace, revokeTime)
 	if err := os.WriteFile(h.settings, []byte(settings), 0o644); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
@@ -238,5 +245,7 @@
 			h.links.close()
 		}
 	}
+	// The run has ended, so nothing uses the mesh any more.
+	_ = w.ways.mesh.Close()
 	w.servers.close()
 }
