Lose all hosts at once beside a release in the soak

A pair is two faults of which the second begins while the first lasts: a release, in place or not, and up to 3 s later the end of all hosts within 50 ms; or harmed ways between hosts, and a release up to 1 s later.

--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -206,24 +206,6 @@
 	}
 }
 
-// newerGap is the mean time between the beginnings of two faults of newerFaults.
-const newerGap = 1500 * time.Millisecond
-
-// newerFaults returns the faults of the kinds that came after those of randomFault. They have a source of their own, which leaves the other faults of a seed as they are.
-func newerFaults(rng *rand.Rand, hosts int, duration time.Duration) []event {
-	var out []event
-	for at := time.Duration(0); ; {
-		at += time.Duration(rng.Int64N(int64(2 * newerGap)))
-		if at >= duration || hosts < 2 {
-			return out
-		}
-		out = append(out, event{
-			At:    at,
-			Fault: randomHarm(rng, hosts),
-		})
-	}
-}
-
 // cutTime is how long linkedHost reaches servers through other hosts only, and killsInCut how many of these are killed meanwhile.
 const (
 	cutTime    = 4 * time.Second
@@ -308,6 +290,10 @@
 		r.cutLinks(f)
 	case harmWays:
 		r.harmWays(f)
+	case pair:
+		r.playPair(rng, f)
+	case loseHosts:
+		r.loseHosts(rng, f)
 	case breakStore:
 		r.breakStore(f)
 	case copyStore:
@@ -398,6 +384,11 @@
 		return
 	}
 	defer r.release(i)
+	r.restartHeld(i, gracefully)
+}
+
+// restartHeld is restart for a fault that holds the host.
+func (r *run) restartHeld(i int, gracefully bool) {
 	h := r.world.hosts[i]
 	from := time.Now()
 	if !gracefully {
--- /dev/null
+++ b/internal/stand/soak/pairs.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// pair begins a fault, and another one after the lead, so that the two overlap.
+type pair struct {
+	First  fault
+	Lead   time.Duration
+	Second fault
+}
+
+// loseHosts kills all hosts at once, each within the spread, and starts them again.
+type loseHosts struct {
+	Spread time.Duration
+}
+
+func (pair) isFault()      {}
+func (loseHosts) isFault() {}
+
+// String describes both faults.
+func (p pair) String() string {
+	return fmt.Sprintf("%T %+v, %s later %T %+v", p.First, p.First, p.Lead, p.Second, p.Second)
+}
+
+const (
+	// newerGap is the mean time between the beginnings of two faults of newerFaults.
+	newerGap = 2 * time.Second
+	// holdPoll is the time between two attempts to hold a host.
+	holdPoll = 10 * time.Millisecond
+	// lossSpread bounds the time within which all hosts are killed, and maxLossLead the time from the beginning of a release to that.
+	lossSpread  = 50 * time.Millisecond
+	maxLossLead = 3 * time.Second
+	// maxReleaseLead bounds the time from the beginning of a fault to that of the release that it disturbs.
+	maxReleaseLead = time.Second
+)
+
+// newerFaults returns the faults of the kinds that came after those of randomFault. They have a source of their own, which leaves the other faults of a seed as they are.
+func newerFaults(rng *rand.Rand, hosts int, duration time.Duration) []event {
+	var out []event
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.Int64N(int64(2 * newerGap)))
+		if at >= duration || hosts < 2 {
+			return out
+		}
+		out = append(out, event{
+			At:    at,
+			Fault: newerFault(rng, hosts),
+		})
+	}
+}
+
+// newerFault returns a fault of a newer kind, alone or beside a release.
+func newerFault(rng *rand.Rand, hosts int) fault {
+	lead := time.Duration(rng.Int64N(int64(maxReleaseLead)))
+	switch rng.IntN(6) {
+	case 0:
+		return pair{
+			First:  randomRelease(rng),
+			Lead:   time.Duration(rng.Int64N(int64(maxLossLead))),
+			Second: loseHosts{Spread: time.Duration(rng.Int64N(int64(lossSpread)))},
+		}
+	case 1:
+		return pair{
+			First:  randomHarm(rng, hosts),
+			Lead:   lead,
+			Second: randomRelease(rng),
+		}
+	default:
+		return randomHarm(rng, hosts)
+	}
+}
+
+// randomRelease returns a release, in place or not.
+func randomRelease(rng *rand.Rand) fault {
+	gap := time.Duration(rng.Int64N(int64(maxReleaseGap)))
+	if rng.IntN(3) == 0 {
+		return releaseEngines{Gap: gap}
+	}
+	return releaseInPlace{Gap: gap, RowDelay: time.Duration(rng.Int64N(int64(maxRowDelay)))}
+}
+
+// playPair plays both faults, and returns once both have ended.
+func (r *run) playPair(rng *rand.Rand, p pair) {
+	// Each fault has a source of its own, as the two are played at the same time.
+	second := rand.New(rand.NewPCG(rng.Uint64(), 1))
+	var both sync.WaitGroup
+	both.Go(func() { r.play(rng, p.First) })
+	time.Sleep(p.Lead)
+	both.Go(func() { r.play(second, p.Second) })
+	both.Wait()
+}
+
+// loseHosts kills all hosts at once and starts them again. Hosts that another fault has ended or is ending are about to start, which is waited for.
+func (r *run) loseHosts(rng *rand.Rand, f loseHosts) {
+	for i := range r.world.hosts {
+		for !r.hold(i) {
+			time.Sleep(holdPoll)
+		}
+	}
+	var all sync.WaitGroup
+	for i := range r.world.hosts {
+		after := time.Duration(rng.Int64N(int64(f.Spread) + 1))
+		all.Go(func() {
+			defer r.release(i)
+			time.Sleep(after)
+			r.restartHeld(i, false)
+		})
+	}
+	all.Wait()
+}
