Give addresses of ended servers to others in the soak

A server ends, and two to three seconds later one of another service, or of a new ID and perhaps a new version, starts at its address and leaves after some seconds; alone or with a release beside it. A new check, ROUTE, reports requests that run at a server of another service. A link that has followed the end of its server opens again once the address has a row again; until now an engine that was started again in its place could be out of the linked host's reach for good.

--- a/internal/stand/link/link.go
+++ b/internal/stand/link/link.go
@@ -83,6 +83,20 @@
 	l.followsEnd = true
 }
 
+// Reopen makes a link that has followed the end of its server accept connections again, as another server may have its address.
+func (l *Link) Reopen() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ended {
+		return nil
+	}
+	l.ended = false
+	if l.mode != Open {
+		return nil
+	}
+	return l.listen()
+}
+
 // SetMode sets how the link treats connections from now on.
 func (l *Link) SetMode(m Mode) error {
 	l.mu.Lock()
--- a/internal/stand/link/link_test.go
+++ b/internal/stand/link/link_test.go
@@ -126,6 +126,10 @@
 			So(isError(dialAndEcho(l.Addr()), syscall.ECONNRESET), ShouldBeTrue)
 			_, err = net.DialTimeout("tcp", l.Addr(), answerTime)
 			So(isError(err, syscall.ECONNREFUSED), ShouldBeTrue)
+			Convey("until it is opened again, as another server may have the address", func() {
+				So(l.Reopen(), ShouldBeNil)
+				So(isError(dialAndEcho(l.Addr()), syscall.ECONNRESET), ShouldBeTrue)
+			})
 		})
 		Convey("another goes on accepting and resetting", func() {
 			for range 2 {
--- a/internal/stand/soak/check.go
+++ b/internal/stand/soak/check.go
@@ -33,6 +33,7 @@
 func (h *history) check(servers []serverLog, revoked map[string]time.Time, recovered time.Time) {
 	h.checkResponses()
 	h.checkRuns(servers)
+	h.checkServices(servers)
 	h.checkKeys(revoked)
 	h.checkLeaving(servers)
 	inTime := h.withoutHeldUp(servers)
--- a/internal/stand/soak/check_test.go
+++ b/internal/stand/soak/check_test.go
@@ -99,6 +99,8 @@
 		{name: "a stream of the second version that is taken up", requests: []request{takenUp(eventTexts(1, 2, "v2"), eventTexts(3, streamEvents, "v2"))}},
 		{name: "a request that ran twice", requests: []request{answered("a", once, 1)}, servers: []serverLog{{Runs: []string{"a"}}, {Runs: []string{"a"}}}, want: "TWICE"},
 		{name: "an idempotent request that ran twice", requests: []request{answered("a", safe, 1)}, servers: []serverLog{{Runs: []string{"a", "a"}}}},
+		{name: "a request that ran at a server of another service", requests: []request{answered("a", safe, 1)}, servers: []serverLog{{Service: "engine", Runs: []string{"a"}}}, want: "ROUTE"},
+		{name: "a request that reached a server of another service and did not run", requests: []request{answered("a", safe, 1)}, servers: []serverLog{{Service: "engine", Arrivals: []serv.Arrival{{At: after(1), ID: "a"}}}, {Service: "plain", Runs: []string{"a"}}}},
 		{name: "a refused request that ran", requests: []request{{ID: "a", Route: once, Status: 503}}, servers: []serverLog{{Runs: []string{"a"}}}, want: "REFUSED"},
 		{name: "a refused request that did not run", requests: []request{{ID: "a", Route: once, Status: 503}}},
 		{name: "a key that was revoked long ago", requests: []request{answered("a", safe, 9).with(func(q *request) { q.Key = "old" })}, want: "KEYS"},
--- a/internal/stand/soak/engineprocess.go
+++ b/internal/stand/soak/engineprocess.go
@@ -103,6 +103,11 @@
 	_ = e.cmd.Wait()
 }
 
+// Addr returns the address that the engine listens on.
+func (e *engineProcess) Addr() string {
+	return e.addr
+}
+
 // RegistrationJSON returns the row by which the engine registers itself with the state.
 func (e *engineProcess) RegistrationJSON(state string) []byte {
 	return e.registrations[state]
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -290,6 +290,8 @@
 		r.cutLinks(f)
 	case harmWays:
 		r.harmWays(f)
+	case takeAddress:
+		r.withServer(rng, f.From, f, func(s *server) { r.world.servers.takeAddress(s, f) })
 	case pair:
 		r.playPair(rng, f)
 	case loseHosts:
--- a/internal/stand/soak/fleet.go
+++ b/internal/stand/soak/fleet.go
@@ -44,6 +44,7 @@
 	Runs() []serv.Run
 	Stopped() <-chan struct{}
 	Close() error
+	Addr() string
 }
 
 // server is one server of the fleet.
@@ -54,8 +55,8 @@
 	Zone    string
 	// Unframed reports that responses have neither a length nor chunks.
 	Unframed bool
-	// Addr is the address at which the server starts, or empty for a free one.
-	Addr string
+	// At is the address at which the server starts, or empty for a free one.
+	At string
 	// Restarts counts the servers that had the ID and the address before this one.
 	Restarts int
 }
@@ -124,14 +125,21 @@
 
 // add starts one more server of a service.
 func (f *fleet) add(service string) error {
+	_, err := f.addAt(service, "")
+	return err
+}
+
+// addAt starts one more server of a service at an address, or at a free one if it is empty. It returns nil if the fleet is closed.
+func (f *fleet) addAt(service, addr string) (*server, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.closed {
-		return nil
+		return nil, nil
 	}
 	s := &server{
 		ID:      fmt.Sprintf("%s-%d", service, len(f.all)),
 		Service: service,
+		At:      addr,
 	}
 	if len(f.all)%serversPerEvacuable == 0 {
 		s.Zone = evacuableZone
@@ -141,13 +149,13 @@
 		s.Unframed = f.engines%enginesPerUnframed == 0
 	}
 	if err := f.startBackend(s); err != nil {
-		return fmt.Errorf("start server %s: %w", s.ID, err)
+		return nil, fmt.Errorf("start server %s: %w", s.ID, err)
 	}
 	f.all = append(f.all, s)
 	f.states[s] = "ready"
 	f.store.Put("servers", s.ID, s.RegistrationJSON("ready"))
 	go f.replace(s)
-	return nil
+	return s, nil
 }
 
 // startBackend starts the process of an engine, or another server in this process.
@@ -158,7 +166,7 @@
 			Zone:     s.Zone,
 			Version:  f.version(),
 			Unframed: s.Unframed,
-			Addr:     s.Addr,
+			Addr:     s.At,
 		})
 		if err != nil {
 			return err
@@ -167,9 +175,10 @@
 		return nil
 	}
 	local := &serv.Server{
-		ID:      s.ID,
-		Service: s.Service,
-		Zone:    s.Zone,
+		ID:         s.ID,
+		Service:    s.Service,
+		Zone:       s.Zone,
+		ListenAddr: s.At,
 	}
 	if err := local.Start(); err != nil {
 		return fmt.Errorf("start in this process: %w", err)
@@ -258,6 +267,7 @@
 	for _, s := range f.all {
 		l := serverLog{
 			ID:       s.logName(),
+			Service:  s.Service,
 			Zone:     s.Zone,
 			Arrivals: s.ArrivalLog(),
 		}
--- a/internal/stand/soak/history.go
+++ b/internal/stand/soak/history.go
@@ -64,6 +64,7 @@
 // serverLog is what a server has seen: the requests and calls that reached it, and the IDs of those that it began to run.
 type serverLog struct {
 	ID       string
+	Service  string
 	Zone     string
 	Arrivals []serv.Arrival
 	Runs     []string
--- a/internal/stand/soak/links.go
+++ b/internal/stand/soak/links.go
@@ -23,11 +23,14 @@
 	}
 }
 
-// addrOf returns the address of the link to the server at the target address.
+// addrOf returns the address of the link to the server at the target address, whose row is being sent: it may be up again.
 func (l *links) addrOf(target string) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if known, ok := l.byTarget[target]; ok {
+		if err := known.Reopen(); err != nil {
+			panic(err)
+		}
 		return known.Addr()
 	}
 	added, err := link.New(target)
--- a/internal/stand/soak/pairs.go
+++ b/internal/stand/soak/pairs.go
@@ -70,6 +70,14 @@
 			Lead:   lead,
 			Second: randomRelease(rng),
 		}
+	case 2:
+		return pair{
+			First:  randomTaking(rng),
+			Lead:   lead,
+			Second: randomRelease(rng),
+		}
+	case 3:
+		return randomTaking(rng)
 	default:
 		return randomHarm(rng, hosts)
 	}
--- a/internal/stand/soak/release.go
+++ b/internal/stand/soak/release.go
@@ -62,10 +62,6 @@
 
 // restartInPlace kills an engine that is up, and starts one of the current software version under its ID and address, which writes its row after the delay.
 func (f *fleet) restartInPlace(old *server, rowDelay time.Duration) {
-	e, ok := old.backend.(*engineProcess)
-	if !ok {
-		panic(fmt.Sprintf("server %s has no process", old.ID))
-	}
 	if !f.takeDown(old) {
 		return
 	}
@@ -81,7 +77,7 @@
 		Service:  old.Service,
 		Zone:     old.Zone,
 		Unframed: old.Unframed,
-		Addr:     e.addr,
+		At:       old.Addr(),
 		Restarts: old.Restarts + 1,
 	}
 	if err := f.startBackend(s); err != nil {
