Stop hosts just before a release in the soak

One or two hosts are stopped for 1 to 3.5 s, and a release, in place or not, begins up to 0.5 s later. They wake with old rows while callers take streams up there.

--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -292,6 +292,8 @@
 		r.harmWays(f)
 	case takeAddress:
 		r.withServer(rng, f.From, f, func(s *server) { r.world.servers.takeAddress(s, f) })
+	case freezeHosts:
+		r.freezeHosts(f)
 	case pair:
 		r.playPair(rng, f)
 	case loseHosts:
--- a/internal/stand/soak/pairs.go
+++ b/internal/stand/soak/pairs.go
@@ -19,8 +19,15 @@
 	Spread time.Duration
 }
 
-func (pair) isFault()      {}
-func (loseHosts) isFault() {}
+// freezeHosts stops the processes of some hosts for a while.
+type freezeHosts struct {
+	Hosts []int
+	For   time.Duration
+}
+
+func (pair) isFault()        {}
+func (loseHosts) isFault()   {}
+func (freezeHosts) isFault() {}
 
 // String describes both faults.
 func (p pair) String() string {
@@ -30,6 +37,9 @@
 const (
 	// newerGap is the mean time between the beginnings of two faults of newerFaults.
 	newerGap = 2 * time.Second
+	// minFreeze and maxFreeze bound how long hosts are stopped beside a release.
+	minFreeze = time.Second
+	maxFreeze = 3500 * time.Millisecond
 	// holdPoll is the time between two attempts to hold a host.
 	holdPoll = 10 * time.Millisecond
 	// lossSpread bounds the time within which all hosts are killed, and maxLossLead the time from the beginning of a release to that.
@@ -57,7 +67,7 @@
 // newerFault returns a fault of a newer kind, alone or beside a release.
 func newerFault(rng *rand.Rand, hosts int) fault {
 	lead := time.Duration(rng.Int64N(int64(maxReleaseLead)))
-	switch rng.IntN(6) {
+	switch rng.IntN(8) {
 	case 0:
 		return pair{
 			First:  randomRelease(rng),
@@ -78,6 +88,15 @@
 		}
 	case 3:
 		return randomTaking(rng)
+	case 4, 5:
+		return pair{
+			First: freezeHosts{
+				Hosts: rng.Perm(hosts)[:min(1+rng.IntN(2), hosts-1)],
+				For:   minFreeze + time.Duration(rng.Int64N(int64(maxFreeze-minFreeze))),
+			},
+			Lead:   lead / 2,
+			Second: randomRelease(rng),
+		}
 	default:
 		return randomHarm(rng, hosts)
 	}
@@ -103,6 +122,15 @@
 	both.Wait()
 }
 
+// freezeHosts stops the processes of some hosts for a while. It leaves out those that another fault holds.
+func (r *run) freezeHosts(f freezeHosts) {
+	var all sync.WaitGroup
+	for _, i := range f.Hosts {
+		all.Go(func() { r.freeze(i, f.For) })
+	}
+	all.Wait()
+}
+
 // loseHosts kills all hosts at once and starts them again. Hosts that another fault has ended or is ending are about to start, which is waited for.
 func (r *run) loseHosts(rng *rand.Rand, f loseHosts) {
 	for i := range r.world.hosts {
