Let soak runs share reads of the store in two failure domains

With -soak-shared-reads hosts read the store as deployments do: few of each domain, which tell the others. The linked host has no links to servers then, as the others would hear their addresses.

--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -435,6 +435,9 @@
 func (r *run) cutLinks(f cutLinks) {
 	from := time.Now()
 	l := r.world.hosts[linkedHost].links
+	if l == nil {
+		return
+	}
 	l.setMode(f.Mode)
 	time.Sleep(f.For)
 	l.setMode(link.Open)
--- a/internal/stand/soak/run.go
+++ b/internal/stand/soak/run.go
@@ -32,6 +32,8 @@
 	Faults time.Duration
 	// NoEvacuation leaves evacuations out, which programs of earlier landings do not know.
 	NoEvacuation bool
+	// SharedReads puts hosts into two failure domains, in each of which few read the store and tell the others. linkedHost has no links to servers then, as the others would hear of these.
+	SharedReads bool
 }
 
 // Report is the outcome of a run.
--- a/internal/stand/soak/world.go
+++ b/internal/stand/soak/world.go
@@ -111,7 +111,11 @@
 		return nil, err
 	}
 	l.MapHosts(w.ways.addrOf)
-	if i == linkedHost {
+	domain := "z"
+	if o.SharedReads && i%2 == 1 {
+		domain = evacuableZone
+	}
+	if i == linkedHost && !o.SharedReads {
 		h.links = newLinks()
 		l.MapAddresses(h.links.addrOf)
 	}
@@ -119,14 +123,14 @@
 	if o.NoEvacuation {
 		evacuate = ""
 	}
-	settings := fmt.Sprintf(`host: {name: %s, domain: z}
+	settings := fmt.Sprintf(`host: {name: %s, domain: %s}
 listen: {callers: %q, ready: %q, peers: %q, metrics: %q}
-store: {address: %q}
+store: {address: %q, shared_reads: %t}
 upstreams: {forget: %s%s}
 stop: {grace: %s}
 keys: {revoke: %s}
 retry: {ratio: 0.2, extra: 60}
-`, hostName(i), addrs[0], addrs[1], addrs[2], addrs[3], l.Addr(), forgetTime, evacuate, stopGrace, revokeTime)
+`, hostName(i), domain, addrs[0], addrs[1], addrs[2], addrs[3], l.Addr(), o.SharedReads, forgetTime, evacuate, stopGrace, revokeTime)
 	if err := os.WriteFile(h.settings, []byte(settings), 0o644); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
