Cut hosts off beside a release in the soak

Some hosts lose the store and the other hosts, and go on serving callers from servers; up to 0.1 s later a quick release begins. Each host has a link to its address of the store, so that calls in flight are cut, too. With -soak-streams a run has two faults beside releases alone, the first of them this one, after eight seconds without a fault: what hosts conclude from a version that was alone for a stream's lifetime shows only after such a time. Keys then last 5 s, as in deployments, as a host that is cut off refuses requests after that.

--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -294,6 +294,8 @@
 		r.withServer(rng, f.From, f, func(s *server) { r.world.servers.takeAddress(s, f) })
 	case freezeHosts:
 		r.freezeHosts(f)
+	case isolateHosts:
+		r.isolateHosts(f)
 	case pair:
 		r.playPair(rng, f)
 	case loseHosts:
--- a/internal/stand/soak/hostways.go
+++ b/internal/stand/soak/hostways.go
@@ -20,7 +20,15 @@
 	For      time.Duration
 }
 
-func (harmWays) isFault() {}
+// isolateHosts takes the store and the ways to the other hosts from some hosts for a while. They reach servers and callers as before.
+type isolateHosts struct {
+	Ways harmWays
+	// Store is the mode of their links to the store.
+	Store link.Mode
+}
+
+func (harmWays) isFault()     {}
+func (isolateHosts) isFault() {}
 
 // maxWayDelay bounds the delay of a harmed way.
 const maxWayDelay = 400 * time.Millisecond
@@ -73,6 +81,35 @@
 	}
 }
 
+// randomIsolation returns an isolation of one host or more.
+func randomIsolation(rng *rand.Rand, hosts int) isolateHosts {
+	order := rng.Perm(hosts)
+	n := 1 + rng.IntN(max(hosts/2, 1))
+	modes := []link.Mode{link.Hang, link.Hang, link.Refuse}
+	return isolateHosts{
+		Ways: harmWays{
+			From: order[:n],
+			To:   order[n:],
+			Both: true,
+			Harm: link.Harm{Lost: true},
+			For:  time.Second + time.Duration(rng.Int64N(int64(3*time.Second))),
+		},
+		Store: modes[rng.IntN(len(modes))],
+	}
+}
+
+// isolateHosts takes the store and the ways to the other hosts from some hosts for a while.
+func (r *run) isolateHosts(f isolateHosts) {
+	for _, i := range f.Ways.From {
+		setLinkMode(r.world.hosts[i].toStore, f.Store)
+	}
+	// The disturbance that it records holds for the store, too.
+	r.harmWays(f.Ways)
+	for _, i := range f.Ways.From {
+		setLinkMode(r.world.hosts[i].toStore, link.Open)
+	}
+}
+
 // hostName returns the name of a host.
 func hostName(i int) string {
 	return fmt.Sprintf("host-%d", i)
--- a/internal/stand/soak/load.go
+++ b/internal/stand/soak/load.go
@@ -21,8 +21,9 @@
 	deadline = 2500 * time.Millisecond
 	// maxTakeUps is how often a client takes one stream up.
 	maxTakeUps = 3
-	// requestsPerBroken is among how many streams that may be taken up the client's connection breaks in one.
+	// requestsPerBroken is among how many streams that may be taken up the client's connection breaks in one, and streamsPerBroken that in runs with streams alone.
 	requestsPerBroken = 4
+	streamsPerBroken  = 2
 )
 
 // errBroken is the error of a response whose connection breaks at the client.
@@ -92,15 +93,23 @@
 		Route: c.randomRoute(),
 		Key:   key,
 	}
-	if q.Route.Resumable && c.rng.IntN(requestsPerBroken) == 0 {
+	if q.Route.Resumable && c.rng.IntN(c.perBroken()) == 0 {
 		q.BreaksAfter = 1 + c.rng.IntN(streamEvents-1)
 	}
 	return q
 }
 
+// perBroken returns among how many streams that may be taken up the client's connection breaks in one.
+func (c *client) perBroken() int {
+	if c.run.streams {
+		return streamsPerBroken
+	}
+	return requestsPerBroken
+}
+
 // randomRoute returns a route. Streams that may be taken up are sent more often than others.
 func (c *client) randomRoute() route {
-	if c.rng.IntN(4) == 0 {
+	if c.run.streams || c.rng.IntN(4) == 0 {
 		return resumedRoute
 	}
 	return routes[c.rng.IntN(len(routes))]
--- a/internal/stand/soak/pairs.go
+++ b/internal/stand/soak/pairs.go
@@ -45,6 +45,9 @@
 	// lossSpread bounds the time within which all hosts are killed, and maxLossLead the time from the beginning of a release to that.
 	lossSpread  = 50 * time.Millisecond
 	maxLossLead = 3 * time.Second
+	// maxIsolationLead bounds the time from an isolation to a release, and maxQuickGap that from one engine of it to the next.
+	maxIsolationLead = 100 * time.Millisecond
+	maxQuickGap      = 150 * time.Millisecond
 	// maxReleaseLead bounds the time from the beginning of a fault to that of the release that it disturbs.
 	maxReleaseLead = time.Second
 )
@@ -66,11 +69,24 @@
 
 // newerFault returns a fault of a newer kind, alone or beside a release.
 func newerFault(rng *rand.Rand, hosts int) fault {
+	switch rng.IntN(5) {
+	case 0, 1:
+		return randomHarm(rng, hosts)
+	case 2:
+		return randomTaking(rng)
+	default:
+		return randomBeside(rng, hosts)
+	}
+}
+
+// randomBeside returns a fault of a newer kind beside a release.
+func randomBeside(rng *rand.Rand, hosts int) pair {
 	lead := time.Duration(rng.Int64N(int64(maxReleaseLead)))
-	switch rng.IntN(8) {
+	release := randomRelease(rng)
+	switch rng.IntN(5) {
 	case 0:
 		return pair{
-			First:  randomRelease(rng),
+			First:  release,
 			Lead:   time.Duration(rng.Int64N(int64(maxLossLead))),
 			Second: loseHosts{Spread: time.Duration(rng.Int64N(int64(lossSpread)))},
 		}
@@ -78,27 +94,46 @@
 		return pair{
 			First:  randomHarm(rng, hosts),
 			Lead:   lead,
-			Second: randomRelease(rng),
+			Second: release,
 		}
 	case 2:
 		return pair{
 			First:  randomTaking(rng),
 			Lead:   lead,
-			Second: randomRelease(rng),
+			Second: release,
 		}
 	case 3:
-		return randomTaking(rng)
-	case 4, 5:
 		return pair{
 			First: freezeHosts{
 				Hosts: rng.Perm(hosts)[:min(1+rng.IntN(2), hosts-1)],
 				For:   minFreeze + time.Duration(rng.Int64N(int64(maxFreeze-minFreeze))),
 			},
 			Lead:   lead / 2,
-			Second: randomRelease(rng),
+			Second: release,
 		}
 	default:
-		return randomHarm(rng, hosts)
+		return isolationBeside(rng, hosts)
+	}
+}
+
+// isolationBeside returns an isolation of hosts that knew the upstreams until just before the first engine of a quick release is up.
+func isolationBeside(rng *rand.Rand, hosts int) pair {
+	return pair{
+		First:  randomIsolation(rng, hosts),
+		Lead:   time.Duration(rng.Int64N(int64(maxIsolationLead))),
+		Second: releaseEngines{Gap: time.Duration(rng.Int64N(int64(maxQuickGap)))},
+	}
+}
+
+// quietTime is longer than a stream of the routes lasts over all attempts of its caller.
+const quietTime = 8 * time.Second
+
+// streamSchedule returns two faults beside releases, the first an isolation, each after a time without any in which hosts come to know their upstreams' version well.
+func streamSchedule(seed uint64, hosts int) []event {
+	rng := rand.New(rand.NewPCG(seed, 17))
+	return []event{
+		{At: quietTime, Fault: isolationBeside(rng, hosts)},
+		{At: 3 * quietTime, Fault: randomBeside(rng, hosts)},
 	}
 }
 
--- a/internal/stand/soak/run.go
+++ b/internal/stand/soak/run.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// clientsPerHost is the number of clients for each host.
-	clientsPerHost = 3
+	// clientsPerHost is the number of clients for each host, and streamClientsPerHost that in runs with streams alone.
+	clientsPerHost       = 3
+	streamClientsPerHost = 8
 	// http10ClientsPerHost is the number of clients beside them that send HTTP/1.0, and http10Client the number of the first one.
 	http10ClientsPerHost = 1
 	http10Client         = 500
@@ -34,6 +35,8 @@
 	NoEvacuation bool
 	// SharedReads puts hosts into two failure domains, in each of which few read the store and tell the others. linkedHost has no links to servers then, as the others would hear of these.
 	SharedReads bool
+	// Streams plays only faults beside releases, after times without any, and clients only send streams that they take up.
+	Streams bool
 }
 
 // Report is the outcome of a run.
@@ -55,6 +58,7 @@
 type run struct {
 	seed    uint64
 	world   *world
+	streams bool
 	history history
 
 	mu sync.Mutex
@@ -87,15 +91,21 @@
 	}
 	defer w.close()
 	r := &run{
-		seed:  o.Seed,
-		world: w,
-		held:  map[int]bool{},
+		seed:    o.Seed,
+		world:   w,
+		streams: o.Streams,
+		held:    map[int]bool{},
 	}
 	events := schedule(o.Seed, o.Hosts, o.Faults)
+	perHost := clientsPerHost
+	if o.Streams {
+		events = streamSchedule(o.Seed, o.Hosts)
+		perHost = streamClientsPerHost
+	}
 	sending, stop := context.WithCancel(ctx)
 	defer stop()
 	var clients sync.WaitGroup
-	for n := range clientsPerHost * o.Hosts {
+	for n := range perHost * o.Hosts {
 		clients.Go(func() { r.newClient(n).sendUntil(sending) })
 	}
 	for n := range http10ClientsPerHost * o.Hosts {
@@ -104,7 +114,7 @@
 		clients.Go(func() { c.sendUntil(sending) })
 	}
 	var orders sync.WaitGroup
-	if !o.NoEvacuation {
+	if !o.NoEvacuation && !o.Streams {
 		orders.Go(func() { r.evacuate(ctx, o.Faults) })
 	}
 	r.playAll(ctx, events)
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -20,6 +20,7 @@
 	faultTime = flag.Duration("soak-faults", 15*time.Second, "time in which faults begin")
 	prebuilt  = flag.String("soak-binary", "", "prebuilt program of an entry host; empty means to build entryd")
 	evacuate  = flag.Bool("soak-evacuate", true, "whether an operator evacuates a zone, which programs of earlier landings do not know")
+	streams   = flag.Bool("soak-streams", false, "whether only faults beside releases are played, while clients only send streams that they take up")
 	shared    = flag.Bool("soak-shared-reads", false, "whether hosts are in two failure domains, in each of which few read the store")
 	keep      = flag.String("soak-keep", "", "directory that keeps settings, logs and schedules of failed seeds")
 )
@@ -78,6 +79,7 @@
 				Faults:       *faultTime,
 				NoEvacuation: !*evacuate,
 				SharedReads:  *shared,
+				Streams:      *streams,
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/internal/stand/soak/world.go
+++ b/internal/stand/soak/world.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/stand"
+	"github.com/cornelwing/cornelwing/internal/stand/link"
 	"github.com/cornelwing/cornelwing/internal/stand/rows"
 )
 
@@ -18,6 +19,8 @@
 	forgetTime = 2 * time.Second
 	// revokeTime is the time within which hosts must stop accepting a revoked key.
 	revokeTime = 2 * time.Second
+	// slowRevokeTime is the same in runs with streams alone, as in deployments: a host that is cut off serves until then.
+	slowRevokeTime = 5 * time.Second
 	// readyTimeout is the time within which a host that starts must become ready.
 	readyTimeout = 10 * time.Second
 	// steadyKey is a key that is never revoked.
@@ -30,6 +33,8 @@
 	callers string
 	ready   string
 	store   *rows.Listener
+	// toStore is the host's link to its address of the store.
+	toStore *link.Link
 	// links are the host's paths to the servers, or nil if it reaches them directly.
 	links *links
 }
@@ -97,10 +102,15 @@
 	if err != nil {
 		return nil, err
 	}
+	toStore, err := link.New(l.Addr())
+	if err != nil {
+		return nil, fmt.Errorf("link to the store: %w", err)
+	}
 	h := &host{
 		callers: addrs[0],
 		ready:   addrs[1],
 		store:   l,
+		toStore: toStore,
 		process: &process{
 			binary:   o.Binary,
 			settings: filepath.Join(o.Dir, fmt.Sprintf("host-%d.yaml", i)),
@@ -123,6 +133,10 @@
 	if o.NoEvacuation {
 		evacuate = ""
 	}
+	revoke := revokeTime
+	if o.Streams {
+		revoke = slowRevokeTime
+	}
 	settings := fmt.Sprintf(`host: {name: %s, domain: %s}
 listen: {callers: %q, ready: %q, peers: %q, metrics: %q}
 store: {address: %q, shared_reads: %t}
@@ -130,7 +144,7 @@
 stop: {grace: %s}
 keys: {revoke: %s}
 retry: {ratio: 0.2, extra: 60}
-`, hostName(i), domain, addrs[0], addrs[1], addrs[2], addrs[3], l.Addr(), o.SharedReads, forgetTime, evacuate, stopGrace, revokeTime)
+`, hostName(i), domain, addrs[0], addrs[1], addrs[2], addrs[3], toStore.Addr(), o.SharedReads, forgetTime, evacuate, stopGrace, revoke)
 	if err := os.WriteFile(h.settings, []byte(settings), 0o644); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
@@ -245,6 +259,7 @@
 		h.kill()
 		// The hosts have ended, so nothing uses the listener any more.
 		_ = h.store.Close()
+		_ = h.toStore.Close()
 		if h.links != nil {
 			h.links.close()
 		}
