--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -183,6 +183,7 @@
 			RowDelay: time.Duration(own.Int64N(int64(maxRowDelay))),
 		},
 	})
+	fixed = append(fixed, newerFaults(rand.New(rand.NewPCG(seed, 13)), hosts, duration)...)
 	storms := 0
 	for at := time.Duration(0); ; {
 		at += time.Duration(rng.Int64N(int64(2 * meanGap)))
@@ -287,6 +288,18 @@
 		r.world.hosts[f.Host].hangUp()
 	case cutLinks:
 		r.cutLinks(f)
+	case harmWays:
+		r.harmWays(f)
+	case takeAddress:
+		r.withServer(rng, f.From, f, func(s *server) { r.world.servers.takeAddress(s, f) })
+	case freezeHosts:
+		r.freezeHosts(f)
+	case isolateHosts:
+		r.isolateHosts(f)
+	case pair:
+		r.playPair(rng, f)
+	case loseHosts:
+		r.loseHosts(rng, f)
 	case breakStore:
 		r.breakStore(f)
 	case copyStore:
@@ -377,6 +390,11 @@
 		return
 	}
 	defer r.release(i)
+	r.restartHeld(i, gracefully)
+}
+
+// restartHeld is restart for a fault that holds the host.
+func (r *run) restartHeld(i int, gracefully bool) {
 	h := r.world.hosts[i]
 	from := time.Now()
 	if !gracefully {
@@ -419,6 +437,9 @@
 func (r *run) cutLinks(f cutLinks) {
 	from := time.Now()
 	l := r.world.hosts[linkedHost].links
+	if l == nil {
+		return
+	}
 	l.setMode(f.Mode)
 	time.Sleep(f.For)
 	l.setMode(link.Open)
--- a/internal/stand/soak/world.go
+++ b/internal/stand/soak/world.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cornelwing/cornelwing/internal/stand"
+	"github.com/cornelwing/cornelwing/internal/stand/link"
 	"github.com/cornelwing/cornelwing/internal/stand/rows"
 )
 
@@ -18,6 +19,8 @@
 	forgetTime = 2 * time.Second
 	// revokeTime is the time within which hosts must stop accepting a revoked key.
 	revokeTime = 2 * time.Second
+	// slowRevokeTime is the same in runs with streams alone, as in deployments: a host that is cut off serves until then.
+	slowRevokeTime = 5 * time.Second
 	// readyTimeout is the time within which a host that starts must become ready.
 	readyTimeout = 10 * time.Second
 	// steadyKey is a key that is never revoked.
@@ -30,6 +33,8 @@
 	callers string
 	ready   string
 	store   *rows.Listener
+	// toStore is the host's link to its address of the store.
+	toStore *link.Link
 	// links are the host's paths to the servers, or nil if it reaches them directly.
 	links *links
 }
@@ -39,6 +44,8 @@
 	store   *rows.Store
 	servers *fleet
 	hosts   []*host
+	// ways are those on which hosts reach each other.
+	ways *hostWays
 
 	mu      sync.Mutex
 	version int
@@ -59,6 +66,7 @@
 		key:       "key-0",
 		revokedAt: map[string]time.Time{},
 		era:       1,
+		ways:      newHostWays(),
 	}
 	w.store.SetEra("1")
 	w.servers = newFleet(w.store, o.EngineBinary, o.Dir)
@@ -94,17 +102,30 @@
 	if err != nil {
 		return nil, err
 	}
+	toStore, err := link.New(l.Addr())
+	if err != nil {
+		return nil, fmt.Errorf("link to the store: %w", err)
+	}
 	h := &host{
 		callers: addrs[0],
 		ready:   addrs[1],
 		store:   l,
+		toStore: toStore,
 		process: &process{
 			binary:   o.Binary,
 			settings: filepath.Join(o.Dir, fmt.Sprintf("host-%d.yaml", i)),
 			logPath:  filepath.Join(o.Dir, fmt.Sprintf("host-%d.log", i)),
 		},
 	}
-	if i == linkedHost {
+	if err := w.ways.add(hostName(i), addrs[2], h.process); err != nil {
+		return nil, err
+	}
+	l.MapHosts(w.ways.addrOf)
+	domain := "z"
+	if o.SharedReads && i%2 == 1 {
+		domain = evacuableZone
+	}
+	if i == linkedHost && !o.SharedReads {
 		h.links = newLinks()
 		l.MapAddresses(h.links.addrOf)
 	}
@@ -112,14 +133,18 @@
 	if o.NoEvacuation {
 		evacuate = ""
 	}
-	settings := fmt.Sprintf(`host: {name: host-%d, domain: z}
+	revoke := revokeTime
+	if o.Streams {
+		revoke = slowRevokeTime
+	}
+	settings := fmt.Sprintf(`host: {name: %s, domain: %s}
 listen: {callers: %q, ready: %q, peers: %q, metrics: %q}
-store: {address: %q}
+store: {address: %q, shared_reads: %t}
 upstreams: {forget: %s%s}
 stop: {grace: %s}
 keys: {revoke: %s}
 retry: {ratio: 0.2, extra: 60}
-`, i, addrs[0], addrs[1], addrs[2], addrs[3], l.Addr(), forgetTime, evacuate, stopGrace, revokeTime)
+`, hostName(i), domain, addrs[0], addrs[1], addrs[2], addrs[3], toStore.Addr(), o.SharedReads, forgetTime, evacuate, stopGrace, revoke)
 	if err := os.WriteFile(h.settings, []byte(settings), 0o644); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
@@ -234,9 +259,12 @@
 		h.kill()
 		// The hosts have ended, so nothing uses the listener any more.
 		_ = h.store.Close()
+		_ = h.toStore.Close()
 		if h.links != nil {
 			h.links.close()
 		}
 	}
+	// The run has ended, so nothing uses the mesh any more.
+	_ = w.ways.mesh.Close()
 	w.servers.close()
 }
