--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -98,6 +98,10 @@
 	// limit is the limit that the last upstream's response named, in requests per second, or 0.
 	limit float64
 
+	// confirmedAge is how old the confirmation of the configuration was that lacks the route or key of the request, if confirmed is set.
+	confirmedAge time.Duration
+	confirmed    bool
+
 	status int
 	cause  Cause
 	detail string
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -113,6 +113,7 @@
 	Workers       Workers
 	CrashDetector CrashDetector
 	Lease         *grant.Lease
+	Recency       *grant.Recency
 	Evacuations   Evacuations
 	HeaderCodec   HeaderCodec
 	Budget        Budget
@@ -196,7 +197,7 @@
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
 	var ok bool
 	if x.route, ok = x.plan.Match(host, path); !ok || !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") {
-		x.respondError(http.StatusNotFound, CauseNoRoute, "no route")
+		x.respondAbsent(http.StatusNotFound, CauseNoRoute, "no route")
 		return false
 	}
 	if x.route.Unusable {
@@ -240,7 +241,7 @@
 	}
 	var ok bool
 	if x.account, ok = x.plan.Account(x.requestHead.Key); !ok {
-		x.respondError(http.StatusUnauthorized, CauseUnknownKey, "unknown key")
+		x.respondAbsent(http.StatusUnauthorized, CauseUnknownKey, "unknown key")
 		return false
 	}
 	x.authenticated = true
--- a/internal/root/relay/follow/plansink.go
+++ b/internal/root/relay/follow/plansink.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
@@ -14,6 +15,8 @@
 	key     string
 	active  *plan.Active
 	changed func()
+	// ages returns the ages of what is known as a row of the table comes, or is nil.
+	ages func() PlanAges
 
 	mu sync.Mutex
 	// value is the encoded form of the active configuration.
@@ -22,15 +25,37 @@
 	unreadable bool
 }
 
+// PlanAges are the ages of what a host knows of the configuration as a row of it comes.
+type PlanAges struct {
+	// Read is the time since the row was read, and Confirmed the time since the call to the store began that brought it.
+	Read, Confirmed time.Duration
+	// Before is the time since the confirmation before, or negative if there was none. The row was written after it.
+	Before time.Duration
+}
+
+// PlanOption configures a PlanSink under construction.
+type PlanOption func(*PlanSink)
+
+// WithPlanAges has the log tell how long a configuration waited before it came into force.
+func WithPlanAges(ages func() PlanAges) PlanOption {
+	return func(s *PlanSink) {
+		s.ages = ages
+	}
+}
+
 // NewPlanSink returns a sink that decodes the row with the key and activates it if it is newer. It calls changed after each activation.
-func NewPlanSink(deps common.Deps, key string, decode func(value []byte) (*plan.Plan, error), active *plan.Active, changed func()) *PlanSink {
-	return &PlanSink{
+func NewPlanSink(deps common.Deps, key string, decode func(value []byte) (*plan.Plan, error), active *plan.Active, changed func(), opts ...PlanOption) *PlanSink {
+	s := &PlanSink{
 		Deps:    deps.WithPart("plan"),
 		decode:  decode,
 		key:     key,
 		active:  active,
 		changed: changed,
 	}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 // Reset applies the rows of the whole table.
@@ -55,22 +80,20 @@
 
 // Offer activates a configuration of another host if it is newer.
 func (s *PlanSink) Offer(value []byte) {
-	s.Apply([]Row{{
-		Key:   s.key,
-		Value: value,
-	}})
+	s.activate(value, nil)
 }
 
 // Apply applies changed rows.
 func (s *PlanSink) Apply(rows []Row) {
 	for _, r := range rows {
 		if r.Key == s.key && !r.Deleted {
-			s.activate(r.Value)
+			s.activate(r.Value, s.ages)
 		}
 	}
 }
 
-func (s *PlanSink) activate(value []byte) {
+// activate activates the plan whose encoded form is value, if it is newer. ages, if not nil, returns the ages for the log.
+func (s *PlanSink) activate(value []byte, ages func() PlanAges) {
 	began := s.Now()
 	p, err := s.decode(value)
 	if err != nil {
@@ -82,8 +105,13 @@
 		s.Log.WithField("version", p.Version).Info("Ignored a configuration that is not newer than the active one.")
 		return
 	}
-	s.Log.WithField("version", p.Version).WithField("routes", p.RouteCount()).WithField("pools", len(p.Pools)).
-		WithField("bytes", len(value)).WithField("decode_ms", s.Now().Sub(began).Milliseconds()).Info("Configuration activated.")
+	log := s.Log.WithField("version", p.Version).WithField("routes", p.RouteCount()).WithField("pools", len(p.Pools)).
+		WithField("bytes", len(value)).WithField("decode_ms", s.Now().Sub(began).Milliseconds())
+	if ages != nil {
+		a := ages()
+		log = log.WithField("read_ms", a.Read.Milliseconds()).WithField("confirmed_ms", a.Confirmed.Milliseconds()).WithField("before_ms", a.Before.Milliseconds())
+	}
+	log.Info("Configuration activated.")
 	for _, problem := range p.Problems {
 		s.Log.WithError(problem).WithField("version", p.Version).Error("A part of the configuration can't be used.")
 	}
--- a/internal/root/relay/grant/grant.go
+++ b/internal/root/relay/grant/grant.go
@@ -92,6 +92,13 @@
 	return l.confirmed && l.clock() < l.expiresAt
 }
 
+// ConfirmedAt returns the time of the request of the last confirmation, or false if there was no confirmation.
+func (l *Lease) ConfirmedAt() (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.expiresAt - l.term, l.confirmed
+}
+
 // Age returns the time since the request of the last confirmation, or false if there was no confirmation.
 func (l *Lease) Age() (time.Duration, bool) {
 	l.mu.Lock()
--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -76,6 +76,8 @@
 	// updated is closed and replaced at each change of what other hosts are told.
 	updated chan struct{}
 	counts  TableStats
+	// readAt is when the last rows or confirmation were read, since boot.
+	readAt time.Duration
 	// gaveUpUntil is until when this host does not try the store according to the last log line on that, since boot.
 	gaveUpUntil time.Duration
 }
@@ -127,6 +129,13 @@
 	return t.tables.sinceBoot() - at
 }
 
+// ReadAge returns the time since the last rows or confirmation were read.
+func (t *Table) ReadAge() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tables.sinceBoot() - t.readAt
+}
+
 // Heard reports whether the table is read from another host.
 func (t *Table) Heard() bool {
 	t.mu.Lock()
@@ -298,6 +307,7 @@
 
 // add adds rows that were read to the record, confirmed at a time since boot. The caller holds the lock.
 func (t *Table) add(r reading, rows []follow.Row, position follow.Position, confirmedAt time.Duration) {
+	t.readAt = t.tables.sinceBoot()
 	if r.whole {
 		t.record.Replace(rows, position, confirmedAt)
 	} else {
--- a/internal/root/relay/metrics.go
+++ b/internal/root/relay/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/cornelwing/cornelwing/internal/guard"
 	"github.com/cornelwing/cornelwing/internal/root/front/tally/burn"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
+	"github.com/cornelwing/cornelwing/internal/root/relay/grant"
 	"github.com/cornelwing/cornelwing/internal/root/relay/hosts"
 	"github.com/cornelwing/cornelwing/internal/root/relay/meter"
 	"github.com/cornelwing/cornelwing/internal/root/relay/starts"
@@ -25,6 +26,8 @@
 	Unready string `json:"unready"`
 	// KeyAge is the time since the platform last confirmed the configuration, in milliseconds, or negative if it never did.
 	KeyAge int64 `json:"key_age_ms"`
+	// Absent counts the requests that were refused because the configuration lacks their route or key.
+	Absent grant.RecencyStats `json:"absent"`
 	// StoreEra is the number of the store's era, or "unknown". RowsRewritten counts how often this host wrote its row again because the store had been restored.
 	StoreEra      string `json:"store_era"`
 	RowsRewritten int64  `json:"rows_rewritten"`
@@ -121,6 +124,7 @@
 	if p := r.plans.Current(); p != nil {
 		s.Version = p.Version
 	}
+	s.Absent = r.recency.Stats()
 	if age, ok := r.lease.Age(); ok {
 		s.KeyAge = age.Milliseconds()
 	}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -118,6 +118,7 @@
 	places     *places
 	upstreams  *follow.Upstreams
 	lease      *grant.Lease
+	recency    *grant.Recency
 	table      *route.Table
 	dispatcher *batch.Dispatcher
 	roster     *hosts.Roster
@@ -176,6 +177,7 @@
 		settlement: &settlement{},
 		machine:    guard.MachineOf(s.Host.MemoryMB, s.Host.Descriptors),
 	}
+	r.recency = grant.NewRecency(r.lease, s.Configurations.Within.D())
 	r.memory = guard.NewMemory(r.machine.Memory, deps.Now)
 	r.conns = guard.NewConns(r.machine.CallerConns())
 	a.Eras.OnEnter(func() {
@@ -183,7 +185,7 @@
 		r.orders.EnterEra()
 		r.settlement.enter(r.plans.Current() != nil)
 	})
-	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync)
+	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync, follow.WithPlanAges(r.planAges))
 	r.upstreams = follow.NewUpstreams(deps, a.Upstream, s.Upstreams.Forget.D(), r.sync)
 	r.orders = follow.NewEvacuations(deps, a.Evacuation, r.sync)
 	r.places = newPlaces(deps, domainsOf(s), r.orders)
@@ -240,6 +242,7 @@
 		Workers:       r.peers,
 		CrashDetector: r.crashes,
 		Lease:         r.lease,
+		Recency:       r.recency,
 		Evacuations:   r.orders,
 		HeaderCodec:   a.HeaderCodec,
 		Budget: flow.Budget{
@@ -369,6 +372,19 @@
 	}
 }
 
+// planAges returns the ages of what this host knows of the configuration as a row of it comes, before the row's own confirmation counts.
+func (r *Relay) planAges() follow.PlanAges {
+	before, ok := r.lease.Age()
+	if !ok {
+		before = -time.Millisecond
+	}
+	return follow.PlanAges{
+		Read:      r.configurationTable.ReadAge(),
+		Confirmed: r.configurationTable.ConfirmedAge(),
+		Before:    before,
+	}
+}
+
 // confirmUpstreams returns a function that records when the upstreams were up to date.
 func (r *Relay) confirmUpstreams() func() {
 	return func() {
