--- a/internal/root/relay/flow/cause.go
+++ b/internal/root/relay/flow/cause.go
@@ -14,6 +14,8 @@
 	// CauseNoRoom means that the host has no memory for the request.
 	CauseNoRoom     Cause = "no_room"
 	CauseUnknownKey Cause = "unknown_key"
+	// CauseUnconfirmed means that the configuration lacks the route or the key, and is not known to be recent.
+	CauseUnconfirmed Cause = "unconfirmed"
 	// CauseRouteUnusable means that the route of the request can't be served as it is configured.
 	CauseRouteUnusable Cause = "route_unusable"
 	// CauseNotReady means that this host has no configuration. CauseKeysUnsure means that it has not reached the platform for so long that the request's key may have been revoked.
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -101,6 +101,8 @@
 	// confirmedAge is how old the confirmation of the configuration was that lacks the route or key of the request, if confirmed is set.
 	confirmedAge time.Duration
 	confirmed    bool
+	// heldTime is how long the request waited for a confirmation.
+	heldTime time.Duration
 
 	status int
 	cause  Cause
--- a/internal/root/relay/flow/response.go
+++ b/internal/root/relay/flow/response.go
@@ -43,12 +43,6 @@
 	_, _ = x.w.Write([]byte(detail + "\n"))
 }
 
-// respondAbsent sends an error response to a request whose route or key the configuration lacks.
-func (x *exchange) respondAbsent(status int, cause Cause, detail string) {
-	x.confirmedAge, x.confirmed = x.Recency.NoteRefusal()
-	x.respondError(status, cause, detail)
-}
-
 // setCause records the latest problem in serving the request.
 func (x *exchange) setCause(cause Cause, detail string) {
 	x.cause = cause
@@ -172,6 +166,9 @@
 	if x.confirmed {
 		fields["confirmed_ms"] = x.confirmedAge.Milliseconds()
 	}
+	if x.heldTime > 0 {
+		fields["held_ms"] = x.heldTime.Milliseconds()
+	}
 	if e := x.upstream.Estimate; e.Pace > 0 {
 		fields["pace"] = math.Round(100*e.Pace) / 100
 		fields["queued"] = math.Round(100*e.Queued) / 100
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -146,17 +144,13 @@
 // admit validates the request, reads its body and sets its deadline. It sends an error response and returns false if the request cannot be served.
 func (x *exchange) admit() bool {
 	var err error
+	arrivedAt := x.Recency.ArrivalTime()
 	x.header = x.r.Header.Clone()
 	if x.requestHead, err = x.HeaderCodec.RequestHead(x.header); err != nil {
 		x.respondError(http.StatusBadRequest, CauseMalformed, err.Error())
 		return false
 	}
-	x.plan = x.Plans.Current()
-	if x.plan == nil {
-		x.respondUnavailable(notReadyRetryAfter, CauseNotReady, "no configuration yet")
-		return false
-	}
-	if !x.matchRoute() || !x.checkHeaderSize() || !x.authenticate() || !x.bindRegions() || !x.choosePool(rand.Float64()) {
+	if !x.identify(arrivedAt) || !x.bindRegions() || !x.choosePool(rand.Float64()) {
 		return false
 	}
 	wait := x.route.Timeout
@@ -189,34 +183,6 @@
 	return r
 }
 
-func (x *exchange) matchRoute() bool {
-	host := x.r.Host
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	path, _, _ := strings.Cut(x.r.RequestURI, "?")
-	var ok bool
-	if x.route, ok = x.plan.Match(host, path); !ok || !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") {
-		x.respondAbsent(http.StatusNotFound, CauseNoRoute, "no route")
-		return false
-	}
-	if x.route.Unusable {
-		x.respondUnavailable(unusableRouteRetryAfter, CauseRouteUnusable, "route can't be served as it is configured")
-		return false
-	}
-	return true
-}
-
-// checkHeaderSize rejects a request whose headers exceed the configured limit.
-func (x *exchange) checkHeaderSize() bool {
-	limit := x.plan.Limits.HeaderBytes
-	if limit <= 0 || headerBytes(x.r) <= limit {
-		return true
-	}
-	x.respondError(http.StatusRequestHeaderFieldsTooLarge, CauseTooLarge, "headers are too large")
-	return false
-}
-
 // headerBytes returns the approximate size of a request's head as it was sent.
 func headerBytes(r *http.Request) int {
 	const perLine = len(": \r\n")
@@ -229,25 +195,6 @@
 	return n
 }
 
-// authenticate looks up the caller's account by its key. It sends an error response and returns false if the request must not be served. A request with a key is served only while the configuration is known to be recent, as its key could otherwise have been revoked.
-func (x *exchange) authenticate() bool {
-	if x.route.Public || !x.plan.RequiresKeys() {
-		return true
-	}
-	if !x.Lease.Valid() {
-		age, _ := x.Lease.Age()
-		x.respondUnavailable(notReadyRetryAfter, CauseKeysUnsure, "platform not heard for "+age.Round(time.Millisecond).String())
-		return false
-	}
-	var ok bool
-	if x.account, ok = x.plan.Account(x.requestHead.Key); !ok {
-		x.respondAbsent(http.StatusUnauthorized, CauseUnknownKey, "unknown key")
-		return false
-	}
-	x.authenticated = true
-	return true
-}
-
 // stillAuthorized checks the key again just before an attempt, as the key may have been revoked since the request arrived.
 func (x *exchange) stillAuthorized() bool {
 	if !x.authenticated {
--- a/internal/root/relay/grant/grant.go
+++ b/internal/root/relay/grant/grant.go
@@ -22,6 +22,8 @@
 	// pendingAt is the request time of the newest confirmation since the lease was paused, if hasPending is set.
 	pendingAt  time.Duration
 	hasPending bool
+	// extended is closed when the next confirmation takes effect, or nil if nobody waits for it.
+	extended chan struct{}
 }
 
 // New returns a lease that is not valid yet. Each confirmation is valid for term.
@@ -83,6 +85,20 @@
 func (l *Lease) extend(requestedAt time.Duration) {
 	l.expiresAt = max(l.expiresAt, requestedAt+l.term)
 	l.confirmed = true
+	if l.extended != nil {
+		close(l.extended)
+		l.extended = nil
+	}
+}
+
+// nextConfirmation returns a channel that is closed when the next confirmation takes effect.
+func (l *Lease) nextConfirmation() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.extended == nil {
+		l.extended = make(chan struct{})
+	}
+	return l.extended
 }
 
 // Valid reports whether the lease is valid now.
--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -129,6 +129,13 @@
 	return t.tables.sinceBoot() - at
 }
 
+// Position returns the point in the history of the table up to which it was read.
+func (t *Table) Position() follow.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.record.Position()
+}
+
 // ReadAge returns the time since the last rows or confirmation were read.
 func (t *Table) ReadAge() time.Duration {
 	t.mu.Lock()
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -147,6 +147,8 @@
 	configurationTable *hosts.Table
 	upstreamTable      *hosts.Table
 	hostTable          *hosts.Table
+	// appliedAt is the position of the configuration in force in the history of its table, or nil before the first confirmation.
+	appliedAt atomic.Pointer[follow.Position]
 	// rowsRewritten counts how often this host wrote its row again after the store was restored.
 	rowsRewritten atomic.Int64
 	// caughtUp is set once this host has asked the others what a restored store may have lost.
@@ -177,7 +179,7 @@
 		settlement: &settlement{},
 		machine:    guard.MachineOf(s.Host.MemoryMB, s.Host.Descriptors),
 	}
-	r.recency = grant.NewRecency(r.lease, s.Configurations.Within.D())
+	r.recency = grant.NewRecency(r.lease, s.Configurations.Within.D(), grant.WithAsk(r.askForConfirmation))
 	r.memory = guard.NewMemory(r.machine.Memory, deps.Now)
 	r.conns = guard.NewConns(r.machine.CallerConns())
 	a.Eras.OnEnter(func() {
@@ -366,12 +368,30 @@
 // confirmConfiguration returns a function that extends the key lease from when the store was asked for the configuration, by this host or by the one that told it. It does not if the newest configuration can't be read: it may have taken keys away.
 func (r *Relay) confirmConfiguration() func() {
 	return func() {
+		position := r.configurationTable.Position()
+		r.appliedAt.Store(&position)
 		if r.planSink.IsNewest() {
 			r.lease.Confirm(r.configurationTable.ConfirmedAt())
 		}
 	}
 }
 
+// askForConfirmation asks the store whether the configuration in force is the newest one, beside the call that waits for changes, and extends the key lease if it is. A change is left to that call. A host that hears the table from others does not ask, as its call ends sooner.
+func (r *Relay) askForConfirmation(ctx context.Context) {
+	after := r.appliedAt.Load()
+	if after == nil || r.configurationTable.Heard() {
+		return
+	}
+	askedAt := r.lease.RequestTime()
+	rows, position, err := r.adapter.Configurations.WaitForChanges(ctx, *after, 0)
+	switch {
+	case err != nil:
+		r.Log.WithError(err).Info("The store did not confirm the configuration for requests that wait.")
+	case len(rows) == 0 && position.Era == after.Era && r.planSink.IsNewest():
+		r.lease.Confirm(askedAt)
+	}
+}
+
 // planAges returns the ages of what this host knows of the configuration as a row of it comes, before the row's own confirmation counts.
 func (r *Relay) planAges() follow.PlanAges {
 	before, ok := r.lease.Age()
