--- a/internal/root/relay/plan/moves.go
+++ b/internal/root/relay/plan/moves.go
@@ -94,6 +94,10 @@
 	var out []Move
 	for _, list := range newer.routes {
 		for _, r := range list {
+			// Looking up each of many routes takes long, and others don't move.
+			if !r.resumesStreams() {
+				continue
+			}
 			if before, ok := older.Match(r.Host, r.Prefix); ok {
 				out = appendMove(out, r, before)
 			}
@@ -101,6 +105,9 @@
 	}
 	for _, list := range older.routes {
 		for _, before := range list {
+			if !before.resumesStreams() {
+				continue
+			}
 			if r, ok := newer.Match(before.Host, before.Prefix); ok && r.key() != before.key() {
 				out = appendMove(out, r, before)
 			}
