--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -376,10 +376,10 @@
 	}
 }
 
-// askForConfirmation asks the store whether the configuration in force is the newest one, beside the call that waits for changes, and extends the key lease if it is. A change is left to that call. A host that hears the table from others does not ask, as its call ends sooner.
+// askForConfirmation asks the store whether the configuration in force is the newest one, beside the call that waits for changes, and extends the key lease if it is. A change is left to that call.
 func (r *Relay) askForConfirmation(ctx context.Context) {
 	after := r.appliedAt.Load()
-	if after == nil || r.configurationTable.Heard() {
+	if after == nil {
 		return
 	}
 	askedAt := r.lease.RequestTime()
