--- a/internal/common/wait.go
+++ b/internal/common/wait.go
@@ -7,6 +7,9 @@
 
 // Sleep waits for d. It reports false if ctx ended before d had passed.
 func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/root/relay/backup/reader.go
+++ b/internal/root/relay/backup/reader.go
@@ -188,6 +188,9 @@
 
 // pauseReads waits for d, or until Run ends.
 func (b *Backup) pauseReads(d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
