--- a/internal/root/relay/hosts/origins_test.go
+++ b/internal/root/relay/hosts/origins_test.go
@@ -544,6 +544,115 @@
 	}
 }
 
+// readRelease makes a host read that a second version has come into the pool, of which the others have not read yet.
+func (c *originCluster) readRelease(host int, pool string) {
+	c.histories[host].Sync(time.Now(), append(versioned([]string{"v1"}), versionedIn(pool, []string{"v2"})...))
+}
+
+// Guards against a stream that goes on at the only version in outdated copies of the table of upstreams, although another one began it since (issue 57, rule ORDER).
+func TestUnknownStreamIsRefusedIfAnotherVersionHasComeUnread(t *testing.T) {
+	const manyHosts = 2 * (originAsked + originLocalAsked + originAskedLater)
+	cases := []struct {
+		name    string
+		hosts   int
+		pool    string
+		unnamed bool
+		// lost reports that the host which began the stream is lost.
+		lost bool
+	}{
+		{name: "a host that is lost began it", hosts: 4, pool: "p", lost: true},
+		{name: "a host that is lost began it, and its caller does not name it", hosts: 4, pool: "p", lost: true, unnamed: true},
+		{name: "a host that is not asked began it", hosts: manyHosts, pool: "p"},
+		{name: "a host that is lost began it in a pool that had no upstreams", hosts: 4, pool: "q", lost: true},
+	}
+	for _, sc := range cases {
+		Convey("A stream at a version of which the hosts that are asked have not read, where "+sc.name, t, func() {
+			c := newOriginCluster(t, sc.hosts)
+			for i := range c.origins {
+				c.follow(i, streamLifetime, []string{"v1"}, []string{"v1"})
+			}
+			ranked := c.origins[0].ranked(7)
+			last := ranked[len(ranked)-1]
+			for i, p := range c.peers {
+				if p.Host != last.Name {
+					continue
+				}
+				c.readRelease(i, sc.pool)
+				c.origins[i].ledger.AddOwn(time.Now(), 7, testOrigin("v2"), time.Minute)
+				if sc.lost {
+					c.kill(i)
+				}
+			}
+			o, ok := c.origins[0].Find(t.Context(), origin.Lookup{
+				Key:   7,
+				Named: !sc.unnamed,
+				Scope: origin.Scope{
+					Pools:    []string{"p", "q"},
+					Lifetime: streamLifetime,
+				},
+			})
+			So(o.Version, ShouldBeEmpty)
+			So(ok, ShouldBeFalse)
+		})
+	}
+}
+
+// Guards against a stream that goes on at the only version that the hosts which are asked have read, although the store holds it at another one (issue 57, rule ORDER).
+func TestStreamInTheStoreGoesOnAtItsVersionWhateverHostsHaveRead(t *testing.T) {
+	Convey("Given hosts that have read of one version alone for long", t, func() {
+		c := newOriginCluster(t, 4)
+		for i := range c.origins {
+			c.follow(i, streamLifetime, []string{"v1"}, []string{"v1"})
+		}
+		Convey("a stream that a lost host has written to the store at another one goes on at that", func() {
+			c.store.Save(7, testOrigin("v2"), time.Minute)
+			version, ok := c.find(0, 7)
+			So(version, ShouldEqual, "v2")
+			So(ok, ShouldBeTrue)
+		})
+		Convey("and one that it has written at an unknown version does not go on at theirs", func() {
+			c.store.Save(7, testOrigin(origin.UnknownVersion), time.Minute)
+			version, _ := c.find(0, 7)
+			So(version, ShouldEqual, origin.UnknownVersion)
+		})
+	})
+}
+
+// Guards against a stream that goes on at the version that some hosts have read as the only one, although another host has seen a second one come and go (issue 57, rule ORDER).
+func TestUnknownStreamIsRefusedIfAHostHasSeenAnotherVersionComeAndGo(t *testing.T) {
+	for _, named := range []bool{true, false} {
+		Convey(fmt.Sprintf("Given a host that has seen a second version come and go, of which the others have not read, and a stream that nobody knows (named: %t)", named), t, func() {
+			c := newOriginCluster(t, 4)
+			for i := range c.origins {
+				c.follow(i, streamLifetime, []string{"v1"}, []string{"v1"})
+			}
+			c.readRelease(1, "p")
+			c.histories[1].Sync(time.Now(), versioned([]string{"v1"}))
+			for i := range c.origins {
+				version, ok := c.lookUp(i, 7, named)
+				So(version, ShouldBeEmpty)
+				So(ok, ShouldBeFalse)
+			}
+		})
+	}
+}
+
+// Guards against a stream that began at a process in place of that of its row, and goes on by the row once all hosts that knew it are lost (issue 57, rule ORDER).
+func TestStreamOfUnknownVersionIsWrittenToTheStoreThoughItsPoolHasOneVersion(t *testing.T) {
+	Convey("Given hosts that have read of one version alone for long", t, func() {
+		c := newOriginCluster(t, 3)
+		for i := range c.origins {
+			c.follow(i, streamLifetime, []string{"v1"}, []string{"v1"})
+		}
+		Convey("a stream that began at a process which did not say when it started is written", func() {
+			c.origins[0].Record(7, testOrigin(origin.UnknownVersion), time.Minute, testScope)
+			for end := time.Now().Add(convergeTime); c.store.count() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			}
+			So(c.store.count(), ShouldEqual, 1)
+		})
+	})
+}
+
 // leave makes a host leave in order, which the others learn.
 func (c *originCluster) leave(i int) {
 	for j, p := range c.peers {
