--- a/internal/root/relay/hosts/lookup.go
+++ b/internal/root/relay/hosts/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"time"
 
@@ -37,7 +38,7 @@
 		return asked.origin, asked.origin.Known()
 	}
 	if version := s.commonVersion(ctx, s.seenVersion); version != "" {
-		return o.conclude(l, version, "only_version")
+		return s.conclude(version, "only_version")
 	}
 	saved, found, err := o.findInStore(ctx, l.Key)
 	if found && l.Named {
@@ -49,9 +50,9 @@
 	}
 	// The store may just have told this host what earlier ones knew of the pools.
 	if version := s.commonVersion(ctx, s.earlierVersion); version != "" {
-		return o.conclude(l, version, "earlier_hosts")
+		return s.conclude(version, "earlier_hosts")
 	}
-	return o.conclude(l, s.commonVersion(ctx, s.previousVersion), "previous_version")
+	return s.conclude(s.commonVersion(ctx, s.previousVersion), "previous_version")
 }
 
 // search is the search for a stream that this host does not know.
@@ -140,19 +141,33 @@
 }
 
 // conclude returns the origin of a stream that nobody knows, at a version that was concluded from the versions of its pools, or false if the version is "".
-func (o *Origins) conclude(l origin.Lookup, version, basis string) (begun origin.Origin, ok bool) {
-	log := o.Log.WithField("stream", l.Key).WithField("named", l.Named).WithField("pools", l.Scope.Pools)
+func (s search) conclude(version, basis string) (begun origin.Origin, ok bool) {
+	log := s.Log.WithField("stream", s.Key).WithField("named", s.Named).WithField("pools", s.Scope.Pools).
+		WithField("statements", s.statements()).WithField("read_ms_ago", s.history.Age(s.Now()).Milliseconds())
 	if version == "" {
 		log.Info("Nobody knows where a stream began.")
 		return origin.Origin{}, false
 	}
 	log.WithField("software", version).WithField("basis", basis).Info("Where a stream began was concluded from the versions of its pool.")
 	return origin.Origin{
-		Pool:    l.Scope.Pools[0],
+		Pool:    s.Scope.Pools[0],
 		Version: version,
 	}, true
 }
 
+// statements returns what other hosts have stated of the pools, for the log.
+func (s search) statements() string {
+	stated := map[string][]origin.Sole{}
+	for pool, a := range s.answers {
+		stated[pool] = a.soles
+	}
+	b, err := json.Marshal(stated)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
+
 // withOwn returns the statements of other hosts on a pool and that of this host, if it has one.
 func (o *Origins) withOwn(soles []origin.Sole, pool string) []origin.Sole {
 	s, known := o.history.Sole(o.Now(), pool)
--- a/internal/root/relay/origin/history.go
+++ b/internal/root/relay/origin/history.go
@@ -226,6 +226,16 @@
 	return now.Sub(h.confirmedAt) <= maxAge && now.Sub(h.followedSince) >= atLeast
 }
 
+// Age returns how long ago the upstreams were up to date, or the time since the Unix epoch if they were never read.
+func (h *History) Age(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.confirmedAt.IsZero() {
+		return now.Sub(time.Unix(0, 0))
+	}
+	return max(0, now.Sub(h.confirmedAt))
+}
+
 // Sole returns what is known of the sole version of a pool. It returns false if the pool is unknown, or if the upstreams have not been read for long.
 func (h *History) Sole(now time.Time, pool string) (Sole, bool) {
 	h.mu.Lock()
