--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -31,8 +31,8 @@
 
 	mu  sync.Mutex
 	ups map[string]route.Upstream
-	// startSeenAt is when this host first saw a row with the current start and software version of each upstream.
-	startSeenAt map[string]time.Time
+	// starts holds the starts and software versions that rows have shown.
+	starts seenStarts
 	// retainedUntil holds the end of the retention of each upstream whose row disappeared in this way.
 	retainedUntil map[string]time.Time
 	// replaced holds the upstreams at whose address another process answers than the one that the row describes.
@@ -57,7 +57,7 @@
 		onRow:         func(route.Upstream, []byte, bool) {},
 		retention:     time.Duration(retentionShare * float64(forget)),
 		ups:           map[string]route.Upstream{},
-		startSeenAt:   map[string]time.Time{},
+		starts:        seenStarts{},
 		retainedUntil: map[string]time.Time{},
 		replaced:      map[string]replacement{},
 		leavers:       leavers{},
@@ -195,7 +195,7 @@
 	}
 	delete(m.retainedUntil, up.Name)
 	if old := m.ups[up.Name]; old.Incarnation() != up.Incarnation() || old.Version != up.Version {
-		m.startSeenAt[up.Name] = m.Now()
+		m.starts.add(m.Now(), up, func(name string) bool { return m.ups[name].Name != "" })
 		delete(m.replaced, up.Name)
 	}
 	m.ups[up.Name] = up
@@ -213,11 +213,7 @@
 func (m *Upstreams) MayHaveRestarted(i route.Incarnation, version string, at time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	up, ok := m.ups[i.Name]
-	if !ok || up.Version == version || up.StartedAtMS < i.StartedAtMS {
-		return false
-	}
-	return at.After(m.startSeenAt[i.Name].Add(-registrationTime))
+	return m.starts.mayHaveRun(i, version, at)
 }
 
 // MarkLeaving records that an upstream announced in a response that it is leaving. The mark belongs to the incarnation, and goes with it.
@@ -293,7 +289,6 @@
 
 func (m *Upstreams) forget(name string) {
 	delete(m.ups, name)
-	delete(m.startSeenAt, name)
 	delete(m.retainedUntil, name)
 	delete(m.replaced, name)
 }
