--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -26,6 +26,8 @@
 	changed func()
 	// onRow is called with each row that was read, and whether it is of a restored table.
 	onRow func(up route.Upstream, value []byte, restored bool)
+	// onPassed is called when an upstream has come and gone of which no row was read.
+	onPassed func()
 	// retention is how long an upstream is retained after its row disappeared during an outage or soon after it.
 	retention time.Duration
 
@@ -33,6 +35,8 @@
 	ups map[string]route.Upstream
 	// starts holds the starts and software versions that rows have shown.
 	starts seenStarts
+	// unreadable holds the names of the rows that can't be decoded.
+	unreadable map[string]bool
 	// retainedUntil holds the end of the retention of each upstream whose row disappeared in this way.
 	retainedUntil map[string]time.Time
 	// replaced holds the upstreams at whose address another process answers than the one that the row describes.
@@ -55,9 +59,11 @@
 		decode:        decode,
 		changed:       changed,
 		onRow:         func(route.Upstream, []byte, bool) {},
+		onPassed:      func() {},
 		retention:     time.Duration(retentionShare * float64(forget)),
 		ups:           map[string]route.Upstream{},
 		starts:        seenStarts{},
+		unreadable:    map[string]bool{},
 		retainedUntil: map[string]time.Time{},
 		replaced:      map[string]replacement{},
 		leavers:       leavers{},
@@ -69,6 +75,24 @@
 	m.onRow = f
 }
 
+// OnPassed sets the function that is called when an upstream has come and gone of which no row was read, so that nothing is known of its pool and version. It must be called before the view is used.
+func (m *Upstreams) OnPassed(f func()) {
+	m.onPassed = f
+}
+
+// HasSeen reports whether an upstream of the name has a row, also one that can't be read, or had one not long ago.
+func (m *Upstreams) HasSeen(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hasSeen(name)
+}
+
+// hasSeen is HasSeen. The caller holds the lock.
+func (m *Upstreams) hasSeen(name string) bool {
+	_, known := m.ups[name]
+	return known || m.unreadable[name] || len(m.starts[name]) > 0
+}
+
 // Reset applies the rows of the whole table, and removes the upstreams that have no row in it.
 func (m *Upstreams) Reset(rows []Row) {
 	m.mu.Lock()
@@ -180,8 +204,10 @@
 	if err != nil {
 		m.Log.WithError(err).WithField("upstream", r.Key).Warn("Failed to decode the row of an upstream. The upstream is not used.")
 		m.forget(r.Key)
+		m.unreadable[r.Key] = true
 		return route.Upstream{}, false
 	}
+	delete(m.unreadable, r.Key)
 	return up, true
 }
 
@@ -265,6 +291,11 @@
 func (m *Upstreams) remove(name string) {
 	up, ok := m.ups[name]
 	if !ok {
+		if !m.hasSeen(name) {
+			m.Log.WithField("upstream", name).Info("An upstream has come and gone unseen.")
+			m.onPassed()
+		}
+		delete(m.unreadable, name)
 		return
 	}
 	now := m.Now()
--- a/internal/root/relay/origin/history.go
+++ b/internal/root/relay/origin/history.go
@@ -98,19 +98,33 @@
 		h.followedSince = at
 	}
 	if !h.confirmedAt.IsZero() && at.Sub(h.confirmedAt) > maxSilence {
-		h.followedSince = at
-		for name, v := range h.pools {
-			v.since = at
-			v.seenSince = at
-			v.mayBeOlder = true
-			v.previous = ""
-			h.pools[name] = v
-			h.joinEarlier(name)
-		}
+		h.beginAnew(at)
 	}
 	h.confirmedAt = at
 }
 
+// Interrupt records that an upstream has come and gone of which nothing is known. The history begins anew.
+func (h *History) Interrupt(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.followedSince.IsZero() {
+		h.beginAnew(at)
+	}
+}
+
+// beginAnew begins the history anew, as something may have been missed before the given time. The caller holds the lock.
+func (h *History) beginAnew(at time.Time) {
+	h.followedSince = at
+	for name, v := range h.pools {
+		v.since = at
+		v.seenSince = at
+		v.mayBeOlder = true
+		v.previous = ""
+		h.pools[name] = v
+		h.joinEarlier(name)
+	}
+}
+
 // Sync replaces the upstreams, and returns the pools that have several versions now but did not before.
 func (h *History) Sync(now time.Time, ups []route.Upstream) (mixed []string) {
 	found := map[string]string{}
@@ -247,6 +261,25 @@
 	return v.at(now), true
 }
 
+// LastRead is Sole by what was read last, up to maxAge ago. It is for a caller that knows what has changed in the store since.
+func (h *History) LastRead(now time.Time, pool string) (Sole, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	v, ok := h.pools[pool]
+	if !ok || now.Sub(h.confirmedAt) > maxAge {
+		return Sole{}, false
+	}
+	return v.at(now), true
+}
+
+// SinceChange returns how long ago this host last saw the pool change to another version, or to several, or false if it never did.
+func (h *History) SinceChange(now time.Time, pool string) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := h.pools[pool].changedAt
+	return max(0, now.Sub(at)), !at.IsZero()
+}
+
 // at returns what is stated of the version at a time.
 func (v soleVersion) at(now time.Time) Sole {
 	s := Sole{
--- a/internal/root/relay/origin/history_test.go
+++ b/internal/root/relay/origin/history_test.go
@@ -65,6 +65,46 @@
 	})
 }
 
+// Guards against a version that counts as alone all along, although an upstream came and went of which nothing is known, and against one that a host has seen change and states as long alone (issue 57, rule ORDER).
+func TestHistoryBeginsAnewWhenAnUpstreamHasPassedUnseen(t *testing.T) {
+	Convey("Given a pool of one version for long", t, func() {
+		h := NewHistory()
+		now := time.Unix(100, 0)
+		h.Sync(now, upstreams("v1"))
+		for range 10 {
+			h.Confirm(now)
+			now = now.Add(time.Second)
+		}
+		So(h.Absent(now, "q", 5*time.Second), ShouldBeTrue)
+		_, changed := h.SinceChange(now, "p")
+		So(changed, ShouldBeFalse)
+		Convey("an upstream that has come and gone may have had any version, in any pool", func() {
+			h.Interrupt(now)
+			h.Confirm(now)
+			s, ok := h.Sole(now, "p")
+			So(ok, ShouldBeTrue)
+			So(s, ShouldResemble, Sole{Version: "v1"})
+			So(h.Absent(now, "q", 5*time.Second), ShouldBeFalse)
+		})
+		Convey("a change is remembered once the pool has one version again", func() {
+			h.Sync(now, upstreams("v1", "v2"))
+			h.Sync(now, upstreams("v1"))
+			d, changed := h.SinceChange(now.Add(time.Second), "p")
+			So(changed, ShouldBeTrue)
+			So(d, ShouldEqual, time.Second)
+		})
+		Convey("what was read last counts while a call waits for changes, and not for longer", func() {
+			confirmed := now.Add(-time.Second)
+			_, ok := h.Sole(confirmed.Add(maxAge), "p")
+			So(ok, ShouldBeFalse)
+			_, ok = h.LastRead(confirmed.Add(maxAge), "p")
+			So(ok, ShouldBeTrue)
+			_, ok = h.LastRead(confirmed.Add(maxAge+1), "p")
+			So(ok, ShouldBeFalse)
+		})
+	})
+}
+
 // Guards against a row that is not written for long because what is known of versions counts as unknown while a call waits for changes (review/REPORT.md).
 func TestVersionsAreToldWithTheirAgeWhileACallWaitsForChanges(t *testing.T) {
 	Convey("Given upstreams that were up to date at a time", t, func() {
