--- a/internal/root/relay/flow/confirm.go
+++ b/internal/root/relay/flow/confirm.go
@@ -109,6 +109,7 @@
 		o.Version = origin.UnknownVersion
 	case starts.Unreachable:
 		o.Version = origin.UnknownVersion
+		o.Unanswered = true
 	default:
 		panic(fmt.Sprintf("unknown finding %T", f))
 	}
--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -160,7 +160,8 @@
 			}
 		}()
 	}
-	if !o.history.Settled(now, scope) {
+	// What the rows say of versions does not tell where a stream of an unknown version goes on.
+	if !begun.Known() || !o.history.Settled(now, scope) {
 		o.save([]originCopy{m})
 	}
 }
--- a/internal/root/relay/origin/ledger.go
+++ b/internal/root/relay/origin/ledger.go
@@ -123,13 +123,13 @@
 	return r.origin, true
 }
 
-// BeganAtOther reports whether a stream is remembered that was sent to the pool between the times at another version than the given one.
+// BeganAtOther reports whether a stream is remembered that was sent to the pool between the times at another version than the given one. One whose upstream did not say when it started does not count.
 func (l *Ledger) BeganAtOther(pool, version string, from, to time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.records {
 		o := r.origin
-		if o.Pool == pool && o.Version != version && !o.SentAt.Before(from) && !o.SentAt.After(to) {
+		if o.Pool == pool && o.Version != version && !o.Unanswered && !o.SentAt.Before(from) && !o.SentAt.After(to) {
 			return true
 		}
 	}
--- a/internal/root/relay/origin/origin.go
+++ b/internal/root/relay/origin/origin.go
@@ -50,6 +50,8 @@
 	Upstream route.Incarnation `json:"upstream"`
 	// Confirmed reports that the process that began the stream was the one that the upstream's row describes, by its own statement.
 	Confirmed bool `json:"confirmed,omitempty"`
+	// Unanswered reports that the version is unknown because the process did not say when it started, which does not show that another one had taken its place.
+	Unanswered bool `json:"unanswered,omitempty"`
 	// SentAt is when the request was sent that began the stream, by the clock of this host.
 	SentAt time.Time `json:"-"`
 }
