--- a/internal/root/relay/hosts/lookup.go
+++ b/internal/root/relay/hosts/lookup.go
@@ -71,7 +71,7 @@
 			Key:     s.Key,
 			Unnamed: !s.Named,
 			Pool:    pool,
-		})
+		}, s.Scope.Lifetime)
 		s.answers[pool] = a
 	}
 	return a
@@ -93,8 +93,17 @@
 	return common
 }
 
-// seenVersion returns the only version of the pool that a host has seen for a stream's lifetime, or "".
+// changed reports whether a host has seen the pool change within a stream's lifetime.
+func (s search) changed(ctx context.Context, pool string) bool {
+	since, changed := s.history.SinceChange(s.Now(), pool)
+	return s.asked(ctx, pool).changed || (changed && since < s.Scope.Lifetime)
+}
+
+// seenVersion returns the only version of the pool that a host has seen for a stream's lifetime, or "" if there is none, or if a host has seen it change meanwhile.
 func (s search) seenVersion(ctx context.Context, pool string) string {
+	if s.changed(ctx, pool) {
+		return ""
+	}
 	return origin.SeenVersion(s.withOwn(s.asked(ctx, pool).soles, pool), s.Scope.Lifetime)
 }
 
@@ -102,7 +111,7 @@
 func (s search) earlierVersion(ctx context.Context, pool string) string {
 	version := origin.AgreedVersion(s.withOwn(s.asked(ctx, pool).soles, pool), s.Scope.Lifetime)
 	now := s.Now()
-	if version == "" || s.backup.BeganAtOther(pool, version, now.Add(-s.Scope.Lifetime), now) {
+	if version == "" || s.changed(ctx, pool) || s.backup.BeganAtOther(pool, version, now.Add(-s.Scope.Lifetime), now) {
 		return ""
 	}
 	return version
@@ -180,20 +189,24 @@
 // answersOfOthers is what other hosts have answered to a question.
 type answersOfOthers struct {
 	question originQuestion
+	lifetime time.Duration
 	asked    []Host
 	// found reports that a host knows the stream, whose origin is zero if it is not sure.
 	found  bool
 	origin origin.Origin
 	soles  []origin.Sole
+	// changed reports that a host has seen the pool change within a stream's lifetime.
+	changed bool
 	// complete reports that all that were asked have answered and know the upstreams, and that no host is down, which could not be asked.
 	complete bool
 }
 
 // askOthers asks the hosts that may know a stream, and if none does, some more.
-func (o *Origins) askOthers(ctx context.Context, q originQuestion) answersOfOthers {
+func (o *Origins) askOthers(ctx context.Context, q originQuestion, lifetime time.Duration) answersOfOthers {
 	ranked := o.ranked(q.Key)
 	all := o.askMore(ctx, answersOfOthers{
 		question: q,
+		lifetime: lifetime,
 	}, spread(ranked, o.Domain, originAsked, originLocalAsked))
 	if all.found {
 		return all
@@ -218,6 +231,7 @@
 	all.asked = slices.Concat(before.asked, hosts)
 	all.soles = slices.Clone(before.soles)
 	for _, a := range o.ask(ctx, hosts, before.question) {
+		all.changed = all.changed || a.changedWithin(before.lifetime)
 		switch {
 		case before.question.Unnamed && a.Sole != nil:
 			// A host of an older build may have recorded a stream without a name under the same key.
--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -82,6 +82,13 @@
 	Conflicting bool `json:"conflicting,omitempty"`
 	// Sole is set if the host knows the upstreams of the pool.
 	Sole *origin.Sole `json:"sole,omitempty"`
+	// ChangedMS is how long ago the host saw the pool change to another version or to several, in milliseconds, if it did. A host of an older build does not say.
+	ChangedMS *int64 `json:"changed_ms,omitempty"`
+}
+
+// changedWithin reports whether the host has seen the pool change within the given time.
+func (a originAnswer) changedWithin(d time.Duration) bool {
+	return a.ChangedMS != nil && *a.ChangedMS < d.Milliseconds()
 }
 
 // OriginBackup keeps origins in the platform's store.
@@ -279,5 +286,9 @@
 	if s, ok := o.history.Sole(now, q.Pool); ok {
 		a.Sole = &s
 	}
+	if d, ok := o.history.SinceChange(now, q.Pool); ok {
+		ms := d.Milliseconds()
+		a.ChangedMS = &ms
+	}
 	writeJSON(w, a)
 }
