--- a/internal/root/relay/hosts/lookup.go
+++ b/internal/root/relay/hosts/lookup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
@@ -22,7 +23,7 @@
 	versionLag = time.Second
 )
 
-// Find returns where the stream began, according to this host, to others or to the store. If none knows, the stream began at the version that all upstreams of its pools have had for at least the lifetime of a stream, or had until just now. ok is false if there is no such version.
+// Find returns where the stream began, according to this host, to others or to the store. If none knows, the stream began at the version that all upstreams of its pools have had for at least the lifetime of a stream, or had until just now, if the store has no news that contradict it. ok is false if there is no such version.
 func (o *Origins) Find(ctx context.Context, l origin.Lookup) (begun origin.Origin, ok bool) {
 	if l.Named {
 		if known, found := o.ledger.Find(o.Now(), l.Key); found {
@@ -37,10 +38,7 @@
 	if asked := s.asked(ctx, l.Scope.Pools[0]); asked.found {
 		return asked.origin, asked.origin.Known()
 	}
-	if version := s.commonVersion(ctx, s.seenVersion); version != "" {
-		return s.conclude(version, "only_version")
-	}
-	saved, found, err := o.findInStore(ctx, l.Key)
+	saved, found, err := s.readStore(ctx)
 	if found && l.Named {
 		return saved, saved.Known()
 	}
@@ -48,6 +46,9 @@
 		o.Log.WithError(err).WithField("pool", l.Scope.Pools[0]).Info("Failed to read where a stream began.")
 		return origin.Origin{}, false
 	}
+	if version := s.commonVersion(ctx, s.seenVersion); version != "" {
+		return s.conclude(version, "only_version")
+	}
 	// The store may just have told this host what earlier ones knew of the pools.
 	if version := s.commonVersion(ctx, s.earlierVersion); version != "" {
 		return s.conclude(version, "earlier_hosts")
@@ -61,6 +62,8 @@
 	origin.Lookup
 	// answers are those of other hosts, by the pool that they were asked for.
 	answers map[string]answersOfOthers
+	// news is what has changed in the store beyond what this host knows.
+	news origin.News
 }
 
 // asked returns the answers of other hosts for a pool.
@@ -93,30 +96,36 @@
 	return common
 }
 
-// changed reports whether a host has seen the pool change within a stream's lifetime.
-func (s search) changed(ctx context.Context, pool string) bool {
-	since, changed := s.history.SinceChange(s.Now(), pool)
-	return s.asked(ctx, pool).changed || (changed && since < s.Scope.Lifetime)
-}
-
-// seenVersion returns the only version of the pool that a host has seen for a stream's lifetime, or "" if there is none, or if a host has seen it change meanwhile.
+// seenVersion returns the only version of the pool that a host has seen for a stream's lifetime, or "" if there is none, or if something contradicts it.
 func (s search) seenVersion(ctx context.Context, pool string) string {
-	if s.changed(ctx, pool) {
+	version := origin.SeenVersion(s.withOwn(s.asked(ctx, pool).soles, pool), s.Scope.Lifetime)
+	if s.contradicted(ctx, pool, version) {
 		return ""
 	}
-	return origin.SeenVersion(s.withOwn(s.asked(ctx, pool).soles, pool), s.Scope.Lifetime)
+	return version
 }
 
-// earlierVersion returns the only version of the pool, according to this host, others and what earlier hosts wrote, or "" if there is none, or if a stream in the store contradicts it.
+// earlierVersion returns the only version of the pool, according to this host, others and what earlier hosts wrote, or "" if there is none, or if something contradicts it.
 func (s search) earlierVersion(ctx context.Context, pool string) string {
 	version := origin.AgreedVersion(s.withOwn(s.asked(ctx, pool).soles, pool), s.Scope.Lifetime)
-	now := s.Now()
-	if version == "" || s.changed(ctx, pool) || s.backup.BeganAtOther(pool, version, now.Add(-s.Scope.Lifetime), now) {
+	if s.contradicted(ctx, pool, version) {
 		return ""
 	}
 	return version
 }
 
+// contradicted reports whether a stream may have begun in the pool at another version within its lifetime: a host has seen the pool change, the store holds such a stream, or it has news of other upstreams.
+func (s search) contradicted(ctx context.Context, pool, version string) bool {
+	now := s.Now()
+	return s.changed(ctx, pool) || s.backup.BeganAtOther(pool, version, now.Add(-s.Scope.Lifetime), now) || !s.news.Allows(version, s.Scope.Pools)
+}
+
+// changed reports whether a host has seen the pool change within a stream's lifetime.
+func (s search) changed(ctx context.Context, pool string) bool {
+	since, changed := s.history.SinceChange(s.Now(), pool)
+	return s.asked(ctx, pool).changed || (changed && since < s.Scope.Lifetime)
+}
+
 // previousVersion returns the version that the pool had before others came beside it, or "" if a stream that neither the hosts that were asked nor the store know may have begun later. A host may have begun it that could tell nobody and is gone, or was not asked yet. That a stream without a name is not known tells nothing.
 func (s search) previousVersion(ctx context.Context, pool string) string {
 	if version := s.earlierVersion(ctx, pool); version != "" {
@@ -124,7 +133,7 @@
 	}
 	asked := s.asked(ctx, pool)
 	version := origin.PreviousVersion(s.withOwn(asked.soles, pool), s.Scope.Lifetime)
-	if version == "" || !asked.complete || !s.Named {
+	if version == "" || !asked.complete || !s.Named || !s.knowsAllHosts(ctx) {
 		return ""
 	}
 	rest := s.askRest(ctx, asked)
@@ -142,11 +151,36 @@
 	return version
 }
 
-// findInStore looks for a stream in the store.
-func (o *Origins) findInStore(ctx context.Context, k origin.Key) (saved origin.Origin, found bool, err error) {
+// knowsAllHosts reports whether the store has no news of hosts, so that all that may have begun the stream can be asked.
+func (s search) knowsAllHosts(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, originStoreTimeout)
 	defer cancel()
-	return o.backup.Find(ctx, k)
+	changed, err := s.newHosts(ctx)
+	if err != nil {
+		s.Log.WithError(err).Info("Failed to read whether there are further hosts.")
+	}
+	return err == nil && !changed
+}
+
+// readStore looks for the stream in the store, and for what has changed there beyond what this host knows. Each read begins after the call.
+func (s *search) readStore(ctx context.Context) (saved origin.Origin, found bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, originStoreTimeout)
+	defer cancel()
+	read := make(chan error, 1)
+	go func() {
+		var err error
+		s.news, err = s.readNews(ctx)
+		read <- err
+	}()
+	saved, found, err = s.backup.Find(ctx, s.Key)
+	newsErr := <-read
+	if found && s.Named {
+		return saved, true, nil
+	}
+	if err == nil && newsErr != nil {
+		err = fmt.Errorf("read news: %w", newsErr)
+	}
+	return saved, found, err
 }
 
 // conclude returns the origin of a stream that nobody knows, at a version that was concluded from the versions of its pools, or false if the version is "".
@@ -177,13 +211,13 @@
 	return string(b)
 }
 
-// withOwn returns the statements of other hosts on a pool and that of this host, if it has one.
-func (o *Origins) withOwn(soles []origin.Sole, pool string) []origin.Sole {
-	s, known := o.history.Sole(o.Now(), pool)
+// withOwn returns the statements of other hosts on a pool and that of this host. There are none if this host has not followed the upstreams, as only its own knowledge can be compared with the news.
+func (s search) withOwn(soles []origin.Sole, pool string) []origin.Sole {
+	own, known := s.history.LastRead(s.Now(), pool)
 	if !known {
-		return soles
+		return nil
 	}
-	return append(slices.Clone(soles), s)
+	return append(slices.Clone(soles), own)
 }
 
 // answersOfOthers is what other hosts have answered to a question.
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -128,6 +128,7 @@
 	warmUps    *hosts.WarmUps
 	origins    *hosts.Origins
 	history    *origin.History
+	news       *news
 	backup     *backup.Backup
 	writers    *hosts.Writers
 	settlement *settlement
@@ -186,6 +187,7 @@
 	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync)
 	r.upstreams = follow.NewUpstreams(deps, a.Upstream, s.Upstreams.Forget.D(), r.sync)
 	r.upstreams.OnPassed(func() { r.history.Interrupt(deps.Now()) })
+	r.news = newNews(deps, a, r.upstreams)
 	r.orders = follow.NewEvacuations(deps, a.Evacuation, r.sync)
 	r.places = newPlaces(deps, domainsOf(s), r.orders)
 	r.roster = hosts.NewRoster(deps, r.localHost())
@@ -225,7 +227,7 @@
 	r.limits = hosts.NewLimits(deps, r.peers, r.warmUps, r.applyLimit)
 	r.dispatcher.OnLimit(r.limits.Note)
 	r.dispatcher.UsePermits(r.warmUps)
-	r.origins = hosts.NewOrigins(deps, r.peers, r.history, r.backup, hosts.WithStopGrace(s.Stop.Grace.D()))
+	r.origins = hosts.NewOrigins(deps, r.peers, r.history, r.backup, hosts.WithStopGrace(s.Stop.Grace.D()), hosts.WithNews(r.news.read, r.news.ofHosts))
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
 		Plans:         r.plans,
@@ -283,10 +285,10 @@
 	restorePause := follow.WithRestorePause(r.restorePause)
 	bounds := guard.NewReport(r.memory, r.conns)
 	tree := super.New(r.WithPart("root"), super.WithParts(
-		follow.NewFeed(r.Deps, eras, configurationsTable, r.configurationTable, r.configurationSinks(), r.configPollTimeout(), follow.WithConfirmation(r.confirmConfiguration), follow.WithBatchPause(r.batchPauseOf(r.configurationTable)), restorePause),
-		follow.NewFeed(r.Deps, eras, upstreamsTable, r.upstreamTable, r.upstreams, upstreamPollTimeout, follow.WithConfirmation(r.confirmUpstreams),
+		follow.NewFeed(r.Deps, eras, configurationsTable, r.news.configurations.Fed(r.configurationTable), r.configurationSinks(), r.configPollTimeout(), follow.WithConfirmation(r.confirmConfiguration), follow.WithBatchPause(r.batchPauseOf(r.configurationTable)), restorePause),
+		follow.NewFeed(r.Deps, eras, upstreamsTable, r.news.upstreams.Fed(r.upstreamTable), r.upstreams, upstreamPollTimeout, follow.WithConfirmation(r.confirmUpstreams),
 			follow.WithOutage(r.upstreams.OutageStarted, r.upstreams.OutageEnded), follow.WithBatchPause(r.batchPauseOf(r.upstreamTable)), restorePause),
-		follow.NewFeed(r.Deps, eras, hosts.HostsTable, r.hostTable, r.roster, hostPollTimeout, follow.WithBatchPause(r.batchPauseOf(r.hostTable)), restorePause),
+		follow.NewFeed(r.Deps, eras, hosts.HostsTable, r.news.hosts.Fed(r.hostTable), r.roster, hostPollTimeout, follow.WithConfirmation(func() func() { return r.news.hosts.Applied }), follow.WithBatchPause(r.batchPauseOf(r.hostTable)), restorePause),
 		r.peers,
 		r.backup,
 		r.writers,
@@ -364,6 +366,7 @@
 // confirmConfiguration returns a function that extends the key lease from when the store was asked for the configuration, by this host or by the one that told it. It does not if the newest configuration can't be read: it may have taken keys away.
 func (r *Relay) confirmConfiguration() func() {
 	return func() {
+		r.news.configurations.Applied()
 		if r.planSink.IsNewest() {
 			r.lease.Confirm(r.configurationTable.ConfirmedAt())
 		}
@@ -378,6 +381,7 @@
 		at := now.Add(-r.upstreamTable.ConfirmedAge())
 		r.history.Confirm(at)
 		r.upstreams.Confirm(at)
+		r.news.upstreams.Applied()
 	}
 }
 
