--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -26,13 +26,17 @@
 	changed func()
 	// onRow is called with each row that was read, and whether it is of a restored table.
 	onRow func(up route.Upstream, value []byte, restored bool)
+	// onPassed is called when an upstream has come and gone of which no row was read.
+	onPassed func()
 	// retention is how long an upstream is retained after its row disappeared during an outage or soon after it.
 	retention time.Duration
 
 	mu  sync.Mutex
 	ups map[string]route.Upstream
-	// startSeenAt is when this host first saw a row with the current start and software version of each upstream.
-	startSeenAt map[string]time.Time
+	// starts holds the starts and software versions that rows have shown.
+	starts seenStarts
+	// unreadable holds the names of the rows that can't be decoded.
+	unreadable map[string]bool
 	// retainedUntil holds the end of the retention of each upstream whose row disappeared in this way.
 	retainedUntil map[string]time.Time
 	// replaced holds the upstreams at whose address another process answers than the one that the row describes.
@@ -55,9 +59,11 @@
 		decode:        decode,
 		changed:       changed,
 		onRow:         func(route.Upstream, []byte, bool) {},
+		onPassed:      func() {},
 		retention:     time.Duration(retentionShare * float64(forget)),
 		ups:           map[string]route.Upstream{},
-		startSeenAt:   map[string]time.Time{},
+		starts:        seenStarts{},
+		unreadable:    map[string]bool{},
 		retainedUntil: map[string]time.Time{},
 		replaced:      map[string]replacement{},
 		leavers:       leavers{},
@@ -69,6 +75,24 @@
 	m.onRow = f
 }
 
+// OnPassed sets the function that is called when an upstream has come and gone of which no row was read, so that nothing is known of its pool and version. It must be called before the view is used.
+func (m *Upstreams) OnPassed(f func()) {
+	m.onPassed = f
+}
+
+// HasSeen reports whether an upstream of the name has a row, also one that can't be read, or had one not long ago.
+func (m *Upstreams) HasSeen(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hasSeen(name)
+}
+
+// hasSeen is HasSeen. The caller holds the lock.
+func (m *Upstreams) hasSeen(name string) bool {
+	_, known := m.ups[name]
+	return known || m.unreadable[name] || len(m.starts[name]) > 0
+}
+
 // Reset applies the rows of the whole table, and removes the upstreams that have no row in it.
 func (m *Upstreams) Reset(rows []Row) {
 	m.mu.Lock()
@@ -180,8 +204,10 @@
 	if err != nil {
 		m.Log.WithError(err).WithField("upstream", r.Key).Warn("Failed to decode the row of an upstream. The upstream is not used.")
 		m.forget(r.Key)
+		m.unreadable[r.Key] = true
 		return route.Upstream{}, false
 	}
+	delete(m.unreadable, r.Key)
 	return up, true
 }
 
@@ -195,7 +221,7 @@
 	}
 	delete(m.retainedUntil, up.Name)
 	if old := m.ups[up.Name]; old.Incarnation() != up.Incarnation() || old.Version != up.Version {
-		m.startSeenAt[up.Name] = m.Now()
+		m.starts.add(m.Now(), up, func(name string) bool { return m.ups[name].Name != "" })
 		delete(m.replaced, up.Name)
 	}
 	m.ups[up.Name] = up
@@ -213,11 +239,7 @@
 func (m *Upstreams) MayHaveRestarted(i route.Incarnation, version string, at time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	up, ok := m.ups[i.Name]
-	if !ok || up.Version == version || up.StartedAtMS < i.StartedAtMS {
-		return false
-	}
-	return at.After(m.startSeenAt[i.Name].Add(-registrationTime))
+	return m.starts.mayHaveRun(i, version, at)
 }
 
 // MarkLeaving records that an upstream announced in a response that it is leaving. The mark belongs to the incarnation, and goes with it.
@@ -269,6 +291,11 @@
 func (m *Upstreams) remove(name string) {
 	up, ok := m.ups[name]
 	if !ok {
+		if !m.hasSeen(name) {
+			m.Log.WithField("upstream", name).Info("An upstream has come and gone unseen.")
+			m.onPassed()
+		}
+		delete(m.unreadable, name)
 		return
 	}
 	now := m.Now()
@@ -293,7 +320,6 @@
 
 func (m *Upstreams) forget(name string) {
 	delete(m.ups, name)
-	delete(m.startSeenAt, name)
 	delete(m.retainedUntil, name)
 	delete(m.replaced, name)
 }
--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -82,6 +82,13 @@
 	Conflicting bool `json:"conflicting,omitempty"`
 	// Sole is set if the host knows the upstreams of the pool.
 	Sole *origin.Sole `json:"sole,omitempty"`
+	// ChangedMS is how long ago the host saw the pool change to another version or to several, in milliseconds, if it did. A host of an older build does not say.
+	ChangedMS *int64 `json:"changed_ms,omitempty"`
+}
+
+// changedWithin reports whether the host has seen the pool change within the given time.
+func (a originAnswer) changedWithin(d time.Duration) bool {
+	return a.ChangedMS != nil && *a.ChangedMS < d.Milliseconds()
 }
 
 // OriginBackup keeps origins in the platform's store.
@@ -103,6 +110,9 @@
 	ledger  *origin.Ledger
 	history *origin.History
 	backup  OriginBackup
+	// readNews returns what has changed in the store beyond what this host knows of upstreams and configurations, and newHosts whether something has of hosts. Their reads begin after the call.
+	readNews func(ctx context.Context) (origin.News, error)
+	newHosts func(ctx context.Context) (bool, error)
 	// stopGrace is how long a host that has removed itself from the table of hosts may still begin streams.
 	stopGrace time.Duration
 }
@@ -117,6 +127,14 @@
 	}
 }
 
+// WithNews sets the functions that return what has changed in the store beyond what this host knows of upstreams and configurations, and whether something has of hosts, by reads that begin after the call. Without them what the host knows is taken to be up to date.
+func WithNews(readNews func(ctx context.Context) (origin.News, error), newHosts func(ctx context.Context) (bool, error)) OriginsOption {
+	return func(o *Origins) {
+		o.readNews = readNews
+		o.newHosts = newHosts
+	}
+}
+
 // NewOrigins returns the origins that this host knows, which are shared with other hosts through peers. It must be called before peers runs.
 func NewOrigins(deps common.Deps, peers *Peers, history *origin.History, backup OriginBackup, opts ...OriginsOption) *Origins {
 	o := &Origins{
@@ -125,6 +143,12 @@
 		ledger:  origin.NewLedger(),
 		history: history,
 		backup:  backup,
+		readNews: func(context.Context) (origin.News, error) {
+			return origin.News{}, nil
+		},
+		newHosts: func(context.Context) (bool, error) {
+			return false, nil
+		},
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -160,7 +184,8 @@
 			}
 		}()
 	}
-	if !o.history.Settled(now, scope) {
+	// What the rows say of versions does not tell where a stream of an unknown version goes on.
+	if !begun.Known() || !o.history.Settled(now, scope) {
 		o.save([]originCopy{m})
 	}
 }
@@ -278,5 +303,9 @@
 	if s, ok := o.history.Sole(now, q.Pool); ok {
 		a.Sole = &s
 	}
+	if d, ok := o.history.SinceChange(now, q.Pool); ok {
+		ms := d.Milliseconds()
+		a.ChangedMS = &ms
+	}
 	writeJSON(w, a)
 }
