--- a/internal/root/relay/flow/response.go
+++ b/internal/root/relay/flow/response.go
@@ -163,6 +163,12 @@
 	if x.limit > 0 {
 		fields["limit"] = x.limit
 	}
+	if x.confirmed {
+		fields["confirmed_ms"] = x.confirmedAge.Milliseconds()
+	}
+	if x.heldTime > 0 {
+		fields["held_ms"] = x.heldTime.Milliseconds()
+	}
 	if e := x.upstream.Estimate; e.Pace > 0 {
 		fields["pace"] = math.Round(100*e.Pace) / 100
 		fields["queued"] = math.Round(100*e.Queued) / 100
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -118,6 +118,7 @@
 	places     *places
 	upstreams  *follow.Upstreams
 	lease      *grant.Lease
+	recency    *grant.Recency
 	table      *route.Table
 	dispatcher *batch.Dispatcher
 	roster     *hosts.Roster
@@ -177,6 +178,7 @@
 		settlement: &settlement{},
 		machine:    guard.MachineOf(s.Host.MemoryMB, s.Host.Descriptors),
 	}
+	r.recency = grant.NewRecency(r.lease, s.Configurations.Within.D(), grant.WithAsk(r.askForConfirmation))
 	r.memory = guard.NewMemory(r.machine.Memory, deps.Now)
 	r.conns = guard.NewConns(r.machine.CallerConns())
 	a.Eras.OnEnter(func() {
@@ -184,7 +186,7 @@
 		r.orders.EnterEra()
 		r.settlement.enter(r.plans.Current() != nil)
 	})
-	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync)
+	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync, follow.WithPlanAges(r.planAges))
 	r.upstreams = follow.NewUpstreams(deps, a.Upstream, s.Upstreams.Forget.D(), r.sync)
 	r.upstreams.OnPassed(func() { r.history.Interrupt(deps.Now()) })
 	r.news = newNews(deps, a, r.upstreams)
@@ -243,6 +245,7 @@
 		Workers:       r.peers,
 		CrashDetector: r.crashes,
 		Lease:         r.lease,
+		Recency:       r.recency,
 		Evacuations:   r.orders,
 		HeaderCodec:   a.HeaderCodec,
 		Budget: flow.Budget{
@@ -373,6 +376,34 @@
 	}
 }
 
+// askForConfirmation asks the store whether the configuration in force is the newest one, beside the call that waits for changes, and extends the key lease if it is. A change is left to that call. A host that hears the table from others does not ask, as its call ends sooner.
+func (r *Relay) askForConfirmation(ctx context.Context) {
+	if r.configurationTable.Heard() {
+		return
+	}
+	askedAt := r.lease.RequestTime()
+	rows, err := r.news.configurations.Rows(ctx)
+	switch {
+	case err != nil:
+		r.Log.WithError(err).Info("The store did not confirm the configuration for requests that wait.")
+	case len(rows) == 0 && r.planSink.IsNewest():
+		r.lease.Confirm(askedAt)
+	}
+}
+
+// planAges returns the ages of what this host knows of the configuration as a row of it comes, before the row's own confirmation counts.
+func (r *Relay) planAges() follow.PlanAges {
+	before, ok := r.lease.Age()
+	if !ok {
+		before = -time.Millisecond
+	}
+	return follow.PlanAges{
+		Read:      r.configurationTable.ReadAge(),
+		Confirmed: r.configurationTable.ConfirmedAge(),
+		Before:    before,
+	}
+}
+
 // confirmUpstreams returns a function that records when the upstreams were up to date.
 func (r *Relay) confirmUpstreams() func() {
 	return func() {
