--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -129,6 +129,7 @@
 	warmUps    *hosts.WarmUps
 	origins    *hosts.Origins
 	history    *origin.History
+	news       *news
 	backup     *backup.Backup
 	writers    *hosts.Writers
 	settlement *settlement
@@ -147,8 +148,6 @@
 	configurationTable *hosts.Table
 	upstreamTable      *hosts.Table
 	hostTable          *hosts.Table
-	// appliedAt is the position of the configuration in force in the history of its table, or nil before the first confirmation.
-	appliedAt atomic.Pointer[follow.Position]
 	// rowsRewritten counts how often this host wrote its row again after the store was restored.
 	rowsRewritten atomic.Int64
 	// caughtUp is set once this host has asked the others what a restored store may have lost.
@@ -189,6 +188,8 @@
 	})
 	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync, follow.WithPlanAges(r.planAges))
 	r.upstreams = follow.NewUpstreams(deps, a.Upstream, s.Upstreams.Forget.D(), r.sync)
+	r.upstreams.OnPassed(func() { r.history.Interrupt(deps.Now()) })
+	r.news = newNews(deps, a, r.upstreams)
 	r.orders = follow.NewEvacuations(deps, a.Evacuation, r.sync)
 	r.places = newPlaces(deps, domainsOf(s), r.orders)
 	r.roster = hosts.NewRoster(deps, r.localHost())
@@ -228,7 +229,7 @@
 	r.limits = hosts.NewLimits(deps, r.peers, r.warmUps, r.applyLimit)
 	r.dispatcher.OnLimit(r.limits.Note)
 	r.dispatcher.UsePermits(r.warmUps)
-	r.origins = hosts.NewOrigins(deps, r.peers, r.history, r.backup, hosts.WithStopGrace(s.Stop.Grace.D()))
+	r.origins = hosts.NewOrigins(deps, r.peers, r.history, r.backup, hosts.WithStopGrace(s.Stop.Grace.D()), hosts.WithNews(r.news.read, r.news.ofHosts))
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
 		Plans:         r.plans,
@@ -287,10 +288,10 @@
 	restorePause := follow.WithRestorePause(r.restorePause)
 	bounds := guard.NewReport(r.memory, r.conns)
 	tree := super.New(r.WithPart("root"), super.WithParts(
-		follow.NewFeed(r.Deps, eras, configurationsTable, r.configurationTable, r.configurationSinks(), r.configPollTimeout(), follow.WithConfirmation(r.confirmConfiguration), follow.WithBatchPause(r.batchPauseOf(r.configurationTable)), restorePause),
-		follow.NewFeed(r.Deps, eras, upstreamsTable, r.upstreamTable, r.upstreams, upstreamPollTimeout, follow.WithConfirmation(r.confirmUpstreams),
+		follow.NewFeed(r.Deps, eras, configurationsTable, r.news.configurations.Fed(r.configurationTable), r.configurationSinks(), r.configPollTimeout(), follow.WithConfirmation(r.confirmConfiguration), follow.WithBatchPause(r.batchPauseOf(r.configurationTable)), restorePause),
+		follow.NewFeed(r.Deps, eras, upstreamsTable, r.news.upstreams.Fed(r.upstreamTable), r.upstreams, upstreamPollTimeout, follow.WithConfirmation(r.confirmUpstreams),
 			follow.WithOutage(r.upstreams.OutageStarted, r.upstreams.OutageEnded), follow.WithBatchPause(r.batchPauseOf(r.upstreamTable)), restorePause),
-		follow.NewFeed(r.Deps, eras, hosts.HostsTable, r.hostTable, r.roster, hostPollTimeout, follow.WithBatchPause(r.batchPauseOf(r.hostTable)), restorePause),
+		follow.NewFeed(r.Deps, eras, hosts.HostsTable, r.news.hosts.Fed(r.hostTable), r.roster, hostPollTimeout, follow.WithConfirmation(func() func() { return r.news.hosts.Applied }), follow.WithBatchPause(r.batchPauseOf(r.hostTable)), restorePause),
 		r.peers,
 		r.backup,
 		r.writers,
@@ -368,8 +369,7 @@
 // confirmConfiguration returns a function that extends the key lease from when the store was asked for the configuration, by this host or by the one that told it. It does not if the newest configuration can't be read: it may have taken keys away.
 func (r *Relay) confirmConfiguration() func() {
 	return func() {
-		position := r.configurationTable.Position()
-		r.appliedAt.Store(&position)
+		r.news.configurations.Applied()
 		if r.planSink.IsNewest() {
 			r.lease.Confirm(r.configurationTable.ConfirmedAt())
 		}
@@ -378,16 +378,12 @@
 
 // askForConfirmation asks the store whether the configuration in force is the newest one, beside the call that waits for changes, and extends the key lease if it is. A change is left to that call.
 func (r *Relay) askForConfirmation(ctx context.Context) {
-	after := r.appliedAt.Load()
-	if after == nil {
-		return
-	}
 	askedAt := r.lease.RequestTime()
-	rows, position, err := r.adapter.Configurations.WaitForChanges(ctx, *after, 0)
+	rows, err := r.news.configurations.Rows(ctx)
 	switch {
 	case err != nil:
 		r.Log.WithError(err).Info("The store did not confirm the configuration for requests that wait.")
-	case len(rows) == 0 && position.Era == after.Era && r.planSink.IsNewest():
+	case len(rows) == 0 && r.planSink.IsNewest():
 		r.lease.Confirm(askedAt)
 	}
 }
@@ -413,6 +409,7 @@
 		at := now.Add(-r.upstreamTable.ConfirmedAge())
 		r.history.Confirm(at)
 		r.upstreams.Confirm(at)
+		r.news.upstreams.Applied()
 	}
 }
 
