--- a/internal/root/relay/follow/unread.go
+++ b/internal/root/relay/follow/unread.go
@@ -11,9 +11,6 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 )
 
-// unreadInterval is the shortest time between the beginnings of two reads.
-const unreadInterval = 50 * time.Millisecond
-
 // errNothingApplied reports that a feed has applied no rows in the current era of the store, so that it cannot be told what it lacks.
 var errNothingApplied = errors.New("no rows have been applied yet")
 
@@ -21,6 +18,8 @@
 type Unread struct {
 	common.Deps
 	store Source
+	// interval returns the shortest time between the beginnings of two reads.
+	interval func() time.Duration
 
 	mu sync.Mutex
 	// returned is the position up to which the feed's source has returned rows, and applied that up to which the feed has applied them.
@@ -38,11 +37,12 @@
 	err  error
 }
 
-// NewUnread returns an Unread that reads the table from the store.
-func NewUnread(deps common.Deps, store Source) *Unread {
+// NewUnread returns an Unread that reads the table from the store, with the interval at least between the beginnings of two reads.
+func NewUnread(deps common.Deps, store Source, interval func() time.Duration) *Unread {
 	return &Unread{
-		Deps:  deps.WithPart("unread"),
-		store: store,
+		Deps:     deps.WithPart("unread"),
+		store:    store,
+		interval: interval,
 	}
 }
 
@@ -134,9 +134,10 @@
 }
 
 func (u *Unread) pause() time.Duration {
+	interval := u.interval()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return unreadInterval - u.Now().Sub(u.beganAt)
+	return interval - u.Now().Sub(u.beganAt)
 }
 
 // begin returns the read that is to begin, and the position after which changes are read.
--- a/internal/root/relay/news.go
+++ b/internal/root/relay/news.go
@@ -3,12 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
 )
 
+const (
+	// newsRate is the rate at which all hosts together read the news of a table at the most, in calls per second, as far as maxNewsInterval allows: callers wait for it.
+	newsRate        = 1000
+	minNewsInterval = 50 * time.Millisecond
+	maxNewsInterval = 250 * time.Millisecond
+)
+
 // news reads from the store what this host has not applied yet of the tables on which conclusions about streams rest.
 type news struct {
 	upstreams, configurations, hosts *follow.Unread
@@ -18,11 +26,15 @@
 	configKey string
 }
 
-func newNews(deps common.Deps, a Adapter, view *follow.Upstreams) *news {
+// newNews returns the news of the store, for a host of which so many exist.
+func newNews(deps common.Deps, a Adapter, view *follow.Upstreams, hostCount func() int) *news {
+	interval := func() time.Duration {
+		return min(maxNewsInterval, max(minNewsInterval, time.Duration(hostCount())*time.Second/newsRate))
+	}
 	return &news{
-		upstreams:      follow.NewUnread(deps, a.Upstreams),
-		configurations: follow.NewUnread(deps, a.Configurations),
-		hosts:          follow.NewUnread(deps, a.Hosts),
+		upstreams:      follow.NewUnread(deps, a.Upstreams, interval),
+		configurations: follow.NewUnread(deps, a.Configurations, interval),
+		hosts:          follow.NewUnread(deps, a.Hosts, interval),
 		view:           view,
 		decode:         a.Upstream,
 		configKey:      a.ConfigKey,
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -187,7 +187,7 @@
 	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync)
 	r.upstreams = follow.NewUpstreams(deps, a.Upstream, s.Upstreams.Forget.D(), r.sync)
 	r.upstreams.OnPassed(func() { r.history.Interrupt(deps.Now()) })
-	r.news = newNews(deps, a, r.upstreams)
+	r.news = newNews(deps, a, r.upstreams, func() int { return r.roster.Count() })
 	r.orders = follow.NewEvacuations(deps, a.Evacuation, r.sync)
 	r.places = newPlaces(deps, domainsOf(s), r.orders)
 	r.roster = hosts.NewRoster(deps, r.localHost())
