--- a/internal/root/relay/flow/resume.go
+++ b/internal/root/relay/flow/resume.go
@@ -37,7 +37,7 @@
 	return x.route.Resumable && x.position.lastID != "" && x.origin.Upstream.Name != ""
 }
 
-// findOrigin finds out where the stream began that the caller resumes, and after which event it resumes it. On routes that are not resumable each request begins a stream, whatever Last-Event-Id says. It sends an error response and returns false if that can't be learned.
+// findOrigin finds out where the stream began that the caller resumes, and after which event it resumes it. Where it may have begun depends on the configuration, so what was concluded counts for the one of the request alone. On routes that are not resumable each request begins a stream, whatever Last-Event-Id says. It sends an error response and returns false if that can't be learned.
 func (x *exchange) findOrigin() bool {
 	if !x.resumes() {
 		return true
@@ -49,7 +49,7 @@
 		Named: x.requestHead.Resumes != "",
 		Scope: x.streamScope(),
 	})
-	if !ok || !x.isCertain(o) {
+	if !ok || !x.isCertain(o) || (o.IsConcluded() && x.Plans.Current() != x.plan) {
 		x.abandon(CauseOriginUnknown, "software version that began the stream is not known", beginAgainRetryAfter)
 		return false
 	}
--- a/internal/root/relay/origin/origin.go
+++ b/internal/root/relay/origin/origin.go
@@ -61,6 +61,11 @@
 	return o.Version != "" && o.Version != UnknownVersion
 }
 
+// IsConcluded reports whether o was concluded from the versions of pools, so that the upstream is not known.
+func (o Origin) IsConcluded() bool {
+	return o.Upstream.Name == ""
+}
+
 // matches reports whether both describe the same pool and version.
 func (o Origin) matches(other Origin) bool {
 	return o.Pool == other.Pool && o.Version == other.Version
