--- a/internal/root/relay/hosts/lookup.go
+++ b/internal/root/relay/hosts/lookup.go
@@ -140,10 +140,11 @@
 	return *s.news, s.newsErr
 }
 
-// changed reports whether a host has seen the pool change within a stream's lifetime.
+// changed reports whether a host has seen the pool change within a stream's lifetime, or this one has just found that an upstream has passed unseen, which others may not have read yet.
 func (s *search) changed(ctx context.Context, pool string) bool {
-	since, changed := s.history.SinceChange(s.Now(), pool)
-	return s.asked(ctx, pool).changed || (changed && since < s.Scope.Lifetime)
+	now := s.Now()
+	since, changed := s.history.SinceChange(now, pool)
+	return s.asked(ctx, pool).changed || (changed && since < s.Scope.Lifetime) || s.history.Interrupted(now)
 }
 
 // previousVersion returns the version that the pool had before others came beside it, or "" if a stream that neither the hosts that were asked nor the store know may have begun later. A host may have begun it that could tell nobody and is gone, or was not asked yet. That a stream without a name is not known tells nothing.
--- a/internal/root/relay/hosts/origins_test.go
+++ b/internal/root/relay/hosts/origins_test.go
@@ -801,3 +801,22 @@
 		}
 	})
 }
+
+// Guards against a stream that goes on by what others read before an upstream passed of which this host knows (issue 57, rule ORDER).
+func TestUnknownStreamIsRefusedWhereAnUpstreamHasJustPassedUnseen(t *testing.T) {
+	Convey("Given hosts that have seen one version for a stream's lifetime", t, func() {
+		c := newOriginCluster(t, 3)
+		for i := range c.origins {
+			c.follow(i, streamLifetime, []string{"v1"}, []string{"v1"})
+		}
+		version, ok := c.find(0, 7)
+		So(version, ShouldEqual, "v1")
+		So(ok, ShouldBeTrue)
+		Convey("a host that alone has read of an upstream that has gone, and not what version it had, concludes none", func() {
+			c.histories[0].Interrupt(time.Now())
+			version, ok := c.find(0, 7)
+			So(version, ShouldBeEmpty)
+			So(ok, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/root/relay/origin/history.go
+++ b/internal/root/relay/origin/history.go
@@ -80,6 +80,8 @@
 	// confirmedAt is the start of the last successful call for changes of the upstreams, and followedSince that of the first one since when none was missed.
 	confirmedAt   time.Time
 	followedSince time.Time
+	// interruptedAt is when an upstream was last found to have come and gone, or zero.
+	interruptedAt time.Time
 }
 
 // NewHistory returns an empty history.
@@ -108,10 +110,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.followedSince.IsZero() {
+		h.interruptedAt = at
 		h.beginAnew(at)
 	}
 }
 
+// Interrupted reports whether an upstream was found to have come and gone so short a time ago that others may still state what they read before.
+func (h *History) Interrupted(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.interruptedAt.IsZero() && now.Sub(h.interruptedAt) <= maxAge
+}
+
 // beginAnew begins the history anew, as something may have been missed before the given time. The caller holds the lock.
 func (h *History) beginAnew(at time.Time) {
 	h.followedSince = at
