--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -87,6 +87,13 @@
 	return m.hasSeen(name)
 }
 
+// MayLackStarts reports whether rows were read so long ago that an upstream may have started and gone since, also under the name of another one.
+func (m *Upstreams) MayLackStarts() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.confirmedAt.IsZero() && m.Now().Sub(m.confirmedAt) > registrationTime
+}
+
 // hasSeen is HasSeen. The caller holds the lock.
 func (m *Upstreams) hasSeen(name string) bool {
 	_, known := m.ups[name]
--- a/internal/root/relay/news.go
+++ b/internal/root/relay/news.go
@@ -70,9 +70,11 @@
 	return out, nil
 }
 
-// ofUpstreams returns what rows of upstreams say that this host has not applied. Rows that can't be read name no upstream to use.
+// ofUpstreams returns what rows of upstreams say that this host has not applied. Rows that can't be read name no upstream to use. A row shows only the last start under its name.
 func (n *news) ofUpstreams(rows []follow.Row) origin.News {
-	var out origin.News
+	out := origin.News{
+		Passed: len(rows) > 0 && n.view.MayLackStarts(),
+	}
 	for _, r := range rows {
 		if r.Deleted {
 			out.Passed = out.Passed || !n.view.HasSeen(r.Key)
--- a/internal/root/relay/news_test.go
+++ b/internal/root/relay/news_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -43,3 +44,34 @@
 		}
 	})
 }
+
+// Guards against a stream that goes on at the version of a row, although the upstream has started at another one and gone since the row was read (issue 57, rule ORDER).
+func TestNewsOfALongTimeMayHideAStart(t *testing.T) {
+	cases := []struct {
+		name   string
+		age    time.Duration
+		rows   []follow.Row
+		passed bool
+	}{
+		{name: "a known upstream has gone", age: 2 * time.Second, rows: []follow.Row{{Key: "a", Deleted: true}}},
+		{name: "a known upstream has gone, read long ago", age: 4 * time.Second, rows: []follow.Row{{Key: "a", Deleted: true}}, passed: true},
+		{name: "a known upstream has started again, read long ago", age: 4 * time.Second, rows: []follow.Row{{Key: "a"}}, passed: true},
+		{name: "nothing has changed, read long ago", age: 4 * time.Second},
+	}
+	decode := func(key string, _ []byte) (route.Upstream, error) {
+		return route.Upstream{Name: key, Addr: "10.0.0.1:1", Pool: "p", Version: "v1"}, nil
+	}
+	Convey("Given a host that has applied an upstream a", t, func() {
+		for _, c := range cases {
+			view := follow.NewUpstreams(common.NewQuietDeps("host-1", "d"), decode, 1, func() {})
+			view.Reset([]follow.Row{{Key: "a"}})
+			view.Confirm(time.Now().Add(-c.age))
+			n := &news{
+				view:   view,
+				decode: decode,
+			}
+			So(c.name, ShouldNotBeEmpty)
+			So(n.ofUpstreams(c.rows).Passed, ShouldEqual, c.passed)
+		}
+	})
+}
