--- a/internal/root/relay/backup/backup.go
+++ b/internal/root/relay/backup/backup.go
@@ -9,6 +9,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/crash/blame"
 	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 	"github.com/cornelwing/cornelwing/internal/root/relay/origin"
+	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 )
 
 const (
@@ -65,15 +66,18 @@
 	// stopped is closed once Run ends.
 	stopped chan struct{}
 	reader  *reader
-	// written holds the versions that were written last, at writtenAt. Both belong to Run, like cleanedAt.
-	written   map[string]string
-	writtenAt time.Time
-	cleanedAt time.Time
+	// written holds the versions that were written last, with writtenRoutes, at writtenAt. All belong to Run, like cleanedAt.
+	written       map[string]string
+	writtenRoutes [plan.DigestCount]plan.RouteDigest
+	writtenAt     time.Time
+	cleanedAt     time.Time
 	// failing reports that the last write failed. It belongs to Run.
 	failing bool
 	// rowsWritten counts the rows with streams since this process started.
 	rowsWritten int
 
+	// routes is what the rows of versions also tell of routes.
+	routes Routes
 	// onCrashes is called with what the store holds of crashes, each time that it is read.
 	onCrashes func(u blame.Update)
 	// onSettled is called with the settled era that the store states, each time that it is read.
@@ -102,6 +106,7 @@
 		wake:      make(chan struct{}, 1),
 		stopped:   make(chan struct{}),
 		reader:    newReader(),
+		routes:    &plan.Moves{},
 		onCrashes: func(blame.Update) {},
 		onSettled: func(string) {},
 	}
--- a/internal/root/relay/backup/reader.go
+++ b/internal/root/relay/backup/reader.go
@@ -281,6 +281,7 @@
 		return fmt.Errorf("check row: %w", ErrInvalidRow)
 	}
 	b.onSettled(row.SettledEra)
+	b.addRoutes(row.Routes, nowMS)
 	for pool, v := range row.Pools {
 		b.history.AddEarlier(pool, origin.Period{
 			Version: v.Version,
--- a/internal/root/relay/backup/rows.go
+++ b/internal/root/relay/backup/rows.go
@@ -72,12 +72,20 @@
 	SinceMS int64  `json:"since_ms"`
 }
 
+// routeDigest is a digest of the pools of routes, which has been the same since a time of the store's clock in milliseconds.
+type routeDigest struct {
+	Digest  uint32 `json:"digest"`
+	SinceMS int64  `json:"since_ms"`
+}
+
 // versionsRow is the row with the versions of all pools at a time of the store's clock, in milliseconds.
 type versionsRow struct {
 	AtMS  int64                  `json:"at_ms"`
 	Pools map[string]poolVersion `json:"pools"`
 	// SettledEra is the era of the store in which the operator has had the time to write its configuration again, or "".
 	SettledEra string `json:"settled_era,omitempty"`
+	// Routes are the digests of the routes with resumable streams. A host of an older build writes none.
+	Routes []routeDigest `json:"routes,omitempty"`
 }
 
 // UnmarshalJSON decodes the row and checks its times.
@@ -92,6 +100,11 @@
 			return fmt.Errorf("check versions: %w", ErrInvalidRow)
 		}
 	}
+	for _, d := range p.Routes {
+		if d.SinceMS > p.AtMS {
+			return fmt.Errorf("check routes: %w", ErrInvalidRow)
+		}
+	}
 	*r = versionsRow(p)
 	return nil
 }
--- a/internal/root/relay/flow/resume.go
+++ b/internal/root/relay/flow/resume.go
@@ -49,7 +49,7 @@
 		Named: x.requestHead.Resumes != "",
 		Scope: x.streamScope(),
 	})
-	if !ok || !x.isCertain(o) || (o.IsConcluded() && x.Plans.Current() != x.plan) {
+	if !ok || !x.isCertain(o) || (o.IsConcluded() && !x.knowsScope()) {
 		x.abandon(CauseOriginUnknown, "software version that began the stream is not known", beginAgainRetryAfter)
 		return false
 	}
@@ -62,6 +62,11 @@
 	return true
 }
 
+// knowsScope reports whether streamScope is known to have every pool in which a stream may have begun.
+func (x *exchange) knowsScope() bool {
+	return x.Plans.Current() == x.plan && x.Moves.KnowsSince(x.route, x.Now().Add(-x.streamLifetime()))
+}
+
 // streamScope returns where a stream of the route may have begun that a caller may still resume, beginning with the pool of the request.
 func (x *exchange) streamScope() origin.Scope {
 	lifetime := x.streamLifetime()
--- a/internal/root/relay/plan/moves.go
+++ b/internal/root/relay/plan/moves.go
@@ -20,6 +20,8 @@
 	current *Plan
 	// leftAt holds when requests were last sent to a pool that the route does not name any more.
 	leftAt map[routeKey]map[string]time.Time
+	// followed is what is known of earlier plans that this host has not had.
+	followed followed
 }
 
 // Update records the active plan, and returns the routes with resumable streams that have other pools than before.
@@ -34,6 +36,7 @@
 		moves = movesBetween(m.current, p)
 	}
 	m.current = p
+	m.followed.update(now, p)
 	m.prune(now)
 	for _, move := range moves {
 		m.add(now, move)
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -205,6 +205,7 @@
 	r.dispatcher.OnLeaving(r.upstreams.MarkLeaving)
 	r.dispatcher.OnReleased(r.peers.Release)
 	r.backup = backup.New(deps, a.Backups, r.history, grant.SinceBoot, func() bool { return r.roster.IsWriter(backupRank) })
+	r.backup.UseRoutes(r.moves)
 	r.writers = hosts.NewWriters(deps, r.peers, backupRank, r.backup.CanWrite)
 	r.tunnels = hosts.NewTunnels(deps, r.peers, dialer)
 	r.tables = hosts.NewTables(deps, r.peers, a.Eras, grant.SinceBoot, hosts.WithSharedReads(s.Store.SharedReads))
