--- a/internal/root/relay/follow/feed.go
+++ b/internal/root/relay/follow/feed.go
@@ -70,6 +70,8 @@
 	// sinkEra is the era of the rows that the sink has.
 	sinkEra  Era
 	failures int
+	// random is what pauses are drawn from.
+	random *rand.Rand
 	// lastSuccess is the time of the last successful response.
 	lastSuccess time.Time
 }
@@ -106,6 +108,13 @@
 	}
 }
 
+// WithRandom sets the source from which the feed draws its pauses. Only the feed may use it.
+func WithRandom(random *rand.Rand) Option {
+	return func(f *Feed) {
+		f.random = random
+	}
+}
+
 // NewFeed returns a component that follows the source, a table of the store whose era is tracked by eras. Each call waits up to wait for changes.
 func NewFeed(deps common.Deps, eras *Eras, name string, source Source, sink Sink, wait time.Duration, opts ...Option) *Feed {
 	f := &Feed{
@@ -120,6 +129,7 @@
 		startCall:    func() func() { return func() {} },
 		onOutage:     func() {},
 		onRecovery:   func() {},
+		random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, o := range opts {
 		o(f)
@@ -165,7 +175,7 @@
 		f.Log.WithField("table", f.name).WithField("version", f.position.Version).WithField("era", era).Info("The store was restored. Reading the whole table.")
 		f.position = Position{}
 		if pause := f.restorePause(); pause > 0 {
-			common.Sleep(ctx, rand.N(pause))
+			common.Sleep(ctx, time.Duration(f.random.Int64N(int64(pause))))
 		}
 	}
 	if !f.position.Known() {
@@ -237,5 +247,5 @@
 	}
 	pause := min(minPause<<min(f.failures, 8), maxPause)
 	f.failures++
-	return pause/2 + rand.N(pause/2)
+	return pause/2 + time.Duration(f.random.Int64N(int64(pause/2)))
 }
--- a/internal/root/relay/hosts/followers.go
+++ b/internal/root/relay/hosts/followers.go
@@ -1,6 +1,7 @@
 package hosts
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cornelwing/cornelwing/internal/root/relay/fanout"
@@ -15,7 +16,7 @@
 	self bool
 	// others are the other ones in the order in which this host asks them, those of its domain first.
 	others []Host
-	// up are all hosts that are up and usable but this one.
+	// up are all hosts that are up and usable but this one, sorted by name.
 	up []Host
 }
 
@@ -34,6 +35,7 @@
 		slices.SortFunc(domain, func(a, b *hostState) int { return compareForKey(followersKey+table, a, b) })
 		chosen = append(chosen, domain[:fanout.Followers(len(domain))]...)
 	}
+	slices.SortFunc(f.up, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(chosen, func(a, b *hostState) int { return compareForKey(r.self.Name, a, b) })
 	var near, far []Host
 	for _, s := range chosen {
--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -88,7 +88,7 @@
 		name:    name,
 		store:   store,
 		limits:  limits,
-		chooser: fanout.NewChooser(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), limits),
+		chooser: fanout.NewChooser(rand.New(rand.NewPCG(t.random.Uint64(), t.random.Uint64())), limits),
 		updated: make(chan struct{}),
 	}
 	t.byName[name] = table
--- a/internal/root/relay/hosts/tables.go
+++ b/internal/root/relay/hosts/tables.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -194,6 +195,8 @@
 	// post sends a message to another host, and returns how long the body of the response took to arrive.
 	post   func(ctx context.Context, h Host, path string, timeouts jhttp.Timeouts, body, into any) (transfer time.Duration, err error)
 	byName map[string]*Table
+	// random is the source of the seeds of the tables.
+	random *rand.Rand
 	// shared reports that hosts that are not among the few do not read the store.
 	shared bool
 }
@@ -208,6 +211,13 @@
 	}
 }
 
+// WithRandom sets the source of the seeds from which the tables draw their pauses.
+func WithRandom(random *rand.Rand) TablesOption {
+	return func(t *Tables) {
+		t.random = random
+	}
+}
+
 // NewTables returns an empty set of tables. It must be called before peers runs.
 func NewTables(deps common.Deps, peers *Peers, eras *follow.Eras, sinceBoot func() time.Duration, opts ...TablesOption) *Tables {
 	t := &Tables{
@@ -217,6 +227,7 @@
 		sinceBoot: sinceBoot,
 		post:      peers.call,
 		byName:    map[string]*Table{},
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, o := range opts {
 		o(t)
