--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -44,7 +44,9 @@
 	AgeMS   int64 `json:"age_ms"`
 	// OldestMS is the highest age that knowledge had when it was renewed, in milliseconds, and Overdue counts how often that was more than the knowledge of another host may be old.
 	OldestMS int64 `json:"oldest_ms"`
-	Overdue  int   `json:"overdue"`
+	// LongestMS is the longest time that a read took until some source answered, in milliseconds.
+	LongestMS int64 `json:"longest_ms"`
+	Overdue   int   `json:"overdue"`
 	// StoreCalls and HostCalls count the answers of the store and of other hosts, Told the answers to other hosts, Fallbacks how often this host turned to the store because no other host could tell, and GaveUp how often it could not do that either.
 	StoreCalls int `json:"store_calls"`
 	HostCalls  int `json:"host_calls"`
@@ -141,11 +143,16 @@
 	wait  time.Duration
 	// heard reports that a host is asked for what it has heard from others.
 	heard bool
+	// began is when the read began, since boot, and asked how many hosts and stores have been asked.
+	began time.Duration
+	asked int
 }
 
 // read reads from where the chooser says, until the store has answered or failed, another host has answered, or ctx is done.
 func (t *Table) read(ctx context.Context, r reading) ([]follow.Row, follow.Position, error) {
+	r.began = t.tables.sinceBoot()
 	for ctx.Err() == nil {
+		r.asked++
 		view, hosts := t.view()
 		switch a := t.next(view).(type) {
 		case fanout.AskHost:
@@ -276,24 +283,27 @@
 	t.chooser.StoreAnswered(t.tables.sinceBoot())
 	t.failing = false
 	t.setFollows(true)
-	t.noteAge("store", position)
+	t.noteAge("store", r, position)
 	t.add(r, rows, position, askedAt)
 	return rows, position, nil
 }
 
 // noteAge records how old the knowledge of the table is that a source is about to renew. The caller holds the lock.
-func (t *Table) noteAge(source string, position follow.Position) {
+func (t *Table) noteAge(source string, r reading, position follow.Position) {
 	confirmedAt, ok := t.record.ConfirmedAt()
 	if !ok {
 		return
 	}
-	age := t.tables.sinceBoot() - confirmedAt
+	now := t.tables.sinceBoot()
+	age := now - confirmedAt
+	t.counts.LongestMS = max(t.counts.LongestMS, (now - r.began).Milliseconds())
 	t.counts.OldestMS = max(t.counts.OldestMS, age.Milliseconds())
 	if age <= t.limits.MaxAge() {
 		return
 	}
 	t.counts.Overdue++
-	t.Log.WithField("table", t.name).WithField("age_ms", age.Milliseconds()).WithField("from", source).WithField("version", position.Version).Info("What this host knows of the table was overdue.")
+	t.Log.WithField("table", t.name).WithField("age_ms", age.Milliseconds()).WithField("read_ms", (now-r.began).Milliseconds()).WithField("asked", r.asked).
+		WithField("from", source).WithField("version", position.Version).Info("What this host knows of the table was overdue.")
 }
 
 // add adds rows that were read to the record, confirmed at a time since boot. The caller holds the lock.
@@ -440,7 +450,7 @@
 	if a.Truncated {
 		return nil, follow.Position{}, fmt.Errorf("hear table %s: %w", t.name, follow.ErrHistoryTruncated)
 	}
-	t.noteAge(h.Name, a.position())
+	t.noteAge(h.Name, r, a.position())
 	t.add(r, a.rows(), a.position(), confirmedAt)
 	return a.rows(), a.position(), nil
 }
