--- a/internal/root/relay/fanout/chooser.go
+++ b/internal/root/relay/fanout/chooser.go
@@ -30,6 +30,12 @@
 	// probeRate is the rate at which all hosts together try the store while those that follow it say that it fails, in calls per second, and minProbePause the shortest pause of a host between two of them.
 	probeRate     = 15
 	minProbePause = time.Second
+	// hedgePause is the mean time between two questions while what this host knows is late.
+	hedgePause = 150 * time.Millisecond
+	// minTurnPause is the longest pause before the store is asked if what is known is late already, so that hosts do not ask at the same moment.
+	minTurnPause = 100 * time.Millisecond
+	// newsGrace is how long after rows from another host the store is not asked for their age.
+	newsGrace = 500 * time.Millisecond
 	// fallbackTerm is how long a host reads the store at the least after it turned to it. A random part of the same time is added.
 	fallbackTerm = 2 * time.Second
 )
@@ -50,6 +56,8 @@
 type AskStore struct {
 	After time.Duration
 	Probe bool
+	// Due is set if the store is asked because what is known is about to become too old.
+	Due bool
 }
 
 // GiveUp does not read the table for now: the hosts that follow it say that the store fails, and this host has tried it itself not long ago.
@@ -105,6 +113,11 @@
 	Candidates, Others []string
 	// Hosts is the number of all hosts.
 	Hosts int
+	// ConfirmedAt is when the store confirmed what this host knows, since boot, if Confirmed is set.
+	ConfirmedAt time.Duration
+	Confirmed   bool
+	// Calling reports that a call to the store is on its way, and Arriving that an answer of another host has begun to arrive.
+	Calling, Arriving bool
 }
 
 // HasHearers reports whether some host reads the table from others.
@@ -139,14 +152,25 @@
 	turning, storeFailed bool
 	// fallbacks counts how often this host has turned to the store.
 	fallbacks int
+	// pending holds the hosts whose answer is still awaited, by name.
+	pending map[string]bool
+	// triedAt is when this host last turned to the store, or 0.
+	triedAt time.Duration
+	// slowUntil is until when the store is not asked for the age of what is known, as it took long to answer.
+	slowUntil time.Duration
+	// newsAt is when another host last told rows.
+	newsAt time.Duration
+	// earlier is by how much this host asks the store before the time by which it must, if what it knows was confirmed at earlierFor.
+	earlier, earlierFor time.Duration
 }
 
 // NewChooser returns a chooser that draws its pauses from random and keeps to the limits.
 func NewChooser(random *rand.Rand, limits Limits) *Chooser {
 	return &Chooser{
-		random: random,
-		limits: limits,
-		failed: map[string]failed{},
+		random:  random,
+		limits:  limits,
+		failed:  map[string]failed{},
+		pending: map[string]bool{},
 	}
 }
 
@@ -157,6 +181,9 @@
 		c.startRound()
 		return AskStore{}
 	}
+	if c.isDue(now, v) {
+		return c.turn(now)
+	}
 	if !c.triedEnough(now, v) {
 		reading, reads := c.reading(now, v)
 		name, ok := c.candidate(now, v)
@@ -173,6 +200,79 @@
 	return c.fallBack(now, v)
 }
 
+// Meanwhile returns whom to ask as well while answers are awaited although what this host knows is late, or GiveUp if there is nobody.
+func (c *Chooser) Meanwhile(now time.Duration, v View) Action {
+	if c.isDue(now, v) {
+		return c.turn(now)
+	}
+	if name, ok := c.candidate(now, v); ok {
+		return AskHost{
+			Name:  name,
+			Brief: true,
+		}
+	}
+	if v.Calling || c.storeFailed {
+		if name, ok := c.other(now, v); ok {
+			return AskHost{
+				Name:  name,
+				Heard: true,
+			}
+		}
+	}
+	return GiveUp{}
+}
+
+// NextStep returns when Meanwhile is to be called if nothing is answered from now on, or false if there is no time limit.
+func (c *Chooser) NextStep(now time.Duration, v View) (time.Duration, bool) {
+	if !v.Confirmed {
+		return 0, false
+	}
+	at := max(v.ConfirmedAt+c.limits.LateAge(), c.newsAt+newsGrace/2, now+hedgePause/2+c.within(hedgePause))
+	if turnAt := c.turnAt(v); turnAt > now && !v.Calling {
+		at = min(at, turnAt)
+	}
+	return at, true
+}
+
+// turnAt returns when this host asks the store at the latest, whatever the others say.
+func (c *Chooser) turnAt(v View) time.Duration {
+	if c.earlierFor != v.ConfirmedAt {
+		c.earlierFor = v.ConfirmedAt
+		c.earlier = c.within(min(c.limits.turnSpread(), perHost(v.Hosts, fallbackRate)))
+	}
+	return max(v.ConfirmedAt+c.limits.TurnAge()-c.earlier, c.newsAt+newsGrace)
+}
+
+// isDue reports whether the store is to be asked whatever the others say. It is not if it is known to fail, or while a host that reads the table is receiving many rows from it.
+func (c *Chooser) isDue(now time.Duration, v View) bool {
+	if !v.Confirmed || v.Calling || v.Arriving || now < max(c.turnAt(v), c.slowUntil) {
+		return false
+	}
+	if c.failedNow(now, v) {
+		return false
+	}
+	_, reads := c.reading(now, v)
+	return !reads
+}
+
+// turn returns that the store is asked at once, as what is known is about to become too old.
+func (c *Chooser) turn(now time.Duration) Action {
+	c.startRound()
+	c.noteTurn(now)
+	return AskStore{
+		Probe: true,
+		Due:   true,
+	}
+}
+
+// noteTurn records that this host turns to the store.
+func (c *Chooser) noteTurn(now time.Duration) {
+	c.fallbacks++
+	c.turning = true
+	c.triedAt = now
+	c.nextProbe = now + c.within(c.probePause()) + minProbePause/2
+}
+
 // startRound forgets what was asked, as some source has answered, or a pause follows.
 func (c *Chooser) startRound() {
 	c.failures = 0
@@ -216,7 +316,7 @@
 
 func (c *Chooser) avoids(now time.Duration, name string) bool {
 	f, ok := c.failed[name]
-	return ok && now < f.until
+	return c.pending[name] || (ok && now < f.until)
 }
 
 // fallBack returns how to read the table if no candidate tells of it. Once this host has failed to read the store as well, any other host is asked first, since one for which the store is back may have told it.
@@ -232,17 +332,20 @@
 		}
 	}
 	c.startRound()
-	if probe && now < c.nextProbe {
+	if v.Calling || (probe && now < c.nextProbe) {
 		return GiveUp{
 			Until:   c.nextProbe,
 			Unasked: c.unasked(now, v),
 		}
 	}
-	c.fallbacks++
-	c.turning = true
-	c.nextProbe = now + c.within(c.probePause()) + minProbePause/2
+	c.noteTurn(now)
+	pause := c.within(min(maxFallbackPause, perHost(v.Hosts, fallbackRate)))
+	if v.Confirmed {
+		pause = min(pause, max(minTurnPause, c.turnAt(v)-now))
+	}
+	c.triedAt = now + pause
 	return AskStore{
-		After: c.within(min(maxFallbackPause, perHost(v.Hosts, fallbackRate))),
+		After: pause,
 		Probe: probe,
 	}
 }
@@ -269,6 +372,18 @@
 	})
 }
 
+// failedNow reports whether this host's last call to the store failed, and that was not long ago or a candidate has said since that the store fails.
+func (c *Chooser) failedNow(now time.Duration, v View) bool {
+	since := now - c.limits.memory()
+	if !c.storeFailed || c.triedAt > since {
+		return c.storeFailed
+	}
+	return slices.ContainsFunc(v.Candidates, func(name string) bool {
+		f := c.failed[name]
+		return f.failure == Stale && f.at > max(0, since)
+	})
+}
+
 // unasked returns the number of candidates that have not failed just now.
 func (c *Chooser) unasked(now time.Duration, v View) int {
 	n := 0
@@ -309,15 +424,35 @@
 	return time.Duration(c.random.Int64N(int64(d) + 1))
 }
 
+// Asked records that the answer of a host is awaited.
+func (c *Chooser) Asked(name string) {
+	c.pending[name] = true
+}
+
+// Passed records that the answer of a host is no longer needed, and why it could not tell news, or nil if it did or is no longer asked.
+func (c *Chooser) Passed(now time.Duration, name string, f *Failure) {
+	delete(c.pending, name)
+	if f != nil {
+		c.remember(now, name, *f)
+	}
+}
+
 // Answered records that a host told what it has read from the store.
 func (c *Chooser) Answered(name string) {
 	delete(c.failed, name)
+	delete(c.pending, name)
 	c.succeed()
 }
 
+// News records that another host told rows. If they took long to arrive it has to confirm them first.
+func (c *Chooser) News(now time.Duration) {
+	c.newsAt = now
+}
+
 // Heard records that a host told what it has heard. The store may still fail for all candidates.
 func (c *Chooser) Heard(name string) {
 	delete(c.failed, name)
+	delete(c.pending, name)
 	c.startRound()
 }
 
@@ -333,6 +468,7 @@
 
 // Reads records that a host answered, but is reading many rows from the store that it cannot tell yet. Others may have read them sooner, and are asked first.
 func (c *Chooser) Reads(now time.Duration, name string) {
+	delete(c.pending, name)
 	c.succeed()
 	c.failed[name] = failed{
 		failure: Reading,
@@ -342,6 +478,16 @@
 
 // Failed records that a host could not tell news.
 func (c *Chooser) Failed(now time.Duration, name string, f Failure) {
+	delete(c.pending, name)
+	c.remember(now, name, f)
+	if f == Silent {
+		c.silences++
+	}
+	c.failures++
+}
+
+// remember records why a host is not asked for a while.
+func (c *Chooser) remember(now time.Duration, name string, f Failure) {
 	next := failed{
 		failure: f,
 		at:      now,
@@ -349,20 +495,21 @@
 	}
 	if f == Silent {
 		next.silences = c.failed[name].silences + 1
-		c.silences++
 	}
 	if next.silences >= maxSilences {
 		next.until = now + passedOverPause
 	}
 	c.failed[name] = next
-	c.failures++
 }
 
-// StoreAnswered records that the store answered, so that it may be tried again at any time. A host that turned to it although it is no follower goes on reading it for a while.
+// StoreAnswered records that the store answered, so that it may be tried again at any time. A host that turned to it although it is no follower goes on reading it for a while, unless the call took long: then others have its answers as soon.
 func (c *Chooser) StoreAnswered(now time.Duration) {
 	c.nextProbe = 0
 	c.succeed()
-	if c.turning {
+	switch {
+	case c.turning && now-c.triedAt > c.limits.slowCall():
+		c.slowUntil = now + minProbePause + c.within(c.probePause())
+	case c.turning:
 		c.storeUntil = now + fallbackTerm + c.within(fallbackTerm)
 	}
 	c.turning = false
@@ -375,10 +522,16 @@
 	c.storeFailed = true
 }
 
+// StoreLeft records that a call to the store was ended before it was answered, as another host has told the rows.
+func (c *Chooser) StoreLeft() {
+	c.turning = false
+	c.nextProbe = min(c.nextProbe, c.triedAt+c.limits.memory())
+}
+
 // PassesOver reports whether the host is not to be counted among the followers, since it did not answer or does not know the question. The next one in rank takes its place. A host for which the store fails keeps its place, as the store may fail for all.
 func (c *Chooser) PassesOver(now time.Duration, name string) bool {
 	f := c.failed[name]
-	return c.avoids(now, name) && (f.silences >= maxSilences || f.failure == OtherBuild)
+	return now < f.until && (f.silences >= maxSilences || f.failure == OtherBuild)
 }
 
 // Fallbacks returns how often this host has turned to the store because no other host told news.
--- a/internal/root/relay/hosts/forward.go
+++ b/internal/root/relay/hosts/forward.go
@@ -11,6 +11,7 @@
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/jhttp"
 	"github.com/cornelwing/cornelwing/internal/root/relay/batch"
+	"github.com/cornelwing/cornelwing/internal/root/relay/follow"
 )
 
 // errUnknownPath reports a host of an older build, which does not know the path of the call.
@@ -212,11 +213,12 @@
 // call is post with limits of its progress. It returns how long the body of the response took to arrive.
 func (p *Peers) call(ctx context.Context, h Host, path string, timeouts jhttp.Timeouts, body, into any) (transfer time.Duration, err error) {
 	resp, err := jhttp.Do(ctx, p.calls, jhttp.Call{
-		Method:   http.MethodPost,
-		URL:      "http://" + h.Addr + path,
-		Body:     body,
-		Limit:    maxResponse,
-		Timeouts: timeouts,
+		Method:     http.MethodPost,
+		URL:        "http://" + h.Addr + path,
+		Body:       body,
+		Limit:      maxResponse,
+		Timeouts:   timeouts,
+		OnProgress: follow.ProgressOf(ctx),
 	})
 	if err != nil {
 		return 0, fmt.Errorf("call host %s: %w", h.Name, err)
--- a/internal/root/relay/hosts/tables.go
+++ b/internal/root/relay/hosts/tables.go
@@ -54,6 +54,8 @@
 	AgeMS *int64 `json:"age_ms,omitempty"`
 	// Heard asks for what the host knows from whomever, at once, if the store has confirmed it more recently than what the asking host knows.
 	Heard bool `json:"heard,omitempty"`
+	// Late reports that what the host knows should have been renewed by now, so that it wants to know at once if the other one is reading many rows. A host of an older build does not state it.
+	Late bool `json:"late,omitempty"`
 	// Parcels reports that the host that asks understands parcels, and From is its name. A host of an older build states neither.
 	Parcels bool   `json:"parcels,omitempty"`
 	From    string `json:"from,omitempty"`
--- a/internal/root/relay/hosts/tell.go
+++ b/internal/root/relay/hosts/tell.go
@@ -85,9 +85,9 @@
 	return a, ready, l.updated
 }
 
-// readsSinceAsked reports whether this host has begun to read many rows since the question arrived, and the other host may want to ask others meanwhile.
+// readsSinceAsked reports whether this host has begun to read many rows since the question arrived, and the other host may want to ask others meanwhile. What a host knows that asks late may have been old when that began.
 func (l listener) readsSinceAsked() bool {
-	return l.question.Parcels && l.transfer.long && l.transfer.longSince >= l.arrivedAt
+	return l.question.Parcels && l.transfer.long && (l.question.Late || l.transfer.longSince >= l.arrivedAt)
 }
 
 // heard returns what this host knows, from whomever, if the store has confirmed it more recently than what the other host knows.
