--- a/internal/root/relay/hosts/flights.go
+++ b/internal/root/relay/hosts/flights.go
@@ -29,7 +29,7 @@
 	position follow.Position
 }
 
-// flights are the questions of one read whose answers are awaited. Only mu, over and left are shared with the goroutines that await them.
+// flights are the questions of one read whose answers are awaited. What follows mu is shared with the goroutines that await them.
 type flights struct {
 	table  *Table
 	landed chan landing
--- a/internal/root/relay/hosts/table.go
+++ b/internal/root/relay/hosts/table.go
@@ -168,7 +168,9 @@
 				f.askHost(hosts[a.Name], r.ofHost(a, f.running > 0))
 			}
 		case fanout.AskStore:
-			f.callStore(a.After, t.ofStore(r, a, view))
+			if !f.calling {
+				f.callStore(a.After, t.ofStore(r, a, view))
+			}
 		case fanout.GiveUp:
 			if f.running == 0 {
 				t.noteGiveUp(view, a)
@@ -275,6 +277,7 @@
 		}, nil
 	}
 	now := t.tables.sinceBoot()
+	arriving := f.arrives()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.tables.peers.roster.followers(t.name, func(name string) bool { return !t.chooser.PassesOver(now, name) })
@@ -282,7 +285,7 @@
 		Follower: known.self,
 		Hosts:    t.tables.peers.roster.Count(),
 		Calling:  f.calling,
-		Arriving: f.arrives(),
+		Arriving: arriving,
 	}
 	view.ConfirmedAt, view.Confirmed = t.record.ConfirmedAt()
 	byName := make(map[string]Host, len(known.up))
