--- a/internal/root/relay/hosts/tables.go
+++ b/internal/root/relay/hosts/tables.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -53,6 +54,8 @@
 	AgeMS *int64 `json:"age_ms,omitempty"`
 	// Heard asks for what the host knows from whomever, at once, if the store has confirmed it more recently than what the asking host knows.
 	Heard bool `json:"heard,omitempty"`
+	// Late reports that what the host knows should have been renewed by now, so that it wants to know at once if the other one is reading many rows. A host of an older build does not state it.
+	Late bool `json:"late,omitempty"`
 	// Parcels reports that the host that asks understands parcels, and From is its name. A host of an older build states neither.
 	Parcels bool   `json:"parcels,omitempty"`
 	From    string `json:"from,omitempty"`
@@ -194,6 +197,8 @@
 	// post sends a message to another host, and returns how long the body of the response took to arrive.
 	post   func(ctx context.Context, h Host, path string, timeouts jhttp.Timeouts, body, into any) (transfer time.Duration, err error)
 	byName map[string]*Table
+	// random is the source of the seeds of the tables.
+	random *rand.Rand
 	// shared reports that hosts that are not among the few do not read the store.
 	shared bool
 }
@@ -208,6 +213,13 @@
 	}
 }
 
+// WithRandom sets the source of the seeds from which the tables draw their pauses.
+func WithRandom(random *rand.Rand) TablesOption {
+	return func(t *Tables) {
+		t.random = random
+	}
+}
+
 // NewTables returns an empty set of tables. It must be called before peers runs.
 func NewTables(deps common.Deps, peers *Peers, eras *follow.Eras, sinceBoot func() time.Duration, opts ...TablesOption) *Tables {
 	t := &Tables{
@@ -217,6 +229,7 @@
 		sinceBoot: sinceBoot,
 		post:      peers.call,
 		byName:    map[string]*Table{},
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, o := range opts {
 		o(t)
