--- a/internal/root/relay/hosts/tell.go
+++ b/internal/root/relay/hosts/tell.go
@@ -29,7 +29,7 @@
 	defer timer.Stop()
 	for {
 		a, ready, updated := l.answer()
-		if ready || (following && a.State == tableNotFollowed && !t.followed()) {
+		if ready || wait <= 0 || (following && a.State == tableNotFollowed && !t.followed()) {
 			return a
 		}
 		select {
