--- a/internal/root/relay/follow/restarted_test.go
+++ b/internal/root/relay/follow/restarted_test.go
@@ -41,6 +41,7 @@
 		Convey("and after a third start with the first version", func() {
 			now = now.Add(time.Second)
 			ups.put(row(3, "v1"))
+			So(ups.MayHaveRestarted(row(3, "v1").Incarnation(), "v1", now.Add(-time.Second/2)), ShouldBeFalse)
 			So(ups.MayHaveRestarted(began, "v1", sentAt), ShouldBeTrue)
 			So(ups.MayHaveRestarted(began, "v1", sentAt.Add(-sinceSent)), ShouldBeFalse)
 		})
--- a/internal/root/relay/hosts/origins_test.go
+++ b/internal/root/relay/hosts/origins_test.go
@@ -682,6 +682,7 @@
 		{name: "an upstream has come that states no version", play: func(c *originCluster) { c.news.Upstreams = versioned([]string{""}) }},
 		{name: "an upstream has come and gone", play: func(c *originCluster) { c.news.Passed = true }},
 		{name: "there is another configuration", play: func(c *originCluster) { c.news.Configured = true }},
+		{name: "a stream of another version that began within its lifetime", play: func(c *originCluster) { c.store.Save(8, testOrigin("v2"), time.Minute) }},
 		{name: "they can't be read", play: func(c *originCluster) { c.newsErr = errors.New("down") }},
 		{name: "they can't be read, with two versions", mixed: true, play: func(c *originCluster) { c.newsErr = errors.New("down") }},
 		{name: "there is another host, which may have begun it at the second version", mixed: true, play: func(c *originCluster) { c.newHosts = true }},
--- a/internal/root/relay/origin/ledger_test.go
+++ b/internal/root/relay/origin/ledger_test.go
@@ -126,6 +126,30 @@
 	return found == known && o.Known() == sure && (!sure || n.versions[o.Version])
 }
 
+// Guards against streams that are refused after a loss of all hosts because an upstream was slow to say when it started.
+func TestOnlyStreamsAtProcessesThatAnsweredShowAnotherVersion(t *testing.T) {
+	cases := []struct {
+		name  string
+		begun Origin
+		other bool
+	}{
+		{name: "the same version", begun: originAt("v1")},
+		{name: "another version", begun: originAt("v2"), other: true},
+		{name: "an unknown version, of another process than that of the row", begun: originAt(UnknownVersion), other: true},
+		{name: "an unknown version, of a process that did not answer", begun: Origin{Pool: "p", Version: UnknownVersion, Upstream: originAt("v1").Upstream, Unanswered: true}},
+	}
+	Convey("A ledger with a stream", t, func() {
+		now := time.Unix(100, 0)
+		for _, c := range cases {
+			l := NewLedger()
+			c.begun.SentAt = now
+			l.Add(now, 7, c.begun, time.Minute)
+			So(c.name, ShouldNotBeEmpty)
+			So(l.BeganAtOther("p", "v1", now.Add(-time.Second), now.Add(time.Second)), ShouldEqual, c.other)
+		}
+	})
+}
+
 func TestOriginChecksItselfWhenDecoded(t *testing.T) {
 	texts := []struct {
 		text  string
