--- a/internal/root/relay/origin/history_test.go
+++ b/internal/root/relay/origin/history_test.go
@@ -242,6 +242,17 @@
 			s, _ := h.Sole(now, "p")
 			So(s, ShouldResemble, Sole{})
 		})
+		Convey("nor does one that found a process of an unknown version, which may have come earlier", func() {
+			h := NewHistory()
+			h.Sync(now.Add(-2*time.Second), upstreams("v1"))
+			h.Confirm(now)
+			So(h.Sync(now, upstreams("v1", "")), ShouldResemble, []string{"p"})
+			s, _ := h.Sole(now, "p")
+			So(s, ShouldResemble, Sole{})
+			So(h.Sync(now, upstreams("v1", "v2")), ShouldBeEmpty)
+			s, _ = h.Sole(now, "p")
+			So(s, ShouldResemble, Sole{})
+		})
 		Convey("nor does one that read nothing for long", func() {
 			now = now.Add(maxSilence + time.Second)
 			h.Confirm(now)
