--- a/internal/root/relay/hosts/lookup.go
+++ b/internal/root/relay/hosts/lookup.go
@@ -131,7 +131,7 @@
 	if s.news == nil && s.newsErr == nil {
 		ctx, cancel := context.WithTimeout(ctx, newsTimeout)
 		defer cancel()
-		news, err := s.readNews(ctx)
+		news, err := s.readNews(ctx, s.Scope.Pools)
 		if err != nil {
 			s.Log.WithError(err).WithField("pool", s.Scope.Pools[0]).Info("Failed to read what has changed in the store.")
 		}
--- a/internal/root/relay/hosts/origins.go
+++ b/internal/root/relay/hosts/origins.go
@@ -110,8 +110,8 @@
 	ledger  *origin.Ledger
 	history *origin.History
 	backup  OriginBackup
-	// readNews returns what has changed in the store beyond what this host knows of upstreams and configurations, and newHosts whether something has of hosts. Their reads begin after the call.
-	readNews func(ctx context.Context) (origin.News, error)
+	// readNews returns what has changed in the store beyond what this host knows of upstreams and configurations, once this host has asked the upstreams of the pools for their starts, and newHosts whether something has of hosts. Their reads begin after the call.
+	readNews func(ctx context.Context, pools []string) (origin.News, error)
 	newHosts func(ctx context.Context) (bool, error)
 	// stopGrace is how long a host that has removed itself from the table of hosts may still begin streams.
 	stopGrace time.Duration
@@ -127,8 +127,8 @@
 	}
 }
 
-// WithNews sets the functions that return what has changed in the store beyond what this host knows of upstreams and configurations, and whether something has of hosts, by reads that begin after the call. Without them what the host knows is taken to be up to date.
-func WithNews(readNews func(ctx context.Context) (origin.News, error), newHosts func(ctx context.Context) (bool, error)) OriginsOption {
+// WithNews sets the functions that return what has changed in the store beyond what this host knows of upstreams and configurations, once this host has asked the upstreams of the pools for their starts, and whether something has of hosts, by reads that begin after the call. Without them what the host knows is taken to be up to date.
+func WithNews(readNews func(ctx context.Context, pools []string) (origin.News, error), newHosts func(ctx context.Context) (bool, error)) OriginsOption {
 	return func(o *Origins) {
 		o.readNews = readNews
 		o.newHosts = newHosts
@@ -143,7 +143,7 @@
 		ledger:  origin.NewLedger(),
 		history: history,
 		backup:  backup,
-		readNews: func(context.Context) (origin.News, error) {
+		readNews: func(context.Context, []string) (origin.News, error) {
 			return origin.News{}, nil
 		},
 		newHosts: func(context.Context) (bool, error) {
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -129,6 +129,7 @@
 	origins    *hosts.Origins
 	history    *origin.History
 	news       *news
+	rounds     *startRounds
 	backup     *backup.Backup
 	writers    *hosts.Writers
 	settlement *settlement
@@ -187,6 +188,13 @@
 	r.planSink = follow.NewPlanSink(deps, a.ConfigKey, a.Plan, r.plans, r.sync)
 	r.upstreams = follow.NewUpstreams(deps, a.Upstream, s.Upstreams.Forget.D(), r.sync)
 	r.upstreams.OnPassed(func() { r.history.Interrupt(deps.Now()) })
+	r.rounds = &startRounds{
+		Deps:      deps.WithPart("starts"),
+		view:      r.upstreams,
+		check:     r.starts.Check,
+		hostCount: func() int { return r.roster.Count() },
+		rounds:    map[string]startRound{},
+	}
 	r.news = newNews(deps, a, r.upstreams, func() int { return r.roster.Count() })
 	r.orders = follow.NewEvacuations(deps, a.Evacuation, r.sync)
 	r.places = newPlaces(deps, domainsOf(s), r.orders)
@@ -227,7 +235,7 @@
 	r.limits = hosts.NewLimits(deps, r.peers, r.warmUps, r.applyLimit)
 	r.dispatcher.OnLimit(r.limits.Note)
 	r.dispatcher.UsePermits(r.warmUps)
-	r.origins = hosts.NewOrigins(deps, r.peers, r.history, r.backup, hosts.WithStopGrace(s.Stop.Grace.D()), hosts.WithNews(r.news.read, r.news.ofHosts))
+	r.origins = hosts.NewOrigins(deps, r.peers, r.history, r.backup, hosts.WithStopGrace(s.Stop.Grace.D()), hosts.WithNews(r.readNews, r.news.ofHosts))
 	r.flow = &flow.Service{
 		Deps:          deps.WithPart("flow"),
 		Plans:         r.plans,
@@ -385,6 +393,18 @@
 	}
 }
 
+// readNews returns what has changed in the store of upstreams and configurations, once the upstreams of the pools were asked for their starts.
+func (r *Relay) readNews(ctx context.Context, pools []string) (origin.News, error) {
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		r.rounds.ask(ctx, pools)
+	}()
+	n, err := r.news.read(ctx)
+	<-asked
+	return n, err
+}
+
 // upstreamRanAt returns a time at which the start of an upstream was running according to its row.
 func (r *Relay) upstreamRanAt(name string, startedAtMS int64) (time.Time, bool) {
 	silence := missedHeartbeats*r.settings.Upstreams.Heartbeat.D() + heartbeatMargin
