--- a/internal/root/relay/follow/passed_test.go
+++ b/internal/root/relay/follow/passed_test.go
@@ -33,6 +33,11 @@
 			m.Apply([]Row{{Key: "damaged"}})
 			m.Apply([]Row{gone("damaged")})
 		}},
+		{name: "a row that can't be read goes while the whole table is read, and one of its name comes and goes between two reads", passed: 1, play: func(m *Upstreams) {
+			m.Apply([]Row{{Key: "damaged"}})
+			m.Reset([]Row{{Key: "a"}})
+			m.Apply([]Row{gone("damaged")})
+		}},
 		{name: "it goes a second time unseen", passed: 1, play: func(m *Upstreams) {
 			m.Apply([]Row{{Key: "damaged"}})
 			m.Apply([]Row{gone("damaged")})
--- a/internal/root/relay/follow/upstreams.go
+++ b/internal/root/relay/follow/upstreams.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -176,6 +177,7 @@
 			m.remove(name)
 		}
 	}
+	maps.DeleteFunc(m.unreadable, func(name string, _ bool) bool { return !seen[name] })
 }
 
 // Apply applies changed rows.
