--- a/internal/root/relay/vital/frozen_test.go
+++ b/internal/root/relay/vital/frozen_test.go
@@ -236,3 +236,28 @@
 		})
 	})
 }
+
+// Guards against a process that dies and is replaced at once while the host stands still for a moment, before it has read the head of the response (rule ORDER).
+func TestHostFrozenBrieflyBeforeTheHeadConfirmsNothing(t *testing.T) {
+	for _, frozen := range []time.Duration{60 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond, 190 * time.Millisecond} {
+		for range 2 {
+			Convey(fmt.Sprintf("Given a host that stands still for %s while its server sends a part of a response, dies and is replaced", frozen), t, func() {
+				s := listenPartServer(t, "127.0.0.1:0")
+				addr := s.ln.Addr().String()
+				host := startHost(t, addr)
+				s.accept()
+				host.waitFor("sent")
+				host.freeze(frozen, func() {
+					s.sendPart()
+					s.close()
+					time.Sleep(4 * time.Millisecond)
+					// The kernel accepts connections for the next process.
+					listenPartServer(t, addr)
+				})
+				Convey("the part does not pass for the whole", func() {
+					So(host.waitFor("bytes"), ShouldContainSubstring, send.ErrUnconfirmedEnd.Error())
+				})
+			})
+		}
+	}
+}
--- a/internal/root/relay/vital/witness_test.go
+++ b/internal/root/relay/vital/witness_test.go
@@ -376,3 +376,49 @@
 		})
 	})
 }
+
+// Guards against the end of a process that is taken for the end of its response because another process is at its address before the first sentinel is open (rule ORDER).
+func TestProcessThatIsReplacedBeforeFirstSentinelHasNotOutlivedResponse(t *testing.T) {
+	cases := []struct {
+		name string
+		// late is how long the host stands still before it reads the head, slow how long a connection takes to open, and restart how long nothing is at the address.
+		late, slow, restart time.Duration
+	}{
+		{name: "a slow connection, 2 ms", slow: 12 * time.Millisecond, restart: 2 * time.Millisecond},
+		{name: "a slow connection, 8 ms", slow: 20 * time.Millisecond, restart: 8 * time.Millisecond},
+		{name: "a search for a tunnel, 4 ms", slow: 150 * time.Millisecond, restart: 4 * time.Millisecond},
+		{name: "a host that stands still, 2 ms", late: 20 * time.Millisecond, restart: 2 * time.Millisecond},
+		{name: "a host that stands still for longer, 4 ms", late: 94 * time.Millisecond, restart: 4 * time.Millisecond},
+		{name: "a host that stands still for nearly 200 ms, 8 ms", late: 190 * time.Millisecond, restart: 8 * time.Millisecond},
+		{name: "a host that stands still for over 200 ms, 8 ms", late: 210 * time.Millisecond, restart: 8 * time.Millisecond},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				Convey("The end is not confirmed", t, func() {
+					p := &fakeProcess{
+						up:       true,
+						responds: true,
+					}
+					w := newWitness(p)
+					w.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+						time.Sleep(tc.slow)
+						return p.dial(ctx, network, addr)
+					}
+					arrived := time.Now()
+					go func() {
+						time.Sleep(time.Millisecond)
+						p.die(0)
+						time.Sleep(tc.restart)
+						p.setUp(true)
+					}()
+					time.Sleep(tc.late)
+					watch := w.Watch("a", p.isResponding)
+					defer watch.Stop()
+					time.Sleep(2 * time.Millisecond)
+					So(watch.Confirm(t.Context(), arrived), ShouldNotBeNil)
+				})
+			})
+		})
+	}
+}
