--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -105,6 +105,9 @@
 		Target: x.r.RequestURI,
 		Header: h,
 		Body:   x.body,
+		CheckSender: func(ctx context.Context) error {
+			return x.checkSender(ctx, up.Incarnation())
+		},
 	}
 }
 
--- a/internal/root/relay/flow/confirm.go
+++ b/internal/root/relay/flow/confirm.go
@@ -19,6 +19,9 @@
 // endTime is the time within which a process that ends closes all of its connections.
 const endTime = 20 * time.Millisecond
 
+// askAgainTime is the time after which a process that did not say when it started is asked again, once.
+const askAgainTime = 20 * time.Millisecond
+
 var (
 	// errReplaced reports that the process at the address of an upstream is not, or may not be, the one that its row describes, so that its software version is not known.
 	errReplaced = errors.New("process may not be the one of the upstream's row")
@@ -51,6 +54,26 @@
 	}
 }
 
+// checkSender returns nil if the process that answers at the address is the one of the row by which a request was sent, and send.ErrUpstreamGone if it is another one. A process that is replaced never comes back, so the first has been at the address since before the request.
+func (x *exchange) checkSender(ctx context.Context, i route.Incarnation) error {
+	finding := x.Starts.Check(ctx, i)
+	if _, ok := finding.(starts.Unreachable); ok && common.Sleep(ctx, askAgainTime) {
+		finding = x.Starts.Check(ctx, i)
+	}
+	switch f := finding.(type) {
+	case starts.Same:
+		return nil
+	case starts.Other:
+		return fmt.Errorf("upstream %s started at %d: %w", i.Name, f.StartedAtMS, send.ErrUpstreamGone)
+	case starts.Unstated:
+		return fmt.Errorf("upstream %s: %w", i.Name, starts.ErrUnstated)
+	case starts.Unreachable:
+		return fmt.Errorf("ask upstream %s for its start: %w", i.Name, f.Err)
+	default:
+		panic(fmt.Sprintf("unknown finding %T", f))
+	}
+}
+
 // recordUnsuitable records that the request was not sent to the upstream, as its process may not be the one of its row.
 func (x *exchange) recordUnsuitable(up route.Upstream, err error) retry.Event {
 	x.unsuitable++
--- a/internal/root/relay/flow/confirm_test.go
+++ b/internal/root/relay/flow/confirm_test.go
@@ -142,3 +142,31 @@
 		})
 	}
 }
+
+// Guards against a process that stands for the one that sent a response, though it has not said that it is that one (rule ORDER).
+func TestOnlyTheSameStartIsTheSender(t *testing.T) {
+	scenarios := []struct {
+		finding    starts.Finding
+		same, gone bool
+	}{
+		{finding: starts.Same{}, same: true},
+		{finding: starts.Other{StartedAtMS: 2}, gone: true},
+		{finding: starts.Unstated{}},
+		{finding: starts.Unreachable{Err: errors.New("refused")}},
+	}
+	for _, sc := range scenarios {
+		Convey(fmt.Sprintf("Given an upstream of which %T is found", sc.finding), t, func() {
+			x, _, _ := newColdExchange(t, nil)
+			x.Starts = fixedStarts{
+				finding: sc.finding,
+			}
+			err := x.checkSender(t.Context(), route.Incarnation{
+				Name:        "warm",
+				Addr:        "10.0.0.1:80",
+				StartedAtMS: 1,
+			})
+			So(err == nil, ShouldEqual, sc.same)
+			So(errors.Is(err, send.ErrUpstreamGone), ShouldEqual, sc.gone)
+		})
+	}
+}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -242,7 +242,7 @@
 		PermitClock:   grant.SinceBoot,
 		Origins:       r.origins,
 		Starts:        r.starts,
-		Sender:        send.New(dialer.DialContext, send.WithEndWatch(func(addr string, isOpen func() bool) send.EndWatch { return r.witness.Watch(addr, isOpen) })),
+		Sender:        send.New(dialer.DialContext, send.WithEndWatch(r.watchEnd)),
 		Workers:       r.peers,
 		CrashDetector: r.crashes,
 		Lease:         r.lease,
@@ -268,6 +268,11 @@
 	return r
 }
 
+// watchEnd begins to watch an upstream that sends a response without a length or chunks.
+func (r *Relay) watchEnd(addr string, isOpen func() bool, checkSender func(ctx context.Context) error) send.EndWatch {
+	return r.witness.Watch(addr, isOpen, vital.WithSenderCheck(checkSender))
+}
+
 // applyLimit makes the routing table and the queues keep to the limit of an upstream.
 func (r *Relay) applyLimit(i route.Incarnation, perSecond float64) {
 	r.table.SetLimit(i, perSecond)
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -28,6 +28,8 @@
 	Body   []byte
 	// Sent, if set, is called once the request has been written. It may be called on another goroutine, also after Do has returned.
 	Sent func()
+	// CheckSender, if set, returns nil if the process that answers at the address now is the one to which the request was sent, and ErrUpstreamGone if it is another one.
+	CheckSender func(ctx context.Context) error
 }
 
 // Result is the result of a send: Response, Unsent, Late or Broken.
@@ -67,14 +69,14 @@
 // Client sends requests to upstreams.
 type Client struct {
 	transport *http.Transport
-	watchEnd  func(addr string, isOpen func() bool) EndWatch
+	watchEnd  WatchEnd
 }
 
 // Option configures a Client.
 type Option func(*Client)
 
-// WithEndWatch sets what watches the upstream at an address while it sends a response that ends with its connection, to confirm the end. isOpen reports whether the upstream has not ended the connection yet, or false if that is not known.
-func WithEndWatch(watch func(addr string, isOpen func() bool) EndWatch) Option {
+// WithEndWatch sets what watches an upstream while it sends a response that ends with its connection, to confirm the end.
+func WithEndWatch(watch WatchEnd) Option {
 	return func(c *Client) { c.watchEnd = watch }
 }
 
@@ -126,7 +128,7 @@
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err == nil {
-		return c.response(ctx, r.Addr, &used, resp)
+		return c.response(ctx, r, &used, resp)
 	}
 	if errors.Is(err, ErrPermitExpired) {
 		return Late{}
@@ -141,8 +143,8 @@
 	}
 }
 
-// response returns the response of the upstream at the address to a request with the context, which arrives on the connection.
-func (c *Client) response(ctx context.Context, addr string, used *usedConn, resp *http.Response) Response {
+// response returns the response to a request with the context, which arrives on the connection.
+func (c *Client) response(ctx context.Context, r Request, used *usedConn, resp *http.Response) Response {
 	out := Response{
 		Status:  resp.StatusCode,
 		Header:  resp.Header,
@@ -151,7 +153,7 @@
 		IsOpen:  used.isOpen,
 	}
 	if out.Framing == FramedByClose && c.watchEnd != nil {
-		watch := c.watchEnd(addr, used.isOpen)
+		watch := c.watchEnd(r.Addr, used.isOpen, r.CheckSender)
 		body := &closeDelimitedBody{
 			ReadCloser: resp.Body,
 			used:       used,
--- a/internal/root/relay/send/end.go
+++ b/internal/root/relay/send/end.go
@@ -15,6 +15,9 @@
 // ErrUpstreamGone reports that the upstream has probably ended with the connection of a response. It is an ErrUnconfirmedEnd.
 var ErrUpstreamGone = fmt.Errorf("%w: it is gone", ErrUnconfirmedEnd)
 
+// WatchEnd begins to watch the upstream at an address. isOpen reports whether the upstream has not ended the connection of the response yet, or false if that is not known. checkSender, if not nil, asks as Request.CheckSender does.
+type WatchEnd func(addr string, isOpen func() bool, checkSender func(ctx context.Context) error) EndWatch
+
 // EndWatch watches an upstream from the head of a response that ends with its connection.
 type EndWatch interface {
 	// Confirm returns nil if the upstream has outlived its connection, which has just ended and on which the last data arrived at the time. The error is ErrUpstreamGone if it has probably not.
--- a/internal/root/relay/vital/sentinel.go
+++ b/internal/root/relay/vital/sentinel.go
@@ -218,7 +218,7 @@
 	s.conn = nil
 }
 
-// waitForProof returns nil once it is certain that the process has outlived the end of the watched connection, on which the last data arrived at the time and which ended before the call. The error is send.ErrUpstreamGone if it has probably not, and errUndecided if nothing shows it.
+// waitForProof returns nil once it is certain that the process has outlived the end of the watched connection, on which the last data arrived at the time and which ended before the call. The error is send.ErrUpstreamGone if it has probably not, errUnidentified if a connection is open but may lead to another process, and errUndecided if nothing shows it.
 func (s *sentinel) waitForProof(ctx context.Context, x *Watch, arrived time.Time) error {
 	ended := s.now()
 	for {
@@ -235,15 +235,27 @@
 	}
 }
 
+// wasLost reports whether the process is known to have closed a connection since the last data arrived, or to have refused the first one.
+func (s *sentinel) wasLost(arrived time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.check()
+	return s.isLostSince(arrived)
+}
+
+// isLostSince is wasLost without a look at the connection. The caller holds the lock.
+func (s *sentinel) isLostSince(arrived time.Time) bool {
+	return !s.lostAt.IsZero() && !s.lostAt.Before(arrived)
+}
+
 // untilProof returns how long the connection has still to stay open to show that the process has outlived the end.
 func (s *sentinel) untilProof(x *Watch, arrived, ended time.Time) (time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.check()
-	latest := arrived.Add(restartTime)
-	lost := !s.lostAt.IsZero() && !s.lostAt.Before(arrived)
+	lost := s.isLostSince(arrived)
 	switch {
-	case s.conn != nil && (s.watches[x] == s.process || !lost && !s.sameSince.After(latest)):
+	case s.conn != nil && (s.watches[x] == s.process || s.sameSince.Before(arrived.Add(-arrivalError))):
 		from := s.conn.openedAt
 		if from.Before(ended) {
 			from = ended
@@ -251,7 +263,9 @@
 		return settleTime - s.now().Sub(from), nil
 	case lost:
 		return 0, send.ErrUpstreamGone
-	case s.conn != nil, s.now().After(latest):
+	case s.conn != nil:
+		return 0, errUnidentified
+	case s.now().After(ended.Add(connectTime)):
 		return 0, errUndecided
 	default:
 		return pollTime, nil
--- a/internal/root/relay/vital/witness.go
+++ b/internal/root/relay/vital/witness.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cornelwing/cornelwing/internal/common"
+	"github.com/cornelwing/cornelwing/internal/root/relay/send"
 )
 
 const (
@@ -17,14 +18,20 @@
 	settleTime = 50 * time.Millisecond
 	// confirmTimeout bounds the time for confirming an end.
 	confirmTimeout = 500 * time.Millisecond
-	// restartTime is less than the time in which a process ends and another one accepts connections at its address.
-	restartTime = 200 * time.Millisecond
+	// arrivalError is more than the unit in which the kernel counts the time since data arrived.
+	arrivalError = 10 * time.Millisecond
+	// connectTime is how long after the end a sentinel is waited for that has not connected yet.
+	connectTime = 200 * time.Millisecond
 	// pollTime is the time between two looks at a sentinel that connects.
 	pollTime = 5 * time.Millisecond
 )
 
-// errUndecided reports that neither life nor death of a process was shown.
-var errUndecided = errors.New("no connection has been open since the last data")
+var (
+	// errUndecided reports that neither life nor death of a process was shown.
+	errUndecided = errors.New("no connection has been open since the last data")
+	// errUnidentified reports that a connection is open that may lead to another process than the one that sent the data.
+	errUnidentified = errors.New("connection may lead to another process")
+)
 
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -35,6 +42,8 @@
 	Outlived    int64 `json:"outlived"`
 	Unconfirmed int64 `json:"unconfirmed"`
 	Abandoned   int64 `json:"abandoned"`
+	// Asked counts those for which a process was asked whether it is the one that sent the data.
+	Asked int64 `json:"asked"`
 }
 
 // Witness finds out whether processes outlive connections. It is safe for concurrent use.
@@ -70,11 +79,21 @@
 	sentinel *sentinel
 	// isOpen reports whether the peer has not ended the watched connection yet. It may be wrong only in saying that it has.
 	isOpen func() bool
-	stop   sync.Once
+	// checkSender asks the process that answers at the address whether it is the one that sends the data, or is nil.
+	checkSender func(ctx context.Context) error
+	stop        sync.Once
+}
+
+// WatchOption configures a Watch.
+type WatchOption func(*Watch)
+
+// WithSenderCheck sets what asks the process that answers at the address whether it is the one that sends the data on the watched connection. The error is send.ErrUpstreamGone if it is another one.
+func WithSenderCheck(check func(ctx context.Context) error) WatchOption {
+	return func(x *Watch) { x.checkSender = check }
 }
 
 // Watch begins to watch the process at the address, to which a connection leads that is open as long as isOpen returns true.
-func (w *Witness) Watch(addr string, isOpen func() bool) *Watch {
+func (w *Witness) Watch(addr string, isOpen func() bool, opts ...WatchOption) *Watch {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s, ok := w.sentinels[addr]
@@ -87,6 +106,9 @@
 		sentinel: s,
 		isOpen:   isOpen,
 	}
+	for _, opt := range opts {
+		opt(x)
+	}
 	s.add(x)
 	return x
 }
@@ -113,6 +135,9 @@
 	limited, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	err := x.sentinel.waitForProof(limited, x, arrived)
+	if errors.Is(err, errUnidentified) && x.checkSender != nil {
+		err = x.ask(limited, arrived)
+	}
 	x.witness.record(x.sentinel.addr, err, ctx.Err() != nil)
 	if err != nil {
 		return fmt.Errorf("process at %s may not have outlived the connection: %w", x.sentinel.addr, err)
@@ -120,6 +145,23 @@
 	return nil
 }
 
+// ask returns nil if the process that answers now is the one that sent the data. It has then outlived the end, as it answers after that.
+func (x *Watch) ask(ctx context.Context, arrived time.Time) error {
+	x.witness.countQuestion()
+	err := x.checkSender(ctx)
+	if err != nil && x.sentinel.wasLost(arrived) {
+		return fmt.Errorf("%w: %v", send.ErrUpstreamGone, err)
+	}
+	return err
+}
+
+// countQuestion counts a question to a process.
+func (w *Witness) countQuestion() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stats.Asked++
+}
+
 // record counts and logs an answer. abandoned reports that the request ended before there was one.
 func (w *Witness) record(addr string, err error, abandoned bool) {
 	w.mu.Lock()
