--- a/internal/root/relay/vital/sentinel.go
+++ b/internal/root/relay/vital/sentinel.go
@@ -218,11 +218,11 @@
 	s.conn = nil
 }
 
-// waitForProof returns nil once it is certain that the process has outlived the end of the watched connection, on which the last data arrived at the time and which ended before the call. The error is send.ErrUpstreamGone if it has probably not, errUnidentified if a connection is open but may lead to another process, and errUndecided if nothing shows it.
-func (s *sentinel) waitForProof(ctx context.Context, x *Watch, arrived time.Time) error {
+// waitForProof returns nil once it is certain that the process has outlived the end of the watched connection, on which the last data arrived at the time and which ended before the call. The error is send.ErrUpstreamGone if it has probably not, errUnidentified if a connection is open but may lead to another process, and errUndecided if nothing shows it. unstated reports that the process that answers has not said which one it is.
+func (s *sentinel) waitForProof(ctx context.Context, x *Watch, arrived time.Time, unstated bool) error {
 	ended := s.now()
 	for {
-		wait, err := s.untilProof(x, arrived, ended)
+		wait, err := s.untilProof(x, arrived, ended, unstated)
 		if err != nil {
 			return err
 		}
@@ -249,13 +249,15 @@
 }
 
 // untilProof returns how long the connection has still to stay open to show that the process has outlived the end.
-func (s *sentinel) untilProof(x *Watch, arrived, ended time.Time) (time.Duration, error) {
+func (s *sentinel) untilProof(x *Watch, arrived, ended time.Time, unstated bool) (time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.check()
 	lost := s.isLostSince(arrived)
+	identified := s.watches[x] == s.process || s.sameSince.Before(arrived.Add(-arrivalError))
+	soon := !lost && !s.sameSince.After(arrived.Add(unstatedTime))
 	switch {
-	case s.conn != nil && (s.watches[x] == s.process || s.sameSince.Before(arrived.Add(-arrivalError))):
+	case s.conn != nil && (identified || unstated && soon):
 		from := s.conn.openedAt
 		if from.Before(ended) {
 			from = ended
--- a/internal/root/relay/vital/witness.go
+++ b/internal/root/relay/vital/witness.go
@@ -22,6 +22,8 @@
 	arrivalError = 10 * time.Millisecond
 	// connectTime is how long after the end a sentinel is waited for that has not connected yet.
 	connectTime = 200 * time.Millisecond
+	// unstatedTime is how long after the last data a connection may have been opened to a process that does not say which one it is. Such a process can't be told from one that takes another's place faster.
+	unstatedTime = 200 * time.Millisecond
 	// pollTime is the time between two looks at a sentinel that connects.
 	pollTime = 5 * time.Millisecond
 )
@@ -134,7 +136,7 @@
 func (x *Watch) Confirm(ctx context.Context, arrived time.Time) error {
 	limited, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	err := x.sentinel.waitForProof(limited, x, arrived)
+	err := x.sentinel.waitForProof(limited, x, arrived, false)
 	if errors.Is(err, errUnidentified) && x.checkSender != nil {
 		err = x.ask(limited, arrived)
 	}
@@ -145,14 +147,18 @@
 	return nil
 }
 
-// ask returns nil if the process that answers now is the one that sent the data. It has then outlived the end, as it answers after that.
+// ask returns nil if the process that answers now is the one that sent the data. It has then outlived the end, as it answers after that. Without a statement of the process its connection is judged by its age.
 func (x *Watch) ask(ctx context.Context, arrived time.Time) error {
 	x.witness.countQuestion()
 	err := x.checkSender(ctx)
-	if err != nil && x.sentinel.wasLost(arrived) {
+	switch {
+	case err == nil, errors.Is(err, send.ErrUpstreamGone):
+		return err
+	case x.sentinel.wasLost(arrived):
 		return fmt.Errorf("%w: %v", send.ErrUpstreamGone, err)
+	default:
+		return x.sentinel.waitForProof(ctx, x, arrived, true)
 	}
-	return err
 }
 
 // countQuestion counts a question to a process.
