--- a/review/_stand2/host.go
+++ b/review/_stand2/host.go
@@ -23,9 +23,6 @@
 	readyTimeout = 20 * time.Second
 )
 
-// budgetWindow is the window of the retry budget on all sites.
-const budgetWindow = 10 * time.Second
-
 // site holds the figures of a site of the users' pages, as far as settings and checks need them.
 type site struct {
 	configWithin time.Duration
