Have the cases of the second review end their processes on a signal and record all

Looked for: processes that outlive a script which is ended early, and what the record of case 6 leaves out. Seen: with SIGTERM three seconds into case 10 it exits with 2 and leaves no process; before, ended servers stayed unreaped.

--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -32,6 +32,8 @@
 
 	mu     sync.Mutex
 	closed bool
+	// readers counts the servers that have not ended.
+	readers sync.WaitGroup
 	// storeDown reports that the store takes no writes.
 	storeDown bool
 	// addrs and born hold the addresses and starts of servers, by id.
@@ -96,7 +98,7 @@
 	f.born[o.ID] = o.Born
 	up := make(chan struct{})
 	ended := make(chan struct{})
-	go f.read(o.ID, bufio.NewScanner(out), up, ended, cmd)
+	f.readers.Go(func() { f.read(o.ID, bufio.NewScanner(out), up, ended, cmd) })
 	go f.keepEntry(o, up, ended)
 	return nil
 }
@@ -213,13 +215,14 @@
 	return append([]seenEvent(nil), f.events...)
 }
 
-// close ends all servers.
+// close ends all servers, and waits until they have ended.
 func (f *fleet) close() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.closed = true
 	for _, cmd := range f.procs {
 		// It may have ended by itself.
 		_ = cmd.Process.Kill()
 	}
+	f.mu.Unlock()
+	f.readers.Wait()
 }
--- a/review/_stand2/forget.go
+++ b/review/_stand2/forget.go
@@ -82,6 +82,7 @@
 				w.note("client %s at host-%d, sent at %d: %s", req.id, n%len(w.hosts), w.sinceBegin(a.sentAt), a.text())
 			case a.eventCount() == forgetEvents:
 				whole++
+				w.note("client %s at host-%d: whole", req.id, n%len(w.hosts))
 			default:
 				short++
 				w.note("client %s at host-%d, sent at %d: %s: the stream ended as complete after event %d of %d", req.id, n%len(w.hosts), w.sinceBegin(a.sentAt), a.text(), a.eventCount(), forgetEvents)
--- a/review/_stand2/server.go
+++ b/review/_stand2/server.go
@@ -43,7 +43,7 @@
 	UnframedShare float64
 	// ForgetAfter is how long a connection rests without a request until the server forgets it, or 0.
 	ForgetAfter time.Duration
-	// Quiet leaves out of the output what happens to framed answers.
+	// Quiet leaves out of the output when requests arrive and end.
 	Quiet bool
 	// TellsLoad adds Server-Load to answers.
 	TellsLoad bool
@@ -131,7 +131,7 @@
 
 // emit writes one line for the parent. Lines are short, so each is one write.
 func (s *server) emit(what, id, detail string) {
-	if s.Quiet && (what == "arrived" || what == "runs" || what == "ran" || what == "dropped") {
+	if s.Quiet && (what == "arrived" || what == "ran" || what == "dropped") {
 		return
 	}
 	b, err := json.Marshal(serverEvent{
--- a/review/_stand2/world.go
+++ b/review/_stand2/world.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/cornelwing/cornelwing/internal/stand/rows"
 )
@@ -34,6 +36,7 @@
 		store:  rows.New(),
 	}
 	w.closers = append(w.closers, func() { _ = os.RemoveAll(dir) })
+	go w.closeOnSignal()
 	l, err := w.store.Listen()
 	if err != nil {
 		w.close()
@@ -83,6 +86,15 @@
 	return nil
 }
 
+// closeOnSignal ends everything and this process if it is told to end.
+func (w *world) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	w.close()
+	os.Exit(exitNotRun)
+}
+
 // close ends everything, the last started first. KEEP_LOGS=1 keeps the folder with the settings and logs.
 func (w *world) close() {
 	if os.Getenv("KEEP_LOGS") == "1" {
