--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -105,8 +106,8 @@
 		Target: x.r.RequestURI,
 		Header: h,
 		Body:   x.body,
-		CheckSender: func(ctx context.Context) error {
-			return x.checkSender(ctx, up.Incarnation())
+		CheckSender: func(ctx context.Context, conn net.Conn) error {
+			return x.checkSender(ctx, up.Incarnation(), conn)
 		},
 	}
 }
--- a/internal/root/relay/flow/confirm_test.go
+++ b/internal/root/relay/flow/confirm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -27,6 +28,11 @@
 	finding starts.Finding
 }
 
+// Probe returns the finding.
+func (f fixedStarts) Probe(context.Context, route.Incarnation, net.Conn) starts.Finding {
+	return f.finding
+}
+
 // Check returns the finding.
 func (f fixedStarts) Check(context.Context, route.Incarnation) starts.Finding {
 	return f.finding
@@ -164,7 +170,7 @@
 				Name:        "warm",
 				Addr:        "10.0.0.1:80",
 				StartedAtMS: 1,
-			})
+			}, nil)
 			So(err == nil, ShouldEqual, sc.same)
 			So(errors.Is(err, send.ErrUpstreamGone), ShouldEqual, sc.gone)
 		})
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -69,6 +70,8 @@
 type Starts interface {
 	// Check asks the process at the address of the upstream when it started.
 	Check(ctx context.Context, i route.Incarnation) starts.Finding
+	// Probe asks also if the row does not say when the process started, over the connection unless that is nil.
+	Probe(ctx context.Context, i route.Incarnation, conn net.Conn) starts.Finding
 }
 
 // Limits keeps to the request rates that upstreams name, over all hosts.
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -277,7 +277,7 @@
 }
 
 // watchEnd begins to watch an upstream that sends a response without a length or chunks.
-func (r *Relay) watchEnd(addr string, isOpen func() bool, checkSender func(ctx context.Context) error) send.EndWatch {
+func (r *Relay) watchEnd(addr string, isOpen func() bool, checkSender send.SenderCheck) send.EndWatch {
 	return r.witness.Watch(addr, isOpen, vital.WithSenderCheck(checkSender))
 }
 
--- a/internal/root/relay/send/client.go
+++ b/internal/root/relay/send/client.go
@@ -28,8 +28,8 @@
 	Body   []byte
 	// Sent, if set, is called once the request has been written. It may be called on another goroutine, also after Do has returned.
 	Sent func()
-	// CheckSender, if set, returns nil if the process that answers at the address now is the one to which the request was sent, and ErrUpstreamGone if it is another one.
-	CheckSender func(ctx context.Context) error
+	// CheckSender, if set, asks processes at the address whether they are the one to which the request was sent.
+	CheckSender SenderCheck
 }
 
 // Result is the result of a send: Response, Unsent, Late or Broken.
--- a/internal/root/relay/send/end.go
+++ b/internal/root/relay/send/end.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,8 +16,14 @@
 // ErrUpstreamGone reports that the upstream has probably ended with the connection of a response. It is an ErrUnconfirmedEnd.
 var ErrUpstreamGone = fmt.Errorf("%w: it is gone", ErrUnconfirmedEnd)
 
-// WatchEnd begins to watch the upstream at an address. isOpen reports whether the upstream has not ended the connection of the response yet, or false if that is not known. checkSender, if not nil, asks as Request.CheckSender does.
-type WatchEnd func(addr string, isOpen func() bool, checkSender func(ctx context.Context) error) EndWatch
+// ErrSenderUnstated reports that a process answers and does not state its start, or that the start of the process to which a request was sent is not known.
+var ErrSenderUnstated = errors.New("process can't be told by its start")
+
+// SenderCheck asks a process over the connection, or over a new one if that is nil, and returns nil if it is the one to which a request was sent. The error is ErrUpstreamGone if another process answers, and ErrSenderUnstated if one answers that can't be told. All other errors say that nothing has answered.
+type SenderCheck func(ctx context.Context, conn net.Conn) error
+
+// WatchEnd begins to watch the upstream at an address. isOpen reports whether the upstream has not ended the connection of the response yet, or false if that is not known. checkSender is nil if processes can't be asked.
+type WatchEnd func(addr string, isOpen func() bool, checkSender SenderCheck) EndWatch
 
 // EndWatch watches an upstream from the head of a response that ends with its connection.
 type EndWatch interface {
--- a/internal/root/relay/starts/checker.go
+++ b/internal/root/relay/starts/checker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -18,10 +19,15 @@
 // ErrUnstated is returned by a Client if the process answers without stating its start.
 var ErrUnstated = errors.New("process does not state its start")
 
+// ErrUnreadable is returned by a Client if the process answers with a success that can't be read. It has not said that it has no start to state.
+var ErrUnreadable = errors.New("answer of the process can't be read")
+
 // Client asks the process at an address when it started.
 type Client interface {
-	// StartedAtMS returns when the process started, in milliseconds since the Unix epoch, or ErrUnstated.
+	// StartedAtMS returns when the process started, in milliseconds since the Unix epoch, ErrUnstated or ErrUnreadable.
 	StartedAtMS(ctx context.Context, addr string) (int64, error)
+	// StartedAtMSOver is StartedAtMS over an open connection to the address, over which further questions may follow unless nothing was answered.
+	StartedAtMSOver(ctx context.Context, addr string, conn net.Conn) (int64, error)
 }
 
 // Stats counts the findings.
@@ -58,9 +64,18 @@
 	}
 }
 
-// Check asks the process at the address of the upstream when it started. What it finds was so at some time after the call began. A question that its context ends finds the process unreachable, and is not counted.
+// Check asks the process at the address of the upstream when it started, if the row says when. What it finds was so at some time after the call began. A question that its context ends finds the process unreachable, and is not counted.
 func (c *Checker) Check(ctx context.Context, i route.Incarnation) Finding {
-	f := c.ask(ctx, i)
+	if i.StartedAtMS == 0 {
+		c.record(i, Unstated{})
+		return Unstated{}
+	}
+	return c.Probe(ctx, i, nil)
+}
+
+// Probe asks like Check, also if the row does not say when the process started: every finding but Unreachable, and one that is ErrUnreadable, shows that a process has answered since the call began. It asks over the connection, or over a new one if that is nil.
+func (c *Checker) Probe(ctx context.Context, i route.Incarnation, conn net.Conn) Finding {
+	f := c.ask(ctx, i, conn)
 	if ctx.Err() == nil {
 		c.record(i, f)
 	}
@@ -85,13 +100,10 @@
 	}
 }
 
-func (c *Checker) ask(ctx context.Context, i route.Incarnation) Finding {
-	if i.StartedAtMS == 0 {
-		return Unstated{}
-	}
+func (c *Checker) ask(ctx context.Context, i route.Incarnation, conn net.Conn) Finding {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	at, err := c.client.StartedAtMS(ctx, i.Addr)
+	at, err := c.startedAt(ctx, i.Addr, conn)
 	switch {
 	case errors.Is(err, ErrUnstated):
 		return Unstated{}
@@ -99,6 +111,8 @@
 		return Unreachable{
 			Err: err,
 		}
+	case i.StartedAtMS == 0:
+		return Unstated{}
 	case at != i.StartedAtMS:
 		return Other{
 			StartedAtMS: at,
@@ -106,3 +120,10 @@
 	}
 	return Same{}
 }
+
+func (c *Checker) startedAt(ctx context.Context, addr string, conn net.Conn) (int64, error) {
+	if conn == nil {
+		return c.client.StartedAtMS(ctx, addr)
+	}
+	return c.client.StartedAtMSOver(ctx, addr, conn)
+}
--- a/internal/root/relay/starts/checker_test.go
+++ b/internal/root/relay/starts/checker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -23,6 +24,11 @@
 	return c.startedAtMS, c.err
 }
 
+// StartedAtMSOver returns the fixed answer.
+func (c fixedClient) StartedAtMSOver(context.Context, string, net.Conn) (int64, error) {
+	return c.startedAtMS, c.err
+}
+
 func TestCheckComparesProcessWithRow(t *testing.T) {
 	refused := errors.New("refused")
 	scenarios := []struct {
--- a/internal/root/relay/vital/held.go
+++ b/internal/root/relay/vital/held.go
@@ -1,9 +1,8 @@
 package vital
 
 import (
-	"io"
+	"bufio"
 	"net"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -11,13 +10,15 @@
 	"golang.org/x/sys/unix"
 )
 
-// heldConn is a connection on which nothing is sent.
+// heldConn is a connection that is kept for a question.
 type heldConn struct {
 	net.Conn
 	openedAt time.Time
-	// raw is the socket, or nil if the connection is none. done then reports that a read has seen its end.
-	raw  syscall.RawConn
-	done atomic.Bool
+	// raw is the socket, or nil if the connection is none.
+	raw syscall.RawConn
+	// reader reads from a connection that is no socket, and readable is closed once it has data or has ended.
+	reader   *bufio.Reader
+	readable chan struct{}
 }
 
 // newHeldConn returns a connection that was opened before the time.
@@ -32,18 +33,53 @@
 			return c
 		}
 	}
+	c.reader = bufio.NewReader(conn)
+	c.watch()
+	return c
+}
+
+// watch begins to watch for the end of the connection, before the first question and after each.
+func (c *heldConn) watch() {
+	if c.raw != nil || c.readable != nil && !isClosed(c.readable) {
+		return
+	}
+	readable := make(chan struct{})
+	c.readable = readable
 	go func() {
+		defer close(readable)
 		// How the connection ends does not matter.
-		_, _ = io.Copy(io.Discard, conn)
-		c.done.Store(true)
+		_, _ = c.reader.Peek(1)
 	}()
-	return c
 }
 
-// isOpen reports whether the peer keeps the connection open. It asks the kernel, as a goroutine that waits for the end may not have run yet on a busy host, or on one that was frozen.
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
+// Read reads from the connection within a question.
+func (c *heldConn) Read(p []byte) (int, error) {
+	r := c.Conn.Read
+	if c.raw == nil {
+		<-c.readable
+		r = c.reader.Read
+	}
+	n, err := r(p)
+	if err != nil {
+		// The error is wrapped where it is reported, as readers compare it with io.EOF.
+		return n, err
+	}
+	return n, nil
+}
+
+// isOpen reports whether nothing shows that the peer has closed the connection. It asks the kernel, as a goroutine that waits for the end may not have run yet on a busy host, or on one that was frozen. What the peer sends without a question shows that it is not usable.
 func (c *heldConn) isOpen() bool {
 	if c.raw == nil {
-		return !c.done.Load()
+		return !isClosed(c.readable)
 	}
 	open := false
 	err := c.raw.Control(func(fd uintptr) { open = readAvailable(int(fd)) })
@@ -65,7 +101,7 @@
 	}
 }
 
-// close closes the connection. Nothing was sent over it, so an error doesn't matter.
+// close closes the connection. Nothing is lost with it, so an error doesn't matter.
 func (c *heldConn) close() {
 	_ = c.Conn.Close()
 }
--- a/internal/root/relay/vital/witness.go
+++ b/internal/root/relay/vital/witness.go
@@ -14,26 +14,17 @@
 )
 
 const (
-	// settleTime is how long a connection must stay open after another one has ended to show that the process lives. A process that dies closes its listener, and with it the connections that wait there, within this time of its other connections.
-	settleTime = 50 * time.Millisecond
-	// confirmTimeout bounds the time for confirming an end.
-	confirmTimeout = 500 * time.Millisecond
+	// confirmTimeout bounds the time for confirming an end, and sentinelTimeout the part of it for a question over the connection of a sentinel.
+	confirmTimeout  = 600 * time.Millisecond
+	sentinelTimeout = 250 * time.Millisecond
 	// arrivalError is more than the unit in which the kernel counts the time since data arrived.
 	arrivalError = 10 * time.Millisecond
-	// connectTime is how long after the end a sentinel is waited for that has not connected yet.
-	connectTime = 200 * time.Millisecond
 	// unstatedTime is how long after the last data a connection may have been opened to a process that does not say which one it is. Such a process can't be told from one that takes another's place faster.
 	unstatedTime = 200 * time.Millisecond
-	// pollTime is the time between two looks at a sentinel that connects.
-	pollTime = 5 * time.Millisecond
 )
 
-var (
-	// errUndecided reports that neither life nor death of a process was shown.
-	errUndecided = errors.New("no connection has been open since the last data")
-	// errUnidentified reports that a connection is open that may lead to another process than the one that sent the data.
-	errUnidentified = errors.New("connection may lead to another process")
-)
+// errUndecided reports that neither life nor death of a process was shown.
+var errUndecided = errors.New("the process that sent the data has stated nothing since the end")
 
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -81,16 +72,16 @@
 	sentinel *sentinel
 	// isOpen reports whether the peer has not ended the watched connection yet. It may be wrong only in saying that it has.
 	isOpen func() bool
-	// checkSender asks the process that answers at the address whether it is the one that sends the data, or is nil.
-	checkSender func(ctx context.Context) error
+	// checkSender asks a process whether it is the one that sends the data, or is nil.
+	checkSender send.SenderCheck
 	stop        sync.Once
 }
 
 // WatchOption configures a Watch.
 type WatchOption func(*Watch)
 
-// WithSenderCheck sets what asks the process that answers at the address whether it is the one that sends the data on the watched connection. The error is send.ErrUpstreamGone if it is another one.
-func WithSenderCheck(check func(ctx context.Context) error) WatchOption {
+// WithSenderCheck sets what asks a process whether it is the one that sends the data on the watched connection. Without it no end is confirmed.
+func WithSenderCheck(check send.SenderCheck) WatchOption {
 	return func(x *Watch) { x.checkSender = check }
 }
 
@@ -136,10 +127,7 @@
 func (x *Watch) Confirm(ctx context.Context, arrived time.Time) error {
 	limited, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	err := x.sentinel.waitForProof(limited, x, arrived, false)
-	if errors.Is(err, errUnidentified) && x.checkSender != nil {
-		err = x.ask(limited, arrived)
-	}
+	err := x.ask(limited, arrived)
 	x.witness.record(x.sentinel.addr, err, ctx.Err() != nil)
 	if err != nil {
 		return fmt.Errorf("process at %s may not have outlived the connection: %w", x.sentinel.addr, err)
@@ -147,20 +135,43 @@
 	return nil
 }
 
-// ask returns nil if the process that answers now is the one that sent the data. It has then outlived the end, as it answers after that. Without a statement of the process its connection is judged by its age.
+// ask returns nil if the process that sent the data has answered a question. It has then outlived the end, as it was asked after that. An answer is that of the process if the connection leads to it, or if it states the start of the process.
 func (x *Watch) ask(ctx context.Context, arrived time.Time) error {
+	if x.checkSender == nil {
+		return errUndecided
+	}
 	x.witness.countQuestion()
-	err := x.checkSender(ctx)
+	rel, err := x.askSentinel(ctx, arrived)
+	if rel == sameProcess && isAnswer(err) {
+		return nil
+	}
+	if !isAnswer(err) {
+		err = x.checkSender(ctx, nil)
+		rel = x.sentinel.relationNow(x, arrived)
+	}
 	switch {
 	case err == nil, errors.Is(err, send.ErrUpstreamGone):
 		return err
-	case x.sentinel.wasLost(arrived):
+	case errors.Is(err, send.ErrSenderUnstated) && rel != unrelated:
+		return nil
+	case isRefusal(err), x.sentinel.wasLost(arrived):
 		return fmt.Errorf("%w: %v", send.ErrUpstreamGone, err)
 	default:
-		return x.sentinel.waitForProof(ctx, x, arrived, true)
+		return fmt.Errorf("%w: %v", errUndecided, err)
 	}
 }
 
+func (x *Watch) askSentinel(ctx context.Context, arrived time.Time) (relation, error) {
+	ctx, cancel := context.WithTimeout(ctx, sentinelTimeout)
+	defer cancel()
+	return x.sentinel.ask(ctx, x, arrived)
+}
+
+// isAnswer reports whether the error of a question says that a process has answered.
+func isAnswer(err error) bool {
+	return err == nil || errors.Is(err, send.ErrUpstreamGone) || errors.Is(err, send.ErrSenderUnstated)
+}
+
 // countQuestion counts a question to a process.
 func (w *Witness) countQuestion() {
 	w.mu.Lock()
