--- a/internal/root/front/admitter.go
+++ b/internal/root/front/admitter.go
@@ -6,9 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cornelwing/cornelwing/internal/common"
 	"github.com/cornelwing/cornelwing/internal/root/front/admit"
 	"github.com/cornelwing/cornelwing/internal/root/route"
+	"github.com/cornelwing/cornelwing/internal/serve"
 	"github.com/cornelwing/cornelwing/pkg/wire"
 )
 
@@ -112,6 +115,10 @@
 	if !a.draining {
 		return nil
 	}
+	return stoppingProblem()
+}
+
+func stoppingProblem() *wire.Problem {
 	return retryProblem(wire.KindDraining, "the host is stopping", time.Second)
 }
 
@@ -182,6 +189,9 @@
 			d.permit.Release()
 		}
 	}
+	if errors.Is(context.Cause(ctx), serve.ErrStopping) {
+		return nil, stoppingProblem()
+	}
 	return nil, retryProblem(wire.KindCallerGone, "the caller went away", time.Second)
 }
 
--- a/internal/root/front/chain/attempt.go
+++ b/internal/root/front/chain/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/retry"
 	"github.com/cornelwing/cornelwing/internal/root/route"
 	"github.com/cornelwing/cornelwing/internal/root/share"
+	"github.com/cornelwing/cornelwing/internal/serve"
 	"github.com/cornelwing/cornelwing/internal/stage"
 	"github.com/cornelwing/cornelwing/pkg/config"
 	"github.com/cornelwing/cornelwing/pkg/wire"
@@ -221,6 +222,9 @@
 
 // prepareRetry decides whether the stage is retried after the event. It waits for the pause before a retry, or returns the problem that ends the job.
 func (r *run) prepareRetry(ctx context.Context, s *stageState, ev retry.Event) *wire.Problem {
+	if errors.Is(context.Cause(ctx), serve.ErrStopping) {
+		return r.abandonStopping(s)
+	}
 	if ctx.Err() != nil && r.job.Deadline.After(r.Now()) {
 		return r.abandon(s, wire.KindCallerGone, "the caller went away")
 	}
@@ -249,6 +253,15 @@
 	}
 }
 
+// abandonStopping abandons the job because the host stops.
+func (r *run) abandonStopping(s *stageState) *wire.Problem {
+	kind := wire.KindDraining
+	if r.mayHaveRun {
+		kind = wire.KindUpstream
+	}
+	return r.abandon(s, kind, "the host is stopping")
+}
+
 // abandon returns the problem that ends the job, and reports the whole cost of the current stage as wasted.
 // The outcome is NotRun only if no attempt of any stage may have run.
 func (r *run) abandon(s *stageState, kind wire.Kind, detail string) *wire.Problem {
--- a/internal/root/front/chain/run.go
+++ b/internal/root/front/chain/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/cornelwing/cornelwing/internal/root/crash"
 	"github.com/cornelwing/cornelwing/internal/root/share"
+	"github.com/cornelwing/cornelwing/internal/serve"
 	"github.com/cornelwing/cornelwing/pkg/config"
 	"github.com/cornelwing/cornelwing/pkg/wire"
 )
@@ -35,6 +36,8 @@
 func (r *Runner) Run(ctx context.Context, job Job) Outcome {
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
 	defer cancel()
+	ctx, release := serve.StopOf(ctx).Until(ctx)
+	defer release()
 	r.budget.Deposit()
 	rn := &run{
 		Runner:      r,
--- a/internal/root/front/server.go
+++ b/internal/root/front/server.go
@@ -15,6 +15,9 @@
 	"github.com/cornelwing/cornelwing/internal/setup"
 )
 
+// answerTime is the most time that a stopping host takes for the final responses of requests that have not ended by themselves.
+const answerTime = time.Second
+
 // idleTimeout is how long a caller's connection may be idle between requests.
 const idleTimeout = 2 * time.Minute
 
@@ -85,6 +88,7 @@
 		IdleTimeout:   idleTimeout,
 		DrainWait:     limits.DrainWait.D(),
 		DrainTimeout:  limits.DrainTimeout.D(),
+		AnswerTime:    min(answerTime, limits.DrainTimeout.D()/4),
 	}, serve.WithLeaveHook(func() { s.onLeave() }), serve.WithDrainHook(admitter.Drain), s.bounds)
 	return s
 }
--- a/internal/root/front/service.go
+++ b/internal/root/front/service.go
@@ -15,6 +15,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/front/claim"
 	"github.com/cornelwing/cornelwing/internal/root/front/tally"
 	"github.com/cornelwing/cornelwing/internal/root/store"
+	"github.com/cornelwing/cornelwing/internal/serve"
 	"github.com/cornelwing/cornelwing/pkg/config"
 	"github.com/cornelwing/cornelwing/pkg/wire"
 )
@@ -92,6 +93,8 @@
 
 // Serve runs a request, counts its outcome and returns the reply. It blocks until the request has ended.
 func (s *Service) Serve(ctx context.Context, req PipelineRequest) Reply {
+	ctx, release := serve.StopOf(ctx).Until(ctx)
+	defer release()
 	var r Reply
 	if req.Idempotent() {
 		r = s.serveIdempotent(ctx, req)
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -87,7 +87,7 @@
 	h := x.header.Clone()
 	removeHopHeaders(h)
 	x.HeaderCodec.UpstreamRequestHead(h, UpstreamRequestHead{
-		TimeLeft:          x.timeLeft(),
+		TimeLeft:          x.upstreamTime(),
 		Upstream:          up.Name,
 		Account:           x.account.Name,
 		LastEvent:         cmp.Or(x.position.lastID, x.requestHead.LastEvent),
--- a/internal/root/relay/flow/cause.go
+++ b/internal/root/relay/flow/cause.go
@@ -44,4 +44,6 @@
 	CausePaused     Cause = "paused"
 	CauseDeadline   Cause = "deadline"
 	CauseCallerLeft Cause = "caller_left"
+	// CauseStopping means that this host had to end the request as it stops.
+	CauseStopping Cause = "stopping"
 )
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -33,6 +33,8 @@
 	maxPermitRequests = 3
 	// noRoomRetryAfter is the Retry-After time if there is no memory for a request.
 	noRoomRetryAfter = time.Second
+	// stopNoticeTime is how long before the requests of a stopping host end its upstreams give them up.
+	stopNoticeTime = 50 * time.Millisecond
 	// maxStageRuns bounds how often the stages of one request are run.
 	maxStageRuns = 2
 )
@@ -42,6 +44,8 @@
 	*Service
 	w http.ResponseWriter
 	r *http.Request
+	// stop says by when the exchange must end because this host stops.
+	stop *serve.Stop
 
 	requestHead   RequestHead
 	header        http.Header
@@ -120,6 +124,8 @@
 func (x *exchange) serve() {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	ctx, release := x.stop.Until(ctx)
+	defer release()
 	x.retryBudget(x.pool).Deposit()
 	for {
 		if !x.prepare(ctx) {
@@ -174,6 +180,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		x.abandon(CauseCallerLeft, "caller went away", 0)
+	case x.timeLeft() < minTimeLeft && x.isStopping():
+		x.abandon(CauseStopping, "host is stopping", overloadRetryAfter)
 	case x.timeLeft() < minTimeLeft:
 		x.abandon(CauseDeadline, "too little time is left", overloadRetryAfter)
 	default:
@@ -199,7 +207,26 @@
 }
 
 func (x *exchange) timeLeft() time.Duration {
-	return x.deadline.Sub(x.Now())
+	return x.end().Sub(x.Now())
+}
+
+// end returns the time by which the exchange must end: the deadline, or sooner if this host stops.
+func (x *exchange) end() time.Time {
+	return x.stop.Earlier(x.deadline)
+}
+
+// isStopping reports whether the exchange must end before its deadline because this host stops.
+func (x *exchange) isStopping() bool {
+	return x.end().Before(x.deadline)
+}
+
+// upstreamTime returns the time that an upstream may take. It ends a little before the host's own stop, as an upstream that gives up then says whether it has run the request.
+func (x *exchange) upstreamTime() time.Duration {
+	left := x.timeLeft()
+	if x.isStopping() {
+		return max(minTimeLeft, left-stopNoticeTime)
+	}
+	return left
 }
 
 // pickUpstream selects an upstream. One that takes a limited number of requests is used only with a permit.
@@ -261,6 +288,10 @@
 		x.abandon(CauseCallerLeft, "caller went away", 0)
 		return false
 	}
+	if x.isStopping() && x.timeLeft() < minTimeLeft {
+		x.abandon(CauseStopping, "host is stopping: "+x.detail, overloadRetryAfter)
+		return false
+	}
 	state := retry.State{
 		Idempotent:     x.route.Repeatable(),
 		PossibleRuns:   x.sends,
@@ -304,6 +335,9 @@
 	case errors.As(err, &tooLarge):
 		x.respondError(http.StatusRequestEntityTooLarge, CauseTooLarge, "body is too large")
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded) && x.isStopping():
+		x.respondUnavailable(overloadRetryAfter, CauseStopping, "host is stopping")
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.respondError(http.StatusRequestTimeout, CauseMalformed, "body did not arrive in time")
 		return false
@@ -315,7 +349,7 @@
 	return true
 }
 
-// readWithDeadline reads from the caller's connection until the deadline, and removes the deadline for later reads.
+// readWithDeadline reads from the caller's connection until the deadline, or until this host stops, and removes the deadline for later reads.
 func (x *exchange) readWithDeadline(deadline time.Time, r io.Reader) ([]byte, error) {
 	if x.r.ContentLength == 0 {
 		return nil, nil
@@ -324,6 +358,11 @@
 	if err := rc.SetReadDeadline(deadline); err != nil {
 		return nil, fmt.Errorf("set body read deadline: %w", err)
 	}
+	release := x.stop.AfterFunc(func() {
+		// An error means that the connection is closed already.
+		_ = rc.SetReadDeadline(time.Unix(1, 0))
+	})
+	defer release()
 	body, err := guard.ReadBody(r, x.r.ContentLength, serve.ClaimOf(x.r))
 	if err != nil {
 		return nil, fmt.Errorf("receive body: %w", err)
--- a/internal/root/relay/flow/identify.go
+++ b/internal/root/relay/flow/identify.go
@@ -27,7 +27,9 @@
 	r := x.lookUp()
 	if r != nil && r.absent {
 		began := x.Now()
-		confirmed := x.Recency.Await(x.r.Context(), arrivedAt, x.maxHeldTime())
+		ctx, release := x.stop.Until(x.r.Context())
+		confirmed := x.Recency.Await(ctx, arrivedAt, x.maxHeldTime())
+		release()
 		x.heldTime = x.Now().Sub(began)
 		// The configuration may have been replaced before it was confirmed.
 		if r = x.lookUp(); r != nil && r.absent {
--- a/internal/root/relay/flow/resume.go
+++ b/internal/root/relay/flow/resume.go
@@ -44,7 +44,9 @@
 	}
 	x.position.lastID = x.requestHead.LastEvent
 	x.originKey = origin.KeyOf(x.account.Name, x.requestHead.Resumes)
-	o, ok := x.Origins.Find(x.r.Context(), origin.Lookup{
+	ctx, release := x.stop.Until(x.r.Context())
+	defer release()
+	o, ok := x.Origins.Find(ctx, origin.Lookup{
 		Key:   x.originKey,
 		Named: x.requestHead.Resumes != "",
 		Scope: x.streamScope(),
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -20,6 +20,7 @@
 	"github.com/cornelwing/cornelwing/internal/root/relay/starts"
 	"github.com/cornelwing/cornelwing/internal/root/retry"
 	"github.com/cornelwing/cornelwing/internal/root/route"
+	"github.com/cornelwing/cornelwing/internal/serve"
 )
 
 const (
@@ -136,6 +137,7 @@
 		Service: s,
 		w:       w,
 		r:       r,
+		stop:    serve.StopOf(r.Context()),
 		arrived: s.Now(),
 	}
 	defer x.finish()
--- a/internal/root/relay/flow/stages.go
+++ b/internal/root/relay/flow/stages.go
@@ -73,7 +73,7 @@
 		Route:    x.route,
 		Pieces:   x.requestHead.Pieces,
 		Arrived:  x.arrived,
-		Deadline: x.deadline,
+		Deadline: x.end(),
 		Resumed:  x.hasKnownBeginning(),
 	}
 }
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -49,6 +49,8 @@
 	// drainWaitShare and drainEndShare divide the termination grace period: a stopping host accepts requests for the first share of it and must have ended its requests by the second.
 	drainWaitShare = 0.36
 	drainEndShare  = 0.92
+	// answerShare is the share of the termination grace period for the final responses of requests that have not ended by then. It ends at drainEndShare.
+	answerShare = 0.02
 	// backupRank is the key by which the hosts are ranked for the backups that one of them writes for all.
 	backupRank = "backup/versions"
 	// configurationsTable and upstreamsTable are the names by which hosts ask each other for these tables.
@@ -272,6 +274,7 @@
 		HeaderBytes:   maxHeaderBytes,
 		DrainWait:     drain,
 		DrainTimeout:  time.Duration(drainEndShare*float64(grace)) - drain,
+		AnswerTime:    time.Duration(answerShare * float64(grace)),
 	}, serve.WithLeaveHook(r.deregister), serve.WithBounds(r.conns, r.memory))
 	return r
 }
--- a/internal/serve/graceful.go
+++ b/internal/serve/graceful.go
@@ -26,9 +26,11 @@
 	DrainWait time.Duration
 	// DrainTimeout is the time that the server then waits for requests in flight.
 	DrainTimeout time.Duration
+	// AnswerTime is the last part of DrainTimeout, for the final responses of requests that have not ended by themselves.
+	AnswerTime time.Duration
 }
 
-// Graceful is an HTTP server with a two-step stop. It first accepts requests for DrainWait, so that the load balancer notices that it is leaving. It then waits up to DrainTimeout for requests in flight.
+// Graceful is an HTTP server with a two-step stop. It first accepts requests for DrainWait, so that the load balancer notices that it is leaving. It then waits up to DrainTimeout for requests in flight, which learn from their Stop by when they must end.
 type Graceful struct {
 	common.Deps
 	addr    string
@@ -42,6 +44,7 @@
 	conns      *guard.Conns
 	memory     *guard.Memory
 	leaving    atomic.Bool
+	stop       *Stop
 	listenAddr atomic.Pointer[string]
 }
 
@@ -79,6 +82,7 @@
 		limits:  limits,
 		onLeave: func() {},
 		onDrain: func() {},
+		stop:    NewStop(),
 	}
 	for _, o := range opts {
 		o(g)
@@ -113,6 +117,7 @@
 		ReadHeaderTimeout: g.limits.HeaderTimeout,
 		IdleTimeout:       g.limits.IdleTimeout,
 		MaxHeaderBytes:    g.limits.HeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return WithStop(context.Background(), g.stop) },
 		// net/http must not answer OPTIONS * itself: only the handler may answer a request with success.
 		DisableGeneralOptionsHandler: true,
 	}
@@ -151,6 +156,9 @@
 
 func (g *Graceful) drain(srv *http.Server) error {
 	g.leaving.Store(true)
+	if g.limits.AnswerTime > 0 {
+		g.stop.Begin(time.Now().Add(g.limits.DrainWait + g.limits.DrainTimeout - g.limits.AnswerTime))
+	}
 	g.onLeave()
 	g.Log.Infof("Stop requested. Still accepting requests for %s.", g.limits.DrainWait)
 	time.Sleep(g.limits.DrainWait)
--- a/internal/stand/serv/behavior.go
+++ b/internal/stand/serv/behavior.go
@@ -24,6 +24,8 @@
 	NoStamp
 	// Hang runs the request and never responds.
 	Hang
+	// RejectAtDeadline lets the request wait until its deadline, and then states that it has not run. Runs counts it all the same.
+	RejectAtDeadline
 	// StatusZero responds with the status 000, and BlankInName in chunks that a field with a blank behind its name announces. Both are no responses.
 	StatusZero
 	BlankInName
--- a/internal/stand/serv/respond.go
+++ b/internal/stand/serv/respond.go
@@ -43,6 +43,9 @@
 		s.cancelled++
 		s.mu.Unlock()
 		return
+	case RejectAtDeadline:
+		s.rejectAtDeadline(w, r)
+		return
 	case OtherRequestID:
 		h.Set("Request-Id", "another")
 	case NoStamp:
@@ -67,6 +70,21 @@
 	s.writePlain(w, id, b)
 }
 
+func (s *Server) rejectAtDeadline(w http.ResponseWriter, r *http.Request) {
+	ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	select {
+	case <-time.After(time.Duration(ms) * time.Millisecond):
+	case <-r.Context().Done():
+	}
+	w.Header().Del("Server-Stamp")
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // Body returns the plain body of the response to the request with the id.
 func (s *Server) Body(id string) string {
 	body := "body of " + id
