--- a/internal/root/crash/blame/ledger.go
+++ b/internal/root/crash/blame/ledger.go
@@ -41,6 +41,7 @@
 	untold  map[crash.Fingerprint]time.Time
 	permits map[crash.Fingerprint]time.Time
 	trials  int
+	saved   savedSuspects
 }
 
 // NewLedger returns an empty ledger.
--- a/internal/root/relay/backup/backup.go
+++ b/internal/root/relay/backup/backup.go
@@ -78,6 +78,9 @@
 
 	// routes is what the rows of versions also tell of routes.
 	routes Routes
+	// suspects returns what may crash upstreams, and suspectsWrittenAt is when that was last written. Both belong to Run.
+	suspects          func() blame.Update
+	suspectsWrittenAt time.Time
 	// onCrashes is called with what the store holds of crashes, each time that it is read.
 	onCrashes func(u blame.Update)
 	// onSettled is called with the settled era that the store states, each time that it is read.
@@ -91,6 +94,8 @@
 	settled string
 	// crashes is what is to be written of crashes, or nil.
 	crashes *savedCrashes
+	// suspectsDue reports that what may crash upstreams is to be written.
+	suspectsDue bool
 }
 
 // New returns a backup in the table. What it reads about versions goes into history, and what it writes about them comes from there. sinceBoot returns the time since boot, including suspension; writesForAll reports whether this host makes the writes of which one for all hosts is enough.
@@ -108,6 +113,7 @@
 		reader:    newReader(),
 		routes:    &plan.Moves{},
 		onCrashes: func(blame.Update) {},
+		suspects:  func() blame.Update { return blame.Update{} },
 		onSettled: func(string) {},
 	}
 }
@@ -151,6 +157,7 @@
 		b.readFirst(ctx)
 		b.writeVersions(ctx)
 		b.writeCrashes(ctx)
+		b.writeSuspects(ctx)
 		if b.hasPending() {
 			b.gather(ctx)
 			b.writeStreams(ctx)
--- a/internal/root/relay/backup/reader.go
+++ b/internal/root/relay/backup/reader.go
@@ -254,7 +254,7 @@
 		switch {
 		case row.Key == versionsKey:
 			err = b.decodeVersions(row.Value, nowMS)
-		case row.Key == crashesKey:
+		case row.Key == crashesKey, row.Key == suspectsKey:
 			err = b.decodeCrashes(row.Value, nowMS)
 		case holdsStreams(row.Key):
 			var old bool
--- a/internal/root/relay/backup/rows.go
+++ b/internal/root/relay/backup/rows.go
@@ -18,6 +18,8 @@
 	versionsKey = "versions"
 	// crashesKey is the key of the row with what crashes upstreams.
 	crashesKey = "crashes"
+	// suspectsKey is the key of the row with what may crash upstreams and is not blocked yet. Older builds ignore it.
+	suspectsKey = "suspects"
 	// streamsPrefix begins the keys of rows with streams.
 	streamsPrefix = "streams/"
 	// maxRowBytes is less than what the store takes, 64 KiB, and maxStreamsPerRow keeps rows with streams below it.
@@ -109,7 +111,7 @@
 	return nil
 }
 
-// crashesRow is the row with what crashes upstreams at a time of the store's clock, in milliseconds.
+// crashesRow is a row with what crashes upstreams, or may crash them, at a time of the store's clock, in milliseconds.
 type crashesRow struct {
 	AtMS     int64        `json:"at_ms"`
 	Evidence blame.Update `json:"evidence"`
--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -42,6 +42,8 @@
 	peers  *Peers
 	// save keeps what crashes upstreams in the platform's store.
 	save func(u blame.Update)
+	// saveSuspects has Suspects kept in the platform's store.
+	saveSuspects func()
 	// unreachable is called with an upstream that lost a connection and can't be connected to.
 	unreachable func(up route.Upstream)
 	// background runs a function that sends messages to other hosts in a goroutine of its own.
@@ -63,14 +65,15 @@
 // NewCrashes returns the record of crashes on this host, which is shared with other hosts through peers. reachable reports whether a connection to the address of an upstream can be opened. NewCrashes must be called before peers runs.
 func NewCrashes(deps common.Deps, peers *Peers, reachable func(ctx context.Context, addr string) bool) *Crashes {
 	c := &Crashes{
-		Deps:        deps.WithPart("crash"),
-		ledger:      blame.NewLedger(),
-		prober:      crash.NewProber(reachable),
-		peers:       peers,
-		save:        func(blame.Update) {},
-		unreachable: func(route.Upstream) {},
-		background:  func(f func()) { go f() },
-		gathered:    map[string]*gatheredCrash{},
+		Deps:         deps.WithPart("crash"),
+		ledger:       blame.NewLedger(),
+		prober:       crash.NewProber(reachable),
+		peers:        peers,
+		save:         func(blame.Update) {},
+		saveSuspects: func() {},
+		unreachable:  func(route.Upstream) {},
+		background:   func(f func()) { go f() },
+		gathered:     map[string]*gatheredCrash{},
 	}
 	peers.services = append(peers.services, c)
 	peers.roster.OnJoin(c.notifyJoined)
@@ -87,6 +90,16 @@
 	c.save = save
 }
 
+// SaveSuspectsWith sets what has Suspects kept in the platform's store. It must be called before peers runs.
+func (c *Crashes) SaveSuspectsWith(save func()) {
+	c.saveSuspects = save
+}
+
+// Suspects returns what is known of requests that have crashed upstreams and are not blocked yet.
+func (c *Crashes) Suspects() blame.Update {
+	return c.ledger.Suspects(c.Now())
+}
+
 // Restore takes over what was known of crashes before all hosts were lost.
 func (c *Crashes) Restore(u blame.Update) {
 	c.ledger.Merge(c.Now(), u)
@@ -224,6 +237,9 @@
 		c.survey(suspects)
 	}
 	c.updateVerdict()
+	if c.peers.roster.IsWriter(countersKey) && c.ledger.TakeSuspectsChange(c.Now()) {
+		c.saveSuspects()
+	}
 	if untold := c.ledger.TakeUntold(c.Now()); len(untold) > 0 {
 		if c.peers.roster.IsWriter(countersKey) {
 			c.save(c.ledger.Evidence(c.Now(), c.ledger.Blocked()))
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -234,6 +234,8 @@
 	r.crashes = hosts.NewCrashes(deps, r.peers, dialer.Reaches)
 	r.refuter = hosts.NewRefuter(deps, r.crashes, r.upstreamRanAt)
 	r.crashes.SaveWith(r.backup.SaveCrashes)
+	r.crashes.SaveSuspectsWith(r.backup.SaveSuspects)
+	r.backup.KeepSuspects(r.crashes.Suspects)
 	r.backup.OnCrashes(r.crashes.Restore)
 	r.backup.OnSettled(r.settlement.noteWritten)
 	r.warmUps = r.newWarmUps()
