--- a/internal/root/crash/blame/crash.go
+++ b/internal/root/crash/blame/crash.go
@@ -16,12 +16,15 @@
 // ErrInvalidUpdate is returned for a crash without an upstream, with too many requests, or with a negative age.
 var ErrInvalidUpdate = errors.New("update about crashes is not valid")
 
-// Crash is the crash of one start of an upstream, with the requests that were in progress there and had not been answered for long.
+// Crash is the crash of one start of an upstream, with the requests that were in progress there.
 type Crash struct {
 	// Upstream identifies the start of the upstream.
 	Upstream string
 	At       time.Time
 	Requests []Request
+	// Late holds the requests that the upstream had been answering for a while, and PoolSize how many upstreams its pool had, or 0 if that is not known.
+	Late     []LateRun
+	PoolSize int
 }
 
 // Survival is the last time at which an upstream was seen to survive a request with the fingerprint.
@@ -41,6 +44,9 @@
 	Upstream string    `json:"upstream"`
 	AgeMS    int64     `json:"age_ms"`
 	Requests []Request `json:"requests"`
+	// Late and PoolSize are not known to older builds.
+	Late     []LateRun `json:"late,omitempty"`
+	PoolSize int       `json:"pool_size,omitempty"`
 }
 
 // SurvivalRecord is a Survival in an Update.
@@ -56,7 +62,7 @@
 	if err := json.Unmarshal(b, &p); err != nil {
 		return fmt.Errorf("decode crash: %w", err)
 	}
-	if p.Upstream == "" || p.AgeMS < 0 || len(p.Requests) > MaxRequests {
+	if p.Upstream == "" || p.AgeMS < 0 || len(p.Requests) > MaxRequests || len(p.Late) > MaxRequests || p.PoolSize < 0 {
 		return fmt.Errorf("check crash: %w", ErrInvalidUpdate)
 	}
 	*c = CrashRecord(p)
@@ -85,6 +91,8 @@
 			Upstream: c.Upstream,
 			AgeMS:    ageMS(now, c.At),
 			Requests: c.Requests,
+			Late:     c.Late,
+			PoolSize: c.PoolSize,
 		})
 	}
 	for _, s := range survivals {
--- a/internal/root/crash/blame/evidence.go
+++ b/internal/root/crash/blame/evidence.go
@@ -40,6 +40,8 @@
 			Upstream: c.Upstream,
 			At:       now.Add(-time.Duration(c.AgeMS) * time.Millisecond),
 			Requests: c.Requests,
+			Late:     c.Late,
+			PoolSize: c.PoolSize,
 		}) || changed
 	}
 	for _, s := range u.Survivals {
@@ -58,7 +60,7 @@
 	}
 	for i, known := range e.crashes {
 		if known.Upstream == c.Upstream && known.At.Sub(c.At).Abs() < sameCrashWindow {
-			return e.addRequests(i, c.Requests)
+			return e.addRuns(i, c)
 		}
 	}
 	e.crashes = slices.DeleteFunc(e.crashes, func(old Crash) bool { return now.Sub(old.At) >= retention })
@@ -66,7 +68,7 @@
 		Upstream: c.Upstream,
 		At:       c.At,
 	})
-	e.addRequests(len(e.crashes)-1, c.Requests)
+	e.addRuns(len(e.crashes)-1, c)
 	slices.SortStableFunc(e.crashes, func(a, b Crash) int {
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Upstream, b.Upstream))
 	})
@@ -74,6 +76,13 @@
 	return true
 }
 
+// addRuns adds what was in progress to the crash with the index, and reports whether something was new.
+func (e *Evidence) addRuns(i int, c Crash) bool {
+	e.crashes[i].PoolSize = max(e.crashes[i].PoolSize, c.PoolSize)
+	late := e.addLate(i, c.Late)
+	return e.addRequests(i, c.Requests) || late
+}
+
 // addRequests adds requests to the crash with the index, and reports whether one of them was new.
 func (e *Evidence) addRequests(i int, list []Request) bool {
 	changed := false
@@ -152,18 +161,29 @@
 func (e *Evidence) Against(f crash.Fingerprint) []Crash {
 	var out []Crash
 	for _, c := range e.crashes {
-		var with []Request
-		for _, r := range c.Requests {
-			if r.has(f) {
-				with = append(with, r)
-			}
+		if with := e.against(c, f); len(with.Requests)+len(with.Late) > 0 {
+			out = append(out, with)
 		}
-		if len(with) > 0 && e.counts(c, f) {
-			out = append(out, Crash{
-				Upstream: c.Upstream,
-				At:       c.At,
-				Requests: with,
-			})
+	}
+	return out
+}
+
+// against returns the crash with only those of its requests that have the fingerprint and against which it counts.
+func (e *Evidence) against(c Crash, f crash.Fingerprint) Crash {
+	out := Crash{
+		Upstream: c.Upstream,
+		At:       c.At,
+		PoolSize: c.PoolSize,
+	}
+	if r, ok := c.lateRun(f); ok && e.countsLate(c, f) {
+		out.Late = append(out.Late, r)
+	}
+	if !e.counts(c, f) {
+		return out
+	}
+	for _, r := range c.Requests {
+		if r.has(f) {
+			out.Requests = append(out.Requests, r)
 		}
 	}
 	return out
--- a/internal/root/crash/blame/ledger.go
+++ b/internal/root/crash/blame/ledger.go
@@ -213,7 +213,7 @@
 	defer l.mu.Unlock()
 	var out []crash.Fingerprint
 	for _, c := range u.Crashes {
-		for _, r := range c.Requests {
+		for _, r := range inProgress(c.Requests, c.Late) {
 			for _, b := range l.verdict.Blocks(r) {
 				if !slices.Contains(out, b.Fingerprint) {
 					out = append(out, b.Fingerprint)
@@ -248,6 +248,10 @@
 				counts[f]++
 			}
 		}
+		for _, r := range c.Late {
+			counts[r.Own]++
+			counts[WholeFingerprint(r.Own)]++
+		}
 	}
 	for _, f := range list {
 		delete(counts, f)
--- a/internal/root/crash/blame/suspects.go
+++ b/internal/root/crash/blame/suspects.go
@@ -37,13 +37,15 @@
 		if e.refuted(c) || e.explained(c, blocked) {
 			continue
 		}
-		with := slices.DeleteFunc(slices.Clone(c.Requests), func(r Request) bool { return !e.countsAgainst(c, r) })
-		if len(with) > 0 {
-			out = append(out, Crash{
-				Upstream: c.Upstream,
-				At:       c.At,
-				Requests: with,
-			})
+		kept := Crash{
+			Upstream: c.Upstream,
+			At:       c.At,
+			Requests: slices.DeleteFunc(slices.Clone(c.Requests), func(r Request) bool { return !e.countsAgainst(c, r) }),
+			Late:     slices.DeleteFunc(slices.Clone(c.Late), func(r LateRun) bool { return !e.countsLate(c, r.Own) }),
+			PoolSize: c.PoolSize,
+		}
+		if len(kept.Requests)+len(kept.Late) > 0 {
+			out = append(out, kept)
 		}
 	}
 	return out
@@ -69,7 +71,7 @@
 	current := map[suspicion]bool{}
 	added := false
 	for _, c := range l.evidence.suspected(l.verdict) {
-		for _, r := range c.Requests {
+		for _, r := range inProgress(c.Requests, c.Late) {
 			s := suspicion{
 				upstream: c.Upstream,
 				own:      r.Own,
--- a/internal/root/crash/blame/verdict.go
+++ b/internal/root/crash/blame/verdict.go
@@ -106,7 +106,7 @@
 	return slices.Sorted(maps.Keys(v.blocks))
 }
 
-// Verdict returns what the evidence blocks. The fingerprint with the most crashes comes first, those that upstreams never survived before the others. It then explains its crashes, which no longer count against what else was in progress there.
+// Verdict returns what the evidence blocks. The fingerprint with the most crashes comes first, those that upstreams never survived before the others, and those that late crashes block last. It then explains its crashes, which no longer count against what else was in progress there.
 func (e *Evidence) Verdict() Verdict {
 	v := Verdict{
 		blocks: map[crash.Fingerprint]Block{},
@@ -114,6 +114,9 @@
 	open := slices.Clone(e.crashes)
 	for {
 		found := e.strongest(open)
+		if len(found) == 0 {
+			found = e.strongestLate(open)
+		}
 		if len(found) == 0 {
 			return v
 		}
@@ -127,7 +130,7 @@
 // explained reports whether a request of the crash has one of the fingerprints, and the crash counts against it.
 func (e *Evidence) explained(c Crash, by []crash.Fingerprint) bool {
 	for _, f := range by {
-		if e.counts(c, f) && slices.ContainsFunc(c.Requests, func(r Request) bool { return r.has(f) }) {
+		if with := e.against(c, f); len(with.Requests)+len(with.Late) > 0 {
 			return true
 		}
 	}
@@ -175,6 +178,17 @@
 	return out
 }
 
+// lateCrashTimes adds to the times of crashes those of late ones.
+func (e *Evidence) lateCrashTimes(times map[crash.Fingerprint][]time.Time) {
+	for _, c := range e.crashes {
+		for _, r := range c.Late {
+			if e.countsLate(c, r.Own) {
+				times[r.Own] = append(times[r.Own], c.At)
+			}
+		}
+	}
+}
+
 func limitOf(survived bool) int {
 	if survived {
 		return survivedLimit
@@ -211,7 +225,7 @@
 			b.trials++
 		}
 		b.LastCrash = c.At
-		for _, r := range c.Requests {
+		for _, r := range inProgress(c.Requests, c.Late) {
 			if first {
 				b.Companions = slices.DeleteFunc(r.Fingerprints(), func(o crash.Fingerprint) bool { return o == f })
 				first = false
@@ -226,11 +240,20 @@
 // Suspects returns the fingerprints with so many crashes that further survivals of them are worth knowing, in ascending order.
 func (e *Evidence) Suspects() []crash.Fingerprint {
 	var out []crash.Fingerprint
-	for f, times := range e.crashTimes(e.crashes) {
+	all := e.crashTimes(e.crashes)
+	e.lateCrashTimes(all)
+	for f, times := range all {
 		if len(times) >= suspectLimit {
 			out = append(out, f)
 		}
 	}
+	for _, c := range e.crashes {
+		for _, r := range c.Late {
+			if whole := WholeFingerprint(r.Own); slices.Contains(out, r.Own) && !slices.Contains(out, whole) {
+				out = append(out, whole)
+			}
+		}
+	}
 	slices.Sort(out)
 	return out
 }
--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cornelwing/cornelwing/internal/root/crash/blame"
 	"github.com/cornelwing/cornelwing/internal/root/place"
 	"github.com/cornelwing/cornelwing/internal/root/relay/plan"
 	"github.com/cornelwing/cornelwing/internal/root/relay/send"
@@ -117,11 +118,17 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if x.survived {
+	x.Log.WithField("request", x.requestHead.ID).WithField("upstream", up.Name).WithField("software", up.Version).WithField("events", x.eventsSent).WithField("parts", x.requestHead.partNames()).Info("Connection to upstream lost.")
+	if !x.survived {
+		x.CrashDetector.RecordConnLoss(ctx, x.blamable, up)
 		return
 	}
-	x.Log.WithField("request", x.requestHead.ID).WithField("upstream", up.Name).WithField("software", up.Version).WithField("events", x.eventsSent).WithField("parts", x.requestHead.partNames()).Info("Connection to upstream lost.")
-	x.CrashDetector.RecordConnLoss(ctx, x.blamable, up)
+	late := blame.LateRun{
+		Own:   x.blamable.Own,
+		RanMS: x.Now().Sub(x.eventsBegan).Milliseconds(),
+	}
+	// The rest of the stream does not wait for the report.
+	go x.CrashDetector.RecordLateConnLoss(context.WithoutCancel(ctx), late, up, x.Table.PoolSize(x.pool))
 }
 
 // recordUnknownOutcome records an attempt after which it is unknown whether the upstream ran the request.
@@ -194,7 +201,7 @@
 		}
 		return ev, x.abort
 	}
-	x.CrashDetector.RecordSurvived(x.blamable)
+	x.CrashDetector.RecordSurvived(x.blamable.Whole())
 	x.Table.Done(x.Now(), up.Name, x.Now().Sub(began)-resp.ConfirmTime(), true)
 	return nil, true
 }
--- a/internal/root/relay/flow/confirm_test.go
+++ b/internal/root/relay/flow/confirm_test.go
@@ -57,6 +57,9 @@
 // RecordConnLoss does nothing.
 func (quietCrashDetector) RecordConnLoss(context.Context, blame.Request, route.Upstream) {}
 
+// RecordLateConnLoss does nothing.
+func (quietCrashDetector) RecordLateConnLoss(context.Context, blame.LateRun, route.Upstream, int) {}
+
 // RecordSurvived does nothing.
 func (quietCrashDetector) RecordSurvived(blame.Request) {}
 
--- a/internal/root/relay/flow/exchange.go
+++ b/internal/root/relay/flow/exchange.go
@@ -88,8 +88,9 @@
 	mayHaveRun bool
 	// unsuitable counts the upstreams that the request was not sent to as their process may not be the one of their row.
 	unsuitable int
-	// survived reports that the upstream of the current attempt has been sending the response for survivalTime.
-	survived bool
+	// survived reports that the upstream of the current attempt has been sending the response for survivalTime, since eventsBegan.
+	survived    bool
+	eventsBegan time.Time
 	// headSent reports that the caller has received the start of its response.
 	headSent   bool
 	eventsSent int
--- a/internal/root/relay/flow/forward.go
+++ b/internal/root/relay/flow/forward.go
@@ -21,7 +21,7 @@
 // errResponseTooLong reports a response without a length that is longer than maxUnboundedBytes.
 var errResponseTooLong = errors.New("response is too long")
 
-// survivalTime is how long an upstream must have been sending events of a stream for a later crash not to be held against the request.
+// survivalTime is how long an upstream must have been sending events of a stream for a later crash to be a late one, which counts only against the request as a whole.
 const survivalTime = time.Second
 
 // forwardBuffered forwards a response. A small one is read completely first, so that the request can be retried if the response is truncated.
@@ -72,6 +72,7 @@
 func (x *exchange) forwardEvents(resp send.Response, sentAt time.Time) error {
 	rc := http.NewResponseController(x.w)
 	began := x.Now()
+	x.eventsBegan = began
 	events := newEventReader(resp.Body, resp.Framing)
 	x.position.beginPart()
 	for {
@@ -116,7 +117,7 @@
 	}
 }
 
-// recordIfSurvived records that the upstream has survived the request, once its response has gone on for survivalTime.
+// recordIfSurvived records that the upstream has survived the beginning of the request, once its response has gone on for survivalTime.
 func (x *exchange) recordIfSurvived(began time.Time) {
 	if x.survived || x.Now().Sub(began) < survivalTime {
 		return
--- a/internal/root/relay/flow/service.go
+++ b/internal/root/relay/flow/service.go
@@ -51,7 +51,9 @@
 	BeginAttempt(ctx context.Context, r blame.Request) Admission
 	// RecordConnLoss records that the connection to an upstream was lost while it ran the request.
 	RecordConnLoss(ctx context.Context, r blame.Request, up route.Upstream)
-	// RecordSurvived records that an upstream ran the request to completion, or has been sending its response for a while.
+	// RecordLateConnLoss records that the connection to an upstream, one of so many of its pool, was lost after it had been answering a request for a while.
+	RecordLateConnLoss(ctx context.Context, late blame.LateRun, up route.Upstream, poolSize int)
+	// RecordSurvived records that an upstream ran the request to completion (see blame.Request.Whole), or has been sending its response for a while.
 	RecordSurvived(r blame.Request)
 }
 
--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -161,7 +161,11 @@
 	}
 	c.unreachable(up)
 	c.Log.Warnf("Upstream %s became unreachable while it ran the request with fingerprint %s.", up.Name, formatFingerprint(r.Own))
-	done := c.gather(r, up)
+	done := c.gather(up, func(g *blame.Crash) {
+		if len(g.Requests) < blame.MaxRequests {
+			g.Requests = append(g.Requests, r)
+		}
+	})
 	timer := time.NewTimer(reportWait)
 	defer timer.Stop()
 	select {
@@ -170,8 +174,23 @@
 	}
 }
 
-// gather adds the request to the crash of its upstream, which is reported after gatherTime. The returned channel is closed once that is done.
-func (c *Crashes) gather(r blame.Request, up route.Upstream) <-chan struct{} {
+// RecordLateConnLoss records that the connection to an upstream, one of so many of its pool, was lost after it had been answering a request for a while.
+func (c *Crashes) RecordLateConnLoss(ctx context.Context, late blame.LateRun, up route.Upstream, poolSize int) {
+	if c.prober.StaysReachable(ctx, up) {
+		return
+	}
+	c.unreachable(up)
+	c.Log.WithField("ran_ms", late.RanMS).Warnf("Upstream %s became unreachable while it ran the request with fingerprint %s.", up.Name, formatFingerprint(late.Own))
+	c.gather(up, func(g *blame.Crash) {
+		g.PoolSize = max(g.PoolSize, poolSize)
+		if len(g.Late) < blame.MaxRequests {
+			g.Late = append(g.Late, late)
+		}
+	})
+}
+
+// gather adds what was in progress to the crash of its upstream, which is reported after gatherTime. The returned channel is closed once that is done.
+func (c *Crashes) gather(up route.Upstream, add func(g *blame.Crash)) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := formatStart(up)
@@ -187,9 +206,7 @@
 		c.gathered[key] = g
 		c.background(func() { c.reportGathered(key, g) })
 	}
-	if len(g.crash.Requests) < blame.MaxRequests {
-		g.crash.Requests = append(g.crash.Requests, r)
-	}
+	add(&g.crash)
 	return g.done
 }
 
--- a/internal/root/route/table.go
+++ b/internal/root/route/table.go
@@ -213,6 +213,17 @@
 	return ok && slices.ContainsFunc(p.entries, func(e *entry) bool { return e.isOpenIn(regions) && e.up.Version == version })
 }
 
+// PoolSize returns the number of upstreams of a pool.
+func (t *Table) PoolSize(name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.pools[name]
+	if !ok {
+		return 0
+	}
+	return len(p.entries)
+}
+
 // PickRandomlySeeded is Pick with a randomly seeded generator.
 func (t *Table) PickRandomlySeeded(now time.Time, q Query) (Upstream, bool) {
 	return t.Pick(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), q)
