--- a/internal/root/crash/blame/late.go
+++ b/internal/root/crash/blame/late.go
@@ -119,10 +119,14 @@
 func (e *Evidence) strongestLate(open []Crash) []crash.Fingerprint {
 	var out []crash.Fingerprint
 	most := 0
-	for f, candidates := range lateCandidates(open) {
+	last := lastLateCrashes(open)
+	for f, n := range e.countHits(open, last) {
+		if n < crashLimit {
+			continue
+		}
 		hits := e.hitsOf(open, f)
 		_, survived := e.survivals.last(WholeFingerprint(f))
-		if len(hits) < limitOf(survived) || len(hits) < most || chanceOf(hits, open)*float64(candidates) > maxChance {
+		if len(hits) < limitOf(survived) || len(hits) < most || chanceOf(hits, open)*candidates(last, f) > maxChance {
 			continue
 		}
 		if len(hits) > most {
@@ -135,25 +139,41 @@
 	return out
 }
 
-// lateCandidates returns the requests under late crashes, each with how many there were in chanceWindow before its last one: the more there are, the more likely is it that one of them was hit by chance.
-func lateCandidates(open []Crash) map[crash.Fingerprint]int {
-	last := map[crash.Fingerprint]time.Time{}
+// lastLateCrashes returns the requests under late crashes, each with the time of its last one.
+func lastLateCrashes(open []Crash) map[crash.Fingerprint]time.Time {
+	out := map[crash.Fingerprint]time.Time{}
 	for _, c := range open {
 		for _, r := range c.Late {
-			last[r.Own] = c.At
+			out[r.Own] = c.At
 		}
 	}
+	return out
+}
+
+// countHits returns how many crashes count against each of the requests as a whole.
+func (e *Evidence) countHits(open []Crash, of map[crash.Fingerprint]time.Time) map[crash.Fingerprint]int {
 	out := map[crash.Fingerprint]int{}
-	for f, at := range last {
-		for _, other := range last {
-			if at.Sub(other).Abs() < chanceWindow {
-				out[f]++
+	for _, c := range open {
+		for _, r := range inProgress(c.Requests, c.Late) {
+			if _, ok := of[r.Own]; ok && e.countsLate(c, r.Own) {
+				out[r.Own]++
 			}
 		}
 	}
 	return out
 }
 
+// candidates returns how many requests were under late crashes within chanceWindow of the last one of the request: the more there are, the more likely is it that one of them was hit by chance.
+func candidates(last map[crash.Fingerprint]time.Time, f crash.Fingerprint) float64 {
+	n := 0
+	for _, at := range last {
+		if at.Sub(last[f]).Abs() < chanceWindow {
+			n++
+		}
+	}
+	return float64(n)
+}
+
 // chanceOf returns how likely it is that a sound request was in progress at all of its crashes: the chance that an upstream crashes for another reason within the time of each run.
 func chanceOf(hits []hit, open []Crash) float64 {
 	last := hits[len(hits)-1].at
--- a/internal/root/crash/blame/late_test.go
+++ b/internal/root/crash/blame/late_test.go
@@ -299,3 +299,21 @@
 		}
 	}
 }
+
+// Guards against a verdict that takes long as many long streams were in progress at many crashes.
+func TestVerdictOnManyLateRunsIsQuick(t *testing.T) {
+	l := NewLedger()
+	for i := range maxCrashes {
+		c := lateCrash(float64(i), 3, 100)
+		for r := range MaxRequests {
+			c.Late = append(c.Late, LateRun{Own: req(i*MaxRequests + r).Own, RanMS: 3000})
+		}
+		l.Merge(c.At, NewUpdate(c.At, []Crash{c}, nil))
+	}
+	const maxTime = 500 * time.Millisecond
+	began := time.Now()
+	l.Assess(at(maxCrashes))
+	if took := time.Since(began); took > maxTime {
+		t.Errorf("the verdict on %d late runs took %s", maxCrashes*MaxRequests, took)
+	}
+}
--- a/internal/root/crash/blame/verdict.go
+++ b/internal/root/crash/blame/verdict.go
@@ -247,11 +247,9 @@
 			out = append(out, f)
 		}
 	}
-	for _, c := range e.crashes {
-		for _, r := range c.Late {
-			if whole := WholeFingerprint(r.Own); slices.Contains(out, r.Own) && !slices.Contains(out, whole) {
-				out = append(out, whole)
-			}
+	for f := range lastLateCrashes(e.crashes) {
+		if len(all[f]) >= suspectLimit {
+			out = append(out, WholeFingerprint(f))
 		}
 	}
 	slices.Sort(out)
--- a/internal/root/relay/vital/witness.go
+++ b/internal/root/relay/vital/witness.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -154,7 +155,7 @@
 		return err
 	case errors.Is(err, send.ErrSenderUnstated) && rel != unrelated:
 		return nil
-	case isRefusal(err), x.sentinel.wasLost(arrived):
+	case errors.Is(err, syscall.ECONNREFUSED), x.sentinel.wasLost(arrived):
 		return fmt.Errorf("%w: %v", send.ErrUpstreamGone, err)
 	default:
 		return fmt.Errorf("%w: %v", errUndecided, err)
