--- a/internal/root/relay/starts/checker.go
+++ b/internal/root/relay/starts/checker.go
@@ -73,7 +73,7 @@
 	return c.Probe(ctx, i, nil)
 }
 
-// Probe asks like Check, also if the row does not say when the process started: every finding but Unreachable, and one that is ErrUnreadable, shows that a process has answered since the call began. It asks over the connection, or over a new one if that is nil.
+// Probe asks like Check, also if the row does not say when the process started: each finding shows that a process has answered since the call began, but for Unreachable with another error than ErrUnreadable. It asks over the connection, or over a new one if that is nil.
 func (c *Checker) Probe(ctx context.Context, i route.Incarnation, conn net.Conn) Finding {
 	f := c.ask(ctx, i, conn)
 	if ctx.Err() == nil {
--- a/internal/root/relay/starts/finding.go
+++ b/internal/root/relay/starts/finding.go
@@ -17,7 +17,7 @@
 // Unstated reports that the row or the process does not state a start, so that they cannot be compared.
 type Unstated struct{}
 
-// Unreachable reports that the process did not answer.
+// Unreachable reports that the process did not answer, or with what can't be read.
 type Unreachable struct {
 	Err error
 }
--- a/internal/root/relay/vital/held.go
+++ b/internal/root/relay/vital/held.go
@@ -63,20 +63,15 @@
 
 // Read reads from the connection within a question.
 func (c *heldConn) Read(p []byte) (int, error) {
-	r := c.Conn.Read
-	if c.raw == nil {
-		<-c.readable
-		r = c.reader.Read
-	}
-	n, err := r(p)
-	if err != nil {
-		// The error is wrapped where it is reported, as readers compare it with io.EOF.
-		return n, err
+	// Errors are not wrapped, as callers compare them with io.EOF.
+	if c.raw != nil {
+		return c.Conn.Read(p)
 	}
-	return n, nil
+	<-c.readable
+	return c.reader.Read(p)
 }
 
-// isOpen reports whether nothing shows that the peer has closed the connection. It asks the kernel, as a goroutine that waits for the end may not have run yet on a busy host, or on one that was frozen. What the peer sends without a question shows that it is not usable.
+// isOpen reports whether nothing shows that the peer has closed the connection. It asks the kernel, as a goroutine that waits for the end may not have run yet on a busy host, or on one that was frozen. What a peer sends without a question is discarded, or ends the use of a connection that is no socket.
 func (c *heldConn) isOpen() bool {
 	if c.raw == nil {
 		return !isClosed(c.readable)
