--- a/internal/root/relay/flow/attempt.go
+++ b/internal/root/relay/flow/attempt.go
@@ -123,6 +123,10 @@
 		x.CrashDetector.RecordConnLoss(ctx, x.blamable, up)
 		return
 	}
+	// One that leaves ends its long streams with itself.
+	if !x.Upstreams.Serves(up.Incarnation()) {
+		return
+	}
 	late := blame.LateRun{
 		Own:   x.blamable.Own,
 		RanMS: x.Now().Sub(x.eventsBegan).Milliseconds(),
