--- a/internal/root/relay/starts/checker.go
+++ b/internal/root/relay/starts/checker.go
@@ -16,6 +16,9 @@
 // askTimeout bounds one question to an upstream. The first event of a stream waits for the answer.
 const askTimeout = 150 * time.Millisecond
 
+// probeTimeout bounds a question at the end of a response. It is longer, as a sound upstream that is slow to answer would else lose its response.
+const probeTimeout = 900 * time.Millisecond
+
 // ErrUnstated is returned by a Client if the process answers without stating its start.
 var ErrUnstated = errors.New("process does not state its start")
 
@@ -70,12 +73,16 @@
 		c.record(i, Unstated{})
 		return Unstated{}
 	}
-	return c.Probe(ctx, i, nil)
+	return c.askAndRecord(ctx, i, nil, askTimeout)
 }
 
 // Probe asks like Check, also if the row does not say when the process started: each finding shows that a process has answered since the call began, but for Unreachable with another error than ErrUnreadable. It asks over the connection, or over a new one if that is nil.
 func (c *Checker) Probe(ctx context.Context, i route.Incarnation, conn net.Conn) Finding {
-	f := c.ask(ctx, i, conn)
+	return c.askAndRecord(ctx, i, conn, probeTimeout)
+}
+
+func (c *Checker) askAndRecord(ctx context.Context, i route.Incarnation, conn net.Conn, timeout time.Duration) Finding {
+	f := c.ask(ctx, i, conn, timeout)
 	if ctx.Err() == nil {
 		c.record(i, f)
 	}
@@ -100,8 +107,8 @@
 	}
 }
 
-func (c *Checker) ask(ctx context.Context, i route.Incarnation, conn net.Conn) Finding {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+func (c *Checker) ask(ctx context.Context, i route.Incarnation, conn net.Conn, timeout time.Duration) Finding {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	at, err := c.startedAt(ctx, i.Addr, conn)
 	switch {
--- a/internal/root/relay/vital/witness.go
+++ b/internal/root/relay/vital/witness.go
@@ -16,8 +16,8 @@
 
 const (
 	// confirmTimeout bounds the time for confirming an end, and sentinelTimeout the part of it for a question over the connection of a sentinel.
-	confirmTimeout  = 600 * time.Millisecond
-	sentinelTimeout = 250 * time.Millisecond
+	confirmTimeout  = 2 * time.Second
+	sentinelTimeout = time.Second
 	// arrivalError is more than the unit in which the kernel counts the time since data arrived.
 	arrivalError = 10 * time.Millisecond
 	// unstatedTime is how long after the last data a connection may have been opened to a process that does not say which one it is. Such a process can't be told from one that takes another's place faster.
