--- a/internal/root/relay/hosts/crashes.go
+++ b/internal/root/relay/hosts/crashes.go
@@ -254,15 +254,16 @@
 		c.survey(suspects)
 	}
 	c.updateVerdict()
-	if c.peers.roster.IsWriter(countersKey) && c.ledger.TakeSuspectsChange(c.Now()) {
-		c.saveSuspects()
-	}
 	if untold := c.ledger.TakeUntold(c.Now()); len(untold) > 0 {
 		if c.peers.roster.IsWriter(countersKey) {
 			c.save(c.ledger.Evidence(c.Now(), c.ledger.Blocked()))
 		}
 		c.background(func() { c.notify(c.peers.roster.LiveOthers(), untold) })
 	}
+	// What is blocked now leaves the suspects only after it was given to save.
+	if c.peers.roster.IsWriter(countersKey) && c.ledger.TakeSuspectsChange(c.Now()) {
+		c.saveSuspects()
+	}
 }
 
 // updateVerdict draws the verdict from the evidence, and logs what has changed in it.
